--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `galenayard` command.
+
+fn main() {}
