Describe the settings of an instance

Cause: the shell needs typed settings before their checks are complete. Change: a struct for each section with defaults, environments, hexadecimal digests.

--- a/src/document.rs
+++ b/src/document.rs
@@ -8,6 +8,8 @@
 use crate::core::collections;
 use crate::core::ids;
 
+pub mod hex;
+
 /// The whole document.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -53,15 +55,55 @@
 impl Key {
     /// Parses the stored digest; `None` if it is not 64 hexadecimal digits.
     pub fn digest(&self) -> Option<ids::Digest> {
-        let text = std::str::from_utf8(&self.sha256).ok()?;
-        if text.len() != 64 || !text.is_ascii() {
-            return None;
+        hex::parse_digest(std::str::from_utf8(&self.sha256).ok()?)
+    }
+}
+
+/// A set of instances and servers with a log and a document of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Environment {
+    /// Where a document is tried.
+    Trial,
+    /// Where customers are served.
+    Production,
+}
+
+impl Environment {
+    /// Returns the name under which a server's addresses list the environment.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Environment::Trial => "trial",
+            Environment::Production => "production",
         }
-        let mut digest = ids::Digest::default();
-        for (index, byte) in digest.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+
+    /// Parses the name of an environment.
+    pub fn parse(name: &str) -> Option<Environment> {
+        match name {
+            "trial" => Some(Environment::Trial),
+            "production" => Some(Environment::Production),
+            _ => None,
         }
-        Some(digest)
+    }
+}
+
+/// A SHA-256 digest that is written as 64 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct HexDigest(pub ids::Digest);
+
+impl TryFrom<String> for HexDigest {
+    type Error = hex::NotADigest;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        hex::parse_digest(&text).map(HexDigest).ok_or(hex::NotADigest)
+    }
+}
+
+impl From<HexDigest> for String {
+    fn from(digest: HexDigest) -> String {
+        hex::format(&digest.0)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod core;
 pub mod document;
+pub mod schema;
+pub mod settings;
--- /dev/null
+++ b/src/settings/constants.rs
@@ -0,0 +1,57 @@
+//! Default values of settings.
+
+/// Connections of callers that are open at once.
+pub const MAX_CONNECTIONS: usize = 4_096;
+
+/// Requests of callers that are under way at once.
+pub const MAX_REQUESTS: usize = 4_096;
+
+/// Bytes of a request's line and headers.
+pub const HEADER_BYTES: usize = 16 * 1024;
+
+/// Bytes of a request's body.
+pub const BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Milliseconds within which a caller sends the request line and headers.
+pub const REQUEST_SEND_TIMEOUT_MS: u64 = 5_000;
+
+/// Milliseconds within which a caller sends the body.
+pub const BODY_SEND_TIMEOUT_MS: u64 = 20_000;
+
+/// Milliseconds for opening a connection to a backend server.
+pub const CONNECT_MS: u64 = 500;
+
+/// Milliseconds for the first byte of a plain service's answer.
+pub const FIRST_BYTE_MS: u64 = 10_000;
+
+/// Milliseconds for the answer to a prefill.
+pub const PREFILL_MS: u64 = 20_000;
+
+/// Milliseconds of silence within an answer.
+pub const GAP_MS: u64 = 3_000;
+
+/// Milliseconds for the first token after a hand-over of a KV cache.
+pub const TRANSFER_PROGRESS_MS: u64 = 700;
+
+/// Milliseconds for a whole request.
+pub const REQUEST_MS: u64 = 600_000;
+
+/// Milliseconds that a pooled connection stays unused.
+pub const IDLE_CONNECTION_MS: u64 = 15_000;
+
+/// Milliseconds that a graceful shutdown waits for requests under way.
+pub const DRAIN_MS: u64 = 630_000;
+
+/// Milliseconds that an instance stays valid without a renewal.
+pub const LEASE_MS: u64 = 3_000;
+
+/// Milliseconds between two renewals of a lease.
+pub const HEARTBEAT_MS: u64 = 500;
+
+/// Milliseconds that callers may keep the list of instances.
+pub const DISCOVERY_TTL_MS: u64 = 5_000;
+
+/// Returns the weight of an instance that names none.
+pub fn default_weight() -> u32 {
+    1
+}
