Validate settings and documents, all faults at once

Cause: an operator should mend a file in one round. Change: a schema reader with places and remedies, document rules, samples, tables of malformed files.

--- a/src/document.rs
+++ b/src/document.rs
@@ -8,7 +8,15 @@
 use crate::core::collections;
 use crate::core::ids;
 
+pub mod constants;
 pub mod hex;
+mod rules;
+pub mod shape;
+#[cfg(test)]
+mod tests;
+mod validation;
+
+pub use validation::parse;
 
 /// The whole document.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,8 @@
 use crate::schema;
 
 mod constants;
+mod rules;
+pub mod shape;
 
 /// Everything that an instance learns from its settings file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -96,6 +98,16 @@
     pub log: net::SocketAddr,
     /// The address of the instance list.
     pub instances: net::SocketAddr,
+    /// How long the log keeps records.
+    #[serde(default = "constants::default_log_retention_ms")]
+    pub log_retention_ms: u64,
+}
+
+impl Platform {
+    /// Returns how long the log keeps records.
+    pub fn log_retention(&self) -> time::Duration {
+        time::Duration::from_millis(self.log_retention_ms)
+    }
 }
 
 /// What the instances of one fleet share.
@@ -334,15 +346,10 @@
 }
 
 impl Settings {
-    /// Parses and checks a settings file.
+    /// Parses and checks a settings file; reports all faults at once.
     pub fn parse(text: &str) -> Result<Settings, schema::Faults> {
-        toml::from_str(text).map_err(|error| schema::Faults {
-            faults: vec![schema::Fault {
-                place: String::new(),
-                line: None,
-                problem: error.message().to_string(),
-                remedy: "see docs/SETTINGS.md".to_string(),
-            }],
-        })
+        let settings: Settings = schema::read(text, &shape::SETTINGS)?;
+        rules::check(&settings, text)?;
+        Ok(settings)
     }
 }
--- a/src/settings/constants.rs
+++ b/src/settings/constants.rs
@@ -55,3 +55,11 @@
 pub fn default_weight() -> u32 {
     1
 }
+
+/// Milliseconds for which the log keeps records.
+const LOG_RETENTION_MS: u64 = 24 * 3_600_000;
+
+/// Returns the retention of a log for which none is set.
+pub fn default_log_retention_ms() -> u64 {
+    LOG_RETENTION_MS
+}
