--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -2,11 +2,23 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
 
 use crate::core::ids;
 use crate::core::log;
 use crate::core::reducer;
 
+/// Digests a workspace and the idempotency key that one of its callers chose.
+pub fn key_digest(workspace: Option<&ids::WorkspaceId>, key: &Bytes) -> ids::Digest {
+    let mut hasher = sha2::Sha256::new();
+    if let Some(workspace) = workspace {
+        hasher.update((workspace.len() as u64).to_le_bytes());
+        hasher.update(workspace);
+    }
+    hasher.update(key);
+    hasher.finalize().into()
+}
+
 /// What the claims reducer is told.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Event {
--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -22,6 +22,7 @@
     /// The document.
     pub document: document::Document,
     keys: collections::Map<ids::Digest, ids::WorkspaceId>,
+    servers: collections::Map<ids::ServerId, usize>,
 }
 
 /// Shared ownership of a snapshot.
@@ -36,7 +37,18 @@
             .flat_map(|workspace| workspace.keys.iter().map(move |key| (key, workspace)))
             .filter_map(|(key, workspace)| Some((key.digest()?, workspace.id.clone())))
             .collect();
-        Self { version, digest, document, keys }
+        let servers = document
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(index, server)| (server.id.clone(), index))
+            .collect();
+        Self { version, digest, document, keys, servers }
+    }
+
+    /// Returns the backend server of a name.
+    pub fn server(&self, id: &ids::ServerId) -> Option<&document::Server> {
+        self.document.servers.get(*self.servers.get(id)?)
     }
 
     /// Returns the workspace that a key acts for.
--- /dev/null
+++ b/src/core/request/language.rs
@@ -0,0 +1,721 @@
+//! The life of one language request: admission, a prefill place, a decode place, prefill, decode.
+//!
+//! A decode place is held before a prefill starts, since a KV cache lives for less than a second
+//! once it is exported.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::escrow;
+use crate::core::ids;
+use crate::core::request;
+use crate::core::request::constants;
+use crate::core::scheduler;
+
+type Effects = Vec<request::Effect>;
+
+/// A language request that has not ended.
+#[derive(Debug)]
+pub struct Language {
+    request: ids::RequestId,
+    call: request::LanguageCall,
+    key: Option<ids::Digest>,
+    workspace: ids::WorkspaceId,
+    route: ids::RouteId,
+    arrived_at: ids::Timestamp,
+    prompt_tokens: u32,
+    stage: Stage,
+    prefill: Option<Place>,
+    decode: Option<Place>,
+    exporter: Option<Place>,
+    avoid: Vec<ids::ServerId>,
+    attempts: ids::Attempt,
+    unclear_attempts: ids::Attempt,
+    resumes: u16,
+    prefilled_at: Option<ids::Timestamp>,
+    relayed_tokens: u32,
+    observed_tokens: u32,
+    observed_at: ids::Timestamp,
+    attempt_began_at: ids::Timestamp,
+    first_token_at: Option<ids::Timestamp>,
+    usage: request::Usage,
+}
+
+/// What a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+enum Stage {
+    Admitting,
+    PlacingPrefill,
+    PlacingDecode,
+    Prefilling,
+    Decoding,
+}
+
+/// A granted place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Place {
+    server: ids::ServerId,
+    address: net::SocketAddr,
+}
+
+impl Language {
+    /// Checks a request and asks for its tokens.
+    pub(super) fn admit(
+        id: ids::RequestId,
+        key: Option<ids::Digest>,
+        call: request::LanguageCall,
+        context: &request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> Result<Self, request::Reason> {
+        let workspace = context.workspace_of(key).ok_or(request::Reason::Unauthenticated)?.clone();
+        let snapshot = context.snapshot.as_ref().ok_or(request::Reason::Stale)?;
+        let routes = &snapshot.document.language_routes;
+        let route = routes
+            .iter()
+            .find(|route| route.model == call.model)
+            .ok_or(request::Reason::NoRoute)?;
+        if !route.workspaces.is_empty() && !route.workspaces.contains(&workspace) {
+            return Err(request::Reason::Forbidden);
+        }
+        let prompt_tokens = context.estimator.prompt_tokens(&call.model, call.prompt_bytes);
+        let tokens = u64::from(prompt_tokens) + u64::from(call.output_limit_tokens);
+        effects.push(request::Effect::Escrow(escrow::Event::Reserve {
+            request: id,
+            workspace: workspace.clone(),
+            tokens,
+        }));
+        Ok(Self {
+            request: id,
+            call,
+            key,
+            workspace,
+            route: route.id.clone(),
+            arrived_at: now,
+            prompt_tokens,
+            stage: Stage::Admitting,
+            prefill: None,
+            decode: None,
+            exporter: None,
+            avoid: Vec::new(),
+            attempts: 0,
+            unclear_attempts: 0,
+            resumes: 0,
+            prefilled_at: None,
+            relayed_tokens: 0,
+            observed_tokens: 0,
+            observed_at: now,
+            attempt_began_at: now,
+            first_token_at: None,
+            usage: request::Usage::default(),
+        })
+    }
+
+    /// Returns when the request arrived.
+    pub(super) fn arrived_at(&self) -> ids::Timestamp {
+        self.arrived_at
+    }
+
+    /// Applies one event to the request.
+    pub(super) fn apply(
+        &mut self,
+        input: request::Input,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        match input {
+            request::Input::Gone => self.end_gone(now, effects),
+            request::Input::Deadline => self.end_refused(request::Reason::Deadline, now, effects),
+            request::Input::Admitted => self.on_admitted(effects),
+            request::Input::Limited { retry_after_ms, reason } => {
+                self.on_limited(retry_after_ms, reason, now, effects)
+            }
+            request::Input::Chosen { phase, candidates, cached_tokens } => {
+                self.on_chosen(phase, candidates, cached_tokens, now, effects)
+            }
+            request::Input::Placed { phase, server, waited_ms } => {
+                self.on_placed(phase, server, waited_ms, context, now, effects)
+            }
+            request::Input::Unplaced { phase, reason } => {
+                self.on_unplaced(phase, reason, now, effects)
+            }
+            request::Input::Prefilled { attempt, usage } if attempt == self.attempts => {
+                self.on_prefilled(usage, now, effects)
+            }
+            request::Input::Started { attempt } if attempt == self.attempts => {
+                self.on_started(now, effects)
+            }
+            request::Input::Progressed { attempt, relayed_tokens } if attempt == self.attempts => {
+                self.on_progressed(relayed_tokens, now, effects)
+            }
+            request::Input::Ended { attempt, usage, .. } if attempt == self.attempts => {
+                self.on_ended(usage, context, now, effects)
+            }
+            request::Input::Failed { attempt, failure } if attempt == self.attempts => {
+                self.on_failed(failure, now, effects)
+            }
+            request::Input::Prefilled { .. }
+            | request::Input::Started { .. }
+            | request::Input::Progressed { .. }
+            | request::Input::Ended { .. }
+            | request::Input::Failed { .. }
+            | request::Input::Claimed(_) => request::Flow::Continue,
+        }
+    }
+
+    fn on_admitted(&mut self, effects: &mut Effects) -> request::Flow {
+        if self.stage != Stage::Admitting {
+            return request::Flow::Continue;
+        }
+        self.explain(
+            request::Step::Admitted {
+                workspace: self.workspace.clone(),
+                tokens: self.estimated_tokens(),
+            },
+            effects,
+        );
+        self.choose(scheduler::Phase::Prefill, effects);
+        request::Flow::Continue
+    }
+
+    fn on_limited(
+        &mut self,
+        retry_after_ms: u64,
+        reason: escrow::Refusal,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.stage != Stage::Admitting {
+            return request::Flow::Continue;
+        }
+        let refusal = request::Refusal {
+            reason: request::Reason::Limit(reason),
+            ran: request::Ran::No,
+            retry_after_ms: Some(retry_after_ms),
+        };
+        self.refuse(refusal, now, effects)
+    }
+
+    fn on_chosen(
+        &mut self,
+        phase: scheduler::Phase,
+        candidates: Vec<ids::ServerId>,
+        cached_tokens: u32,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.awaited_phase() != Some(phase) {
+            return request::Flow::Continue;
+        }
+        if candidates.is_empty() {
+            return self.end_refused(
+                request::Reason::Place(scheduler::Unplaced::NoServer),
+                now,
+                effects,
+            );
+        }
+        let servers = candidates.clone();
+        self.explain(request::Step::Candidates { phase, servers, cached_tokens }, effects);
+        let demand = self.demand(phase, now);
+        effects.push(request::Effect::Scheduler(scheduler::Event::Place { demand, candidates }));
+        request::Flow::Continue
+    }
+
+    fn on_placed(
+        &mut self,
+        phase: scheduler::Phase,
+        server: ids::ServerId,
+        waited_ms: u32,
+        context: &request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        let address = context
+            .server(&server)
+            .filter(|found| !found.leaving)
+            .and_then(|_| context.address(&server));
+        if self.awaited_phase() != Some(phase) {
+            return request::Flow::Continue;
+        }
+        let Some(address) = address else {
+            self.release_phase(phase, effects);
+            self.avoid.push(server);
+            self.choose(phase, effects);
+            return request::Flow::Continue;
+        };
+        self.explain(request::Step::Placed { phase, server: server.clone(), waited_ms }, effects);
+        let place = Some(Place { server, address });
+        match phase {
+            scheduler::Phase::Prefill => self.prefill = place,
+            scheduler::Phase::Decode => self.decode = place,
+        }
+        if !context.still_holds(self.key, &self.workspace) {
+            return self.end_refused(request::Reason::Unauthenticated, now, effects);
+        }
+        self.advance(now, effects)
+    }
+
+    /// Takes the next step once a place was granted.
+    fn advance(&mut self, now: ids::Timestamp, effects: &mut Effects) -> request::Flow {
+        let kv_is_fresh = self.kv_is_fresh(now);
+        if self.prefill.is_none() && !kv_is_fresh {
+            self.choose(scheduler::Phase::Prefill, effects);
+        } else if self.decode.is_none() {
+            self.choose(scheduler::Phase::Decode, effects);
+        } else if kv_is_fresh {
+            self.start_decode(request::Start::Import, now, effects);
+        } else {
+            self.start_prefill(now, effects);
+        }
+        request::Flow::Continue
+    }
+
+    fn on_unplaced(
+        &mut self,
+        phase: scheduler::Phase,
+        reason: scheduler::Unplaced,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.awaited_phase() != Some(phase) {
+            return request::Flow::Continue;
+        }
+        if reason == scheduler::Unplaced::Lost {
+            self.choose(phase, effects);
+            return request::Flow::Continue;
+        }
+        self.end_refused(request::Reason::Place(reason), now, effects)
+    }
+
+    fn on_prefilled(
+        &mut self,
+        usage: request::Usage,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.stage != Stage::Prefilling {
+            return request::Flow::Continue;
+        }
+        self.usage.prompt_tokens = usage.prompt_tokens;
+        self.usage.cached_tokens = usage.cached_tokens;
+        self.prefilled_at = Some(now);
+        let computed = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+        self.observe(scheduler::Phase::Prefill, computed, self.attempt_began_at, now, effects);
+        self.exporter = self.prefill.clone();
+        self.release_phase(scheduler::Phase::Prefill, effects);
+        self.start_decode(request::Start::Import, now, effects);
+        request::Flow::Continue
+    }
+
+    fn on_started(&mut self, now: ids::Timestamp, effects: &mut Effects) -> request::Flow {
+        if self.stage != Stage::Decoding {
+            return request::Flow::Continue;
+        }
+        self.exporter = None;
+        self.observed_at = now;
+        self.observed_tokens = self.relayed_tokens;
+        if self.first_token_at.is_none() {
+            self.first_token_at = Some(now);
+            self.explain(request::Step::Started, effects);
+        }
+        request::Flow::Continue
+    }
+
+    fn on_progressed(
+        &mut self,
+        relayed_tokens: u32,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        self.relayed_tokens = self.relayed_tokens.max(relayed_tokens);
+        let tokens = self.relayed_tokens.saturating_sub(self.observed_tokens);
+        if tokens > 0 {
+            self.observe(scheduler::Phase::Decode, tokens, self.observed_at, now, effects);
+            self.observed_tokens = self.relayed_tokens;
+            self.observed_at = now;
+        }
+        request::Flow::Continue
+    }
+
+    fn on_ended(
+        &mut self,
+        usage: request::Usage,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.stage != Stage::Decoding {
+            return request::Flow::Continue;
+        }
+        self.usage.prompt_tokens = usage.prompt_tokens.max(self.usage.prompt_tokens);
+        self.usage.completion_tokens = usage.completion_tokens;
+        context.estimator.learn(&self.call.model, self.call.prompt_bytes, usage.prompt_tokens);
+        self.explain(request::Step::Ended { usage: self.usage }, effects);
+        self.release_places(effects);
+        self.settle(self.used_tokens(), effects);
+        self.close(request::Outcome::Answered, None, now, effects)
+    }
+
+    fn on_failed(
+        &mut self,
+        failure: request::Failure,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        self.explain(request::Step::Failed { attempt: self.attempts, failure }, effects);
+        if failure.ran == request::Ran::No {
+            self.unclear_attempts = self.unclear_attempts.saturating_sub(1);
+        }
+        match self.stage {
+            Stage::Prefilling => self.on_prefill_failed(failure, now, effects),
+            Stage::Decoding => self.on_decode_failed(failure, now, effects),
+            _ => request::Flow::Continue,
+        }
+    }
+
+    fn on_prefill_failed(
+        &mut self,
+        failure: request::Failure,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        self.observe_failure(scheduler::Phase::Prefill, failure.fault, now, effects);
+        self.cancel(scheduler::Phase::Prefill, effects);
+        self.avoid_place(scheduler::Phase::Prefill, failure.fault);
+        self.release_phase(scheduler::Phase::Prefill, effects);
+        if self.attempts >= constants::MAX_ATTEMPTS {
+            return self.end_refused(request::Reason::Failed(failure.fault), now, effects);
+        }
+        self.choose(scheduler::Phase::Prefill, effects);
+        request::Flow::Continue
+    }
+
+    fn on_decode_failed(
+        &mut self,
+        failure: request::Failure,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.may_resume(failure.fault) {
+            self.resumes += 1;
+            self.start_decode(request::Start::Resume, now, effects);
+            return request::Flow::Continue;
+        }
+        self.observe_failure(scheduler::Phase::Decode, failure.fault, now, effects);
+        self.cancel(scheduler::Phase::Decode, effects);
+        self.avoid_place(scheduler::Phase::Decode, failure.fault);
+        self.release_phase(scheduler::Phase::Decode, effects);
+        let repeatable = self.relayed_tokens == 0 || self.call.deterministic;
+        if self.attempts >= constants::MAX_ATTEMPTS || !repeatable {
+            return self.end_refused(request::Reason::Failed(failure.fault), now, effects);
+        }
+        if failure.fault == request::Fault::KvGone {
+            self.prefilled_at = None;
+        }
+        if !self.kv_is_fresh(now) {
+            self.cancel_export(effects);
+        }
+        self.advance(now, effects)
+    }
+
+    /// Returns whether the server is likely to hold the stream still.
+    fn may_resume(&self, fault: request::Fault) -> bool {
+        let held =
+            matches!(fault, request::Fault::Closed | request::Fault::Gap | request::Fault::Crossed);
+        held && self.relayed_tokens > 0 && self.resumes < constants::MAX_RESUMES
+    }
+
+    fn start_prefill(&mut self, now: ids::Timestamp, effects: &mut Effects) {
+        let Some(place) = self.prefill.clone() else { return };
+        self.begin_attempt(Stage::Prefilling, &place.server, now, effects);
+        let command = request::Command::Prefill {
+            attempt: self.attempts,
+            server: place.server,
+            address: place.address,
+            priority: self.priority(now),
+        };
+        effects.push(request::Effect::Command { request: self.request, command });
+    }
+
+    fn start_decode(&mut self, start: request::Start, now: ids::Timestamp, effects: &mut Effects) {
+        let Some(place) = self.decode.clone() else { return };
+        self.begin_attempt(Stage::Decoding, &place.server, now, effects);
+        let command = request::Command::Decode {
+            attempt: self.attempts,
+            server: place.server,
+            address: place.address,
+            priority: self.priority(now),
+            start,
+        };
+        effects.push(request::Effect::Command { request: self.request, command });
+    }
+
+    fn begin_attempt(
+        &mut self,
+        stage: Stage,
+        server: &ids::ServerId,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        self.stage = stage;
+        self.attempts += 1;
+        self.unclear_attempts += 1;
+        self.attempt_began_at = now;
+        let step = request::Step::Attempted { attempt: self.attempts, server: server.clone() };
+        self.explain(step, effects);
+    }
+
+    /// Requests whose first token is late run before others inside an engine.
+    fn priority(&self, now: ids::Timestamp) -> i32 {
+        let age = now.saturating_sub(self.arrived_at);
+        -i32::try_from(age.as_millis() / 100).unwrap_or(i32::MAX)
+    }
+
+    fn kv_is_fresh(&self, now: ids::Timestamp) -> bool {
+        let Some(prefilled_at) = self.prefilled_at else { return false };
+        let age = now.saturating_sub(prefilled_at);
+        self.relayed_tokens == 0 && age.as_millis() < u128::from(constants::KV_REUSE_MS)
+    }
+
+    fn choose(&mut self, phase: scheduler::Phase, effects: &mut Effects) {
+        self.stage = match phase {
+            scheduler::Phase::Prefill => Stage::PlacingPrefill,
+            scheduler::Phase::Decode => Stage::PlacingDecode,
+        };
+        effects.push(request::Effect::Choose {
+            request: self.request,
+            phase,
+            model: self.call.model.clone(),
+            prefix: self.call.prefix.clone(),
+            prompt_tokens: self.prompt_tokens,
+            avoid: self.avoid.clone(),
+        });
+    }
+
+    fn demand(&self, phase: scheduler::Phase, now: ids::Timestamp) -> scheduler::Demand {
+        let age = now.saturating_sub(self.arrived_at);
+        let total = self.prompt_tokens.saturating_add(self.call.output_limit_tokens);
+        let (work_tokens, memory_tokens) = match phase {
+            scheduler::Phase::Prefill => (self.prompt_tokens, self.prompt_tokens),
+            scheduler::Phase::Decode => (self.call.output_limit_tokens, total),
+        };
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let target_ms = constants::FIRST_TOKEN_TARGET.as_millis() as i64;
+        scheduler::Demand {
+            request: self.request,
+            phase,
+            workspace: self.workspace.clone(),
+            work_tokens,
+            memory_pieces: memory_tokens.div_ceil(constants::PIECE_TOKENS).max(1),
+            age_ms,
+            slack_ms: i32::try_from(target_ms - i64::from(age_ms)).unwrap_or(i32::MIN),
+            prefix: self.call.prefix.clone(),
+        }
+    }
+
+    fn awaited_phase(&self) -> Option<scheduler::Phase> {
+        match self.stage {
+            Stage::PlacingPrefill => Some(scheduler::Phase::Prefill),
+            Stage::PlacingDecode => Some(scheduler::Phase::Decode),
+            _ => None,
+        }
+    }
+
+    fn place(&self, phase: scheduler::Phase) -> Option<&Place> {
+        match phase {
+            scheduler::Phase::Prefill => self.prefill.as_ref(),
+            scheduler::Phase::Decode => self.decode.as_ref(),
+        }
+    }
+
+    fn observe(
+        &self,
+        phase: scheduler::Phase,
+        tokens: u32,
+        since: ids::Timestamp,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        self.report(phase, tokens, since, false, now, effects);
+    }
+
+    fn observe_failure(
+        &self,
+        phase: scheduler::Phase,
+        fault: request::Fault,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        let is_servers_fault = !matches!(fault, request::Fault::Full | request::Fault::KvGone);
+        if is_servers_fault {
+            self.report(phase, 0, self.attempt_began_at, true, now, effects);
+        }
+    }
+
+    fn report(
+        &self,
+        phase: scheduler::Phase,
+        tokens: u32,
+        since: ids::Timestamp,
+        failed: bool,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        let Some(place) = self.place(phase) else { return };
+        let elapsed = now.saturating_sub(since).as_millis();
+        let observation = scheduler::Observation {
+            server: place.server.clone(),
+            phase,
+            tokens,
+            elapsed_ms: u32::try_from(elapsed).unwrap_or(u32::MAX),
+            failed,
+        };
+        effects.push(request::Effect::Scheduler(scheduler::Event::Observed(observation)));
+    }
+
+    fn avoid_place(&mut self, phase: scheduler::Phase, fault: request::Fault) {
+        if fault == request::Fault::KvGone {
+            return;
+        }
+        if let Some(server) = self.place(phase).map(|place| place.server.clone()) {
+            self.avoid.push(server);
+        }
+    }
+
+    fn cancel(&self, phase: scheduler::Phase, effects: &mut Effects) {
+        if let Some(place) = self.place(phase) {
+            effects.push(request::Effect::Cancel {
+                request: self.request,
+                server: place.server.clone(),
+                address: place.address,
+            });
+        }
+    }
+
+    /// Frees the KV cache that a prefill server keeps for a decode server.
+    fn cancel_export(&mut self, effects: &mut Effects) {
+        if let Some(place) = self.exporter.take() {
+            effects.push(request::Effect::Cancel {
+                request: self.request,
+                server: place.server,
+                address: place.address,
+            });
+        }
+    }
+
+    /// Gives up a place that is held or waited for.
+    fn release_phase(&mut self, phase: scheduler::Phase, effects: &mut Effects) {
+        match phase {
+            scheduler::Phase::Prefill => self.prefill = None,
+            scheduler::Phase::Decode => self.decode = None,
+        }
+        let event = scheduler::Event::Release { request: self.request, phase };
+        effects.push(request::Effect::Scheduler(event));
+    }
+
+    fn release_places(&mut self, effects: &mut Effects) {
+        if self.stage == Stage::Admitting {
+            return;
+        }
+        if self.prefill.is_some() || self.stage == Stage::PlacingPrefill {
+            self.release_phase(scheduler::Phase::Prefill, effects);
+        }
+        if self.decode.is_some() || self.stage == Stage::PlacingDecode {
+            self.release_phase(scheduler::Phase::Decode, effects);
+        }
+    }
+
+    fn settle(&self, used_tokens: u64, effects: &mut Effects) {
+        let request = self.request;
+        let event = match self.stage {
+            Stage::Admitting => escrow::Event::Withdraw { request },
+            _ => escrow::Event::Settle { request, used_tokens },
+        };
+        effects.push(request::Effect::Escrow(event));
+    }
+
+    fn estimated_tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.call.output_limit_tokens)
+    }
+
+    fn used_tokens(&self) -> u64 {
+        let generated = self.usage.completion_tokens.max(self.relayed_tokens);
+        u64::from(self.usage.prompt_tokens) + u64::from(generated)
+    }
+
+    fn end_gone(&mut self, now: ids::Timestamp, effects: &mut Effects) -> request::Flow {
+        self.explain(request::Step::Gone, effects);
+        self.abandon(effects);
+        self.close(request::Outcome::Gone, None, now, effects)
+    }
+
+    fn end_refused(
+        &mut self,
+        reason: request::Reason,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        let ran = match self.unclear_attempts {
+            0 => request::Ran::No,
+            _ => request::Ran::Unknown,
+        };
+        let refusal = request::Refusal { retry_after_ms: reason.retry_after_ms(), reason, ran };
+        self.refuse(refusal, now, effects)
+    }
+
+    fn refuse(
+        &mut self,
+        refusal: request::Refusal,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        self.explain(request::Step::Refused(refusal.clone()), effects);
+        let command = request::Command::Refuse(refusal.clone());
+        effects.push(request::Effect::Command { request: self.request, command });
+        self.abandon(effects);
+        self.close(request::Outcome::Refused, Some(refusal), now, effects)
+    }
+
+    /// Frees everything that the request holds anywhere.
+    fn abandon(&mut self, effects: &mut Effects) {
+        if matches!(self.stage, Stage::Prefilling) {
+            self.cancel(scheduler::Phase::Prefill, effects);
+        }
+        if matches!(self.stage, Stage::Decoding) {
+            self.cancel(scheduler::Phase::Decode, effects);
+        }
+        self.cancel_export(effects);
+        self.release_places(effects);
+        self.settle(self.used_tokens(), effects);
+    }
+
+    fn close(
+        &self,
+        outcome: request::Outcome,
+        refusal: Option<request::Refusal>,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        let since_arrival = |at: ids::Timestamp| {
+            u32::try_from(at.saturating_sub(self.arrived_at).as_millis()).unwrap_or(u32::MAX)
+        };
+        let summary = request::Summary {
+            workspace: Some(self.workspace.clone()),
+            route: Some(self.route.clone()),
+            outcome,
+            refusal,
+            first_token_ms: self.first_token_at.map(since_arrival),
+            whole_ms: since_arrival(now),
+            usage: self.usage,
+            attempts: self.attempts,
+        };
+        effects.push(request::Effect::Closed { request: self.request, summary });
+        request::Flow::Close
+    }
+
+    fn explain(&self, step: request::Step, effects: &mut Effects) {
+        effects.push(request::Effect::Explain { request: self.request, step });
+    }
+}
--- /dev/null
+++ b/src/core/state.rs
@@ -0,0 +1,454 @@
+//! The whole state of an instance: passes events to the reducers and what they emit to each other.
+
+use std::collections as std_collections;
+use std::net;
+
+use crate::core::claims;
+use crate::core::collections;
+use crate::core::configuration;
+use crate::core::effect;
+use crate::core::escrow;
+use crate::core::event;
+use crate::core::ids;
+use crate::core::log;
+use crate::core::membership;
+use crate::core::message;
+use crate::core::placement;
+use crate::core::reducer::Reducer;
+use crate::core::request;
+use crate::core::scheduler;
+
+/// The reducers of one instance.
+#[derive(Debug)]
+pub struct State {
+    membership: membership::Membership,
+    escrow: escrow::Escrow,
+    configuration: configuration::Configuration,
+    claims: claims::Claims,
+    placement: placement::Placement,
+    scheduler: scheduler::Scheduler,
+    requests: request::Requests,
+    peers: collections::Map<ids::InstanceId, net::SocketAddr>,
+    environment: String,
+    servers: collections::Map<ids::ServerId, net::SocketAddr>,
+}
+
+/// An event on its way to one reducer.
+#[derive(Debug)]
+enum Internal {
+    Membership(membership::Event),
+    Escrow(escrow::Event),
+    Configuration(configuration::Event),
+    Claims(claims::Event),
+    Placement(placement::Event),
+    Scheduler(scheduler::Event),
+    Request(request::Event),
+}
+
+type Queue = std_collections::VecDeque<Internal>;
+
+impl State {
+    /// Creates the state of an instance whose process has just started.
+    pub fn new(own: membership::Member, environment: String, seed: u64) -> Self {
+        Self {
+            escrow: escrow::Escrow::new(own.id.clone(), own.incarnation),
+            configuration: configuration::Configuration::new(own.id.clone(), seed),
+            claims: claims::Claims::new(own.id.clone(), own.incarnation),
+            placement: placement::Placement::new(seed),
+            scheduler: scheduler::Scheduler::new(own.id.clone(), own.incarnation),
+            requests: request::Requests::new(environment.clone()),
+            peers: collections::Map::default(),
+            servers: collections::Map::default(),
+            membership: membership::Membership::new(own),
+            environment,
+        }
+    }
+
+    /// Returns the configuration reducer for queries.
+    pub fn configuration(&self) -> &configuration::Configuration {
+        &self.configuration
+    }
+
+    /// Returns the number of requests that have not ended.
+    pub fn live_requests(&self) -> usize {
+        self.requests.live()
+    }
+
+    /// Applies one event at the time `now` and returns what is to be done.
+    pub fn apply(&mut self, event: event::Event, now: ids::Timestamp) -> Vec<effect::Effect> {
+        let mut queue = Queue::new();
+        let mut effects = Vec::new();
+        enqueue(event, &mut queue);
+        while let Some(internal) = queue.pop_front() {
+            self.step(internal, now, &mut queue, &mut effects);
+        }
+        effects
+    }
+
+    fn step(
+        &mut self,
+        internal: Internal,
+        now: ids::Timestamp,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        match internal {
+            Internal::Membership(event) => {
+                for effect in run(&mut self.membership, event, now) {
+                    self.on_membership(effect, queue, out);
+                }
+            }
+            Internal::Escrow(event) => {
+                for effect in run(&mut self.escrow, event, now) {
+                    self.on_escrow(effect, queue, out);
+                }
+            }
+            Internal::Configuration(event) => {
+                for effect in run(&mut self.configuration, event, now) {
+                    self.on_configuration(effect, queue, out);
+                }
+            }
+            Internal::Claims(event) => {
+                for effect in run(&mut self.claims, event, now) {
+                    self.on_claims(effect, queue, out);
+                }
+            }
+            Internal::Placement(event) => {
+                for effect in run(&mut self.placement, event, now) {
+                    on_placement(effect, queue, out);
+                }
+            }
+            Internal::Scheduler(event) => {
+                for effect in run(&mut self.scheduler, event, now) {
+                    self.on_scheduler(effect, queue, out);
+                }
+            }
+            Internal::Request(event) => {
+                for effect in run(&mut self.requests, event, now) {
+                    on_request(effect, queue, out);
+                }
+            }
+        }
+    }
+
+    fn on_membership(
+        &mut self,
+        effect: membership::Effect,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        match effect {
+            membership::Effect::Send { to, address, message } => {
+                let message = message::Message::Membership(message);
+                out.push(effect::Effect::Send { to, address, message });
+            }
+            membership::Effect::Append { token, body } => {
+                out.push(effect::Effect::Append { stream: log::Stream::Membership, token, body });
+            }
+            membership::Effect::Viewed(view) => self.on_view(view, queue, out),
+            membership::Effect::Validity { valid, until } => {
+                queue.push_back(Internal::Escrow(escrow::Event::Validity { valid, until }));
+                queue.push_back(Internal::Scheduler(scheduler::Event::Validity { valid }));
+                queue.push_back(Internal::Request(request::Event::Validity(valid)));
+                out.push(effect::Effect::Validity(valid));
+            }
+            membership::Effect::Left => out.push(effect::Effect::Left),
+        }
+    }
+
+    fn on_view(
+        &mut self,
+        view: membership::SharedView,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        self.peers =
+            view.members.iter().map(|member| (member.id.clone(), member.peer_address)).collect();
+        queue.push_back(Internal::Escrow(escrow::Event::Viewed(view.clone())));
+        queue.push_back(Internal::Configuration(configuration::Event::Viewed(view.clone())));
+        queue.push_back(Internal::Scheduler(scheduler::Event::Viewed(view.clone())));
+        out.push(effect::Effect::Viewed(view));
+    }
+
+    fn on_escrow(
+        &mut self,
+        effect: escrow::Effect,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        match effect {
+            escrow::Effect::Send { to, message } => {
+                self.send(to, message::Message::Escrow(message), out);
+            }
+            escrow::Effect::Admitted { request } => {
+                queue.push_back(Internal::Request(request::Event::Admitted { request }));
+            }
+            escrow::Effect::Refused { request, retry_after_ms, reason } => {
+                let event = request::Event::Limited { request, retry_after_ms, reason };
+                queue.push_back(Internal::Request(event));
+            }
+            escrow::Effect::HandedOver => {
+                queue.push_back(Internal::Membership(membership::Event::Leave));
+                out.push(effect::Effect::HandedOver);
+            }
+        }
+    }
+
+    fn on_configuration(
+        &mut self,
+        effect: configuration::Effect,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        match effect {
+            configuration::Effect::Send { to, message } => {
+                self.send(to, message::Message::Configuration(message), out);
+            }
+            configuration::Effect::Append { token, body } => {
+                let stream = log::Stream::Configuration;
+                out.push(effect::Effect::Append { stream, token, body });
+            }
+            configuration::Effect::Applied(snapshot) => self.on_snapshot(snapshot, queue, out),
+            configuration::Effect::Fresh(fresh) => {
+                queue.push_back(Internal::Request(request::Event::Fresh(fresh)));
+                out.push(effect::Effect::Fresh(fresh));
+            }
+            configuration::Effect::Ignored { offset, reason } => {
+                out.push(effect::Effect::Ignored { offset, reason });
+            }
+            configuration::Effect::Decided { proposal, verdict } => {
+                out.push(effect::Effect::Decided { proposal, verdict });
+            }
+        }
+    }
+
+    fn on_snapshot(
+        &mut self,
+        snapshot: configuration::SharedSnapshot,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        let servers = &snapshot.document.servers;
+        self.servers = servers
+            .iter()
+            .filter_map(|server| {
+                Some((server.id.clone(), *server.addresses.get(&self.environment)?))
+            })
+            .collect();
+        let limits = snapshot
+            .document
+            .workspaces
+            .iter()
+            .map(|workspace| escrow::Limit {
+                workspace: workspace.id.clone(),
+                rate_tokens_per_s: workspace.rate_tokens_per_s,
+                burst_tokens: workspace.burst_tokens,
+            })
+            .collect();
+        let version = snapshot.version;
+        queue.push_back(Internal::Escrow(escrow::Event::Limited { version, limits }));
+        queue.push_back(Internal::Placement(placement::Event::Applied(snapshot.clone())));
+        queue.push_back(Internal::Scheduler(scheduler::Event::Applied(snapshot.clone())));
+        queue.push_back(Internal::Request(request::Event::Applied(snapshot.clone())));
+        out.push(effect::Effect::Applied(snapshot));
+    }
+
+    fn on_claims(
+        &mut self,
+        effect: claims::Effect,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        let (request, outcome) = match effect {
+            claims::Effect::Send { to, message } => {
+                return self.send(to, message::Message::Claims(message), out);
+            }
+            claims::Effect::Append { token, body } => {
+                let stream = log::Stream::Claims;
+                return out.push(effect::Effect::Append { stream, token, body });
+            }
+            claims::Effect::Granted { request } => (request, request::ClaimOutcome::Granted),
+            claims::Effect::Answered { request, holder, answer } => {
+                (request, request::ClaimOutcome::Answered { holder, answer })
+            }
+            claims::Effect::Mismatch { request } => (request, request::ClaimOutcome::Mismatch),
+            claims::Effect::Unavailable { request } => {
+                (request, request::ClaimOutcome::Unavailable)
+            }
+        };
+        queue.push_back(Internal::Request(request::Event::Claimed { request, outcome }));
+    }
+
+    fn on_scheduler(
+        &mut self,
+        effect: scheduler::Effect,
+        queue: &mut Queue,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        match effect {
+            scheduler::Effect::Send { to, message } => {
+                self.send(to, message::Message::Scheduler(message), out);
+            }
+            scheduler::Effect::Placed { request, phase, server, waited_ms } => {
+                let event = request::Event::Placed { request, phase, server, waited_ms };
+                queue.push_back(Internal::Request(event));
+            }
+            scheduler::Effect::Unplaced { request, phase, reason } => {
+                let event = request::Event::Unplaced { request, phase, reason };
+                queue.push_back(Internal::Request(event));
+            }
+            scheduler::Effect::Cancel { server, request } => {
+                if let Some(&address) = self.servers.get(&server) {
+                    out.push(effect::Effect::Cancel { request, server, address });
+                }
+            }
+            scheduler::Effect::Watch { servers } => {
+                let servers = servers
+                    .into_iter()
+                    .filter_map(|server| {
+                        let address = *self.servers.get(&server)?;
+                        Some((server, address))
+                    })
+                    .collect();
+                out.push(effect::Effect::Watch { servers });
+            }
+        }
+    }
+
+    fn send(&self, to: ids::InstanceId, message: message::Message, out: &mut Vec<effect::Effect>) {
+        if let Some(&address) = self.peers.get(&to) {
+            out.push(effect::Effect::Send { to, address, message });
+        }
+    }
+}
+
+fn run<R: Reducer>(reducer: &mut R, event: R::Event, now: ids::Timestamp) -> Vec<R::Effect> {
+    let mut effects = Vec::new();
+    reducer.apply(event, now, &mut effects);
+    effects
+}
+
+fn enqueue(event: event::Event, queue: &mut Queue) {
+    match event {
+        event::Event::Tick => enqueue_tick(queue),
+        event::Event::Received { from, incarnation, message } => {
+            queue.push_back(received(from, incarnation, message));
+        }
+        event::Event::Read { stream, batch } => queue.push_back(match stream {
+            log::Stream::Membership => Internal::Membership(membership::Event::Read(batch)),
+            log::Stream::Configuration => {
+                Internal::Configuration(configuration::Event::Read(batch))
+            }
+            log::Stream::Claims => Internal::Claims(claims::Event::Read(batch)),
+        }),
+        event::Event::Appended { stream, token, outcome } => queue.push_back(match stream {
+            log::Stream::Membership => {
+                Internal::Membership(membership::Event::Appended { token, outcome })
+            }
+            log::Stream::Configuration => {
+                Internal::Configuration(configuration::Event::Appended { token, outcome })
+            }
+            log::Stream::Claims => Internal::Claims(claims::Event::Appended { token, outcome }),
+        }),
+        event::Event::Listed(listed) => {
+            queue.push_back(Internal::Membership(membership::Event::Listed(listed)));
+        }
+        event::Event::Proposed(proposal) => {
+            queue.push_back(Internal::Configuration(configuration::Event::Proposed(proposal)));
+        }
+        event::Event::Request(event) => queue.push_back(Internal::Request(event)),
+        event::Event::Loaded(load) => {
+            queue.push_back(Internal::Scheduler(scheduler::Event::Loaded(load.clone())));
+            queue.push_back(Internal::Placement(placement::Event::Loaded(load)));
+        }
+        event::Event::Held { server, held } => {
+            queue.push_back(Internal::Scheduler(scheduler::Event::Listed { server, held }));
+        }
+        event::Event::Cached { server, change } => {
+            queue.push_back(Internal::Placement(placement::Event::Cached { server, change }));
+        }
+        event::Event::Drain => queue.push_back(Internal::Request(request::Event::Drain)),
+        event::Event::Leave => queue.push_back(Internal::Escrow(escrow::Event::Leave)),
+    }
+}
+
+fn enqueue_tick(queue: &mut Queue) {
+    queue.push_back(Internal::Membership(membership::Event::Tick));
+    queue.push_back(Internal::Configuration(configuration::Event::Tick));
+    queue.push_back(Internal::Escrow(escrow::Event::Tick));
+    queue.push_back(Internal::Scheduler(scheduler::Event::Tick));
+    queue.push_back(Internal::Claims(claims::Event::Tick));
+    queue.push_back(Internal::Request(request::Event::Tick));
+}
+
+fn received(
+    from: ids::InstanceId,
+    incarnation: ids::Incarnation,
+    message: message::Message,
+) -> Internal {
+    match message {
+        message::Message::Membership(message) => {
+            Internal::Membership(membership::Event::Received { from, incarnation, message })
+        }
+        message::Message::Escrow(message) => {
+            Internal::Escrow(escrow::Event::Received { from, incarnation, message })
+        }
+        message::Message::Configuration(message) => {
+            Internal::Configuration(configuration::Event::Received { from, message })
+        }
+        message::Message::Scheduler(message) => {
+            Internal::Scheduler(scheduler::Event::Received { from, incarnation, message })
+        }
+        message::Message::Claims(message) => {
+            Internal::Claims(claims::Event::Received { from, incarnation, message })
+        }
+    }
+}
+
+fn on_placement(effect: placement::Effect, queue: &mut Queue, out: &mut Vec<effect::Effect>) {
+    match effect {
+        placement::Effect::Chosen { request, phase, candidates, cached_tokens } => {
+            let event = request::Event::Chosen { request, phase, candidates, cached_tokens };
+            queue.push_back(Internal::Request(event));
+        }
+        placement::Effect::Resynchronise { server } => {
+            out.push(effect::Effect::Resynchronise { server });
+        }
+    }
+}
+
+fn on_request(effect: request::Effect, queue: &mut Queue, out: &mut Vec<effect::Effect>) {
+    match effect {
+        request::Effect::Command { request, command } => {
+            out.push(effect::Effect::Command { request, command });
+        }
+        request::Effect::Cancel { request, server, address } => {
+            out.push(effect::Effect::Cancel { request, server, address });
+        }
+        request::Effect::Escrow(event) => queue.push_back(Internal::Escrow(event)),
+        request::Effect::Choose { request, phase, model, prefix, prompt_tokens, avoid } => {
+            queue.push_back(Internal::Placement(placement::Event::Choose {
+                request,
+                phase,
+                model,
+                prefix,
+                prompt_tokens,
+                avoid,
+            }));
+        }
+        request::Effect::Scheduler(event) => {
+            if let scheduler::Event::Observed(observation) = &event {
+                let event = placement::Event::Observed(observation.clone());
+                queue.push_back(Internal::Placement(event));
+            }
+            queue.push_back(Internal::Scheduler(event));
+        }
+        request::Effect::Claims(event) => queue.push_back(Internal::Claims(event)),
+        request::Effect::Explain { request, step } => {
+            out.push(effect::Effect::Explain { request, step });
+        }
+        request::Effect::Closed { request, summary } => {
+            out.push(effect::Effect::Closed { request, summary });
+        }
+    }
+}
