--- a/src/schema/fault.rs
+++ b/src/schema/fault.rs
@@ -10,6 +10,9 @@
 /// The most faults that are reported of one text.
 const MAX_FAULTS: usize = 200;
 
+/// The faults that a summary names.
+const SUMMARY_FAULTS: usize = 3;
+
 /// One thing that is wrong with a text.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
@@ -54,6 +57,15 @@
         Self { faults: vec![fault] }
     }
 
+    /// Returns the first faults on one line, for a log.
+    pub fn summary(&self) -> String {
+        let shown: Vec<String> =
+            self.faults.iter().take(SUMMARY_FAULTS).map(Fault::to_string).collect();
+        let rest = self.faults.len().saturating_sub(SUMMARY_FAULTS);
+        let more = if rest == 0 { String::new() } else { format!(" | and {rest} more") };
+        format!("{}{more}", shown.join(" | "))
+    }
+
     /// Returns one line for each fault.
     pub fn lines(&self) -> Vec<String> {
         self.faults.iter().map(Fault::to_string).collect()
--- /dev/null
+++ b/tests/configuration/main.rs
@@ -0,0 +1,5 @@
+//! Sessions and properties of the configuration reducer.
+
+mod fleet;
+mod properties;
+mod sessions;
