Test what a new instance of the configuration relies on

Cause: mutations of three rules were not noticed. Change: sessions for an older peer, an unread log, several first answers; an instance without peers no longer counts a pull.

--- a/src/core/configuration/gossip.rs
+++ b/src/core/configuration/gossip.rs
@@ -156,8 +156,12 @@
         if self.pulled_at.is_some_and(|at| now.saturating_sub(at) < interval) {
             return;
         }
+        let peers = self.choose(count);
+        if peers.is_empty() {
+            return;
+        }
         self.pulled_at = Some(now);
-        for peer in self.choose(count) {
+        for peer in peers {
             self.pull_from(peer, version, now, effects);
         }
     }
--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -75,6 +75,12 @@
 
     /// Starts an instance and tells all of the view.
     pub fn start(&mut self, name: &str) {
+        self.add(name);
+        self.view();
+    }
+
+    /// Starts an instance that knows no view.
+    pub fn add(&mut self, name: &str) {
         self.note(&format!("start {name}"));
         let seed = name.bytes().map(u64::from).sum();
         let options = configuration::Options {
@@ -92,7 +98,6 @@
             fresh: false,
         };
         self.nodes.insert(name.to_string(), node);
-        self.view();
     }
 
     pub fn node(&mut self, name: &str) -> &mut Node {
@@ -186,7 +191,7 @@
     /// Returns the offset that a new reader needs the log from.
     pub fn kept_from(&self) -> u64 {
         let snapshots = self.records.iter().rev().filter(|record| record.offset >= self.first);
-        let mut snapshots = snapshots.filter_map(|record| decode_snapshot(record));
+        let mut snapshots = snapshots.filter_map(decode_snapshot);
         snapshots.next().map_or(self.first, |snapshot| snapshot.next)
     }
 
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -1,7 +1,7 @@
 //! Golden sessions: a script of events, and the whole trace of effects.
 
 use bytes::Bytes;
-use galenayard::core::configuration::{content, record};
+use galenayard::core::configuration::{Event, Message, content, record};
 use galenayard::document::Environment;
 
 use crate::fleet::{Fault, Fleet, document};
@@ -330,3 +330,85 @@
     fleet.read("b");
     assert_eq!(fleet.nodes["b"].versions, [1, 2, 3, 4]);
 }
+
+#[test]
+fn older_version_of_a_peer_is_refused() {
+    let mut fleet = running();
+    let old = fleet.nodes["b"].reducer.current_body().unwrap().0.clone();
+    fleet.propose("a", 2, 1, "ada", &document(200, &[1]));
+    fleet.step();
+    fleet.trace.clear();
+    let document = record::Document {
+        entry: old,
+        edit_of: 0,
+        content: content::Content::Full(Bytes::from(document(100, &[1, 2]))),
+    };
+    let state =
+        record::Checkpoint { next: 9, version: 1, document: Some(document), history: Vec::new() };
+    let message = Message::Answer { sequence: 1, state: Box::new(state) };
+    fleet.event("a", Event::Received { from: Bytes::from_static(b"b"), message });
+    assert_eq!(fleet.nodes["a"].versions, [1, 2]);
+    insta::assert_snapshot!(fleet.report());
+}
+
+#[test]
+fn instance_that_has_read_nothing_does_not_append() {
+    let mut fleet = running();
+    fleet.start("d");
+    fleet.nodes.get_mut("d").unwrap().reads_log = false;
+    fleet.propose("d", 2, 0, "ada", &document(200, &[1]));
+    fleet.note("d has heard of version 1 from its peers");
+    fleet.step();
+    assert_eq!(fleet.lines("d: append"), "");
+    insta::assert_snapshot!(fleet.lines("d: Decided"));
+}
+
+#[test]
+fn new_instance_asks_several_peers_before_it_trusts_a_document() {
+    let mut fleet = running();
+    fleet.note("c lags behind when the log and the peers of c become unreachable");
+    fleet.nodes.get_mut("c").unwrap().reads_log = false;
+    fleet.nodes.get_mut("c").unwrap().hears_peers = false;
+    fleet.propose("a", 2, 1, "ada", &document(100, &[2]));
+    fleet.step();
+    fleet.log_is_up = false;
+    fleet.steps(25);
+    fleet.trace.clear();
+    fleet.nodes.get_mut("a").unwrap().hears_peers = false;
+    fleet.nodes.get_mut("b").unwrap().hears_peers = false;
+    fleet.nodes.get_mut("c").unwrap().hears_peers = true;
+    fleet.start("d");
+    fleet.steps(5);
+    assert_eq!(fleet.nodes["d"].versions, [1]);
+    assert!(!fleet.nodes["d"].fresh);
+    fleet.note("a answers as well");
+    fleet.nodes.get_mut("a").unwrap().hears_peers = true;
+    fleet.nodes.get_mut("b").unwrap().hears_peers = true;
+    fleet.steps(5);
+    assert_eq!(fleet.nodes["d"].versions, [1, 2]);
+    assert!(fleet.nodes["d"].fresh);
+}
+
+#[test]
+fn new_instance_relies_on_one_peer_when_no_other_answers() {
+    let mut fleet = running();
+    fleet.log_is_up = false;
+    fleet.nodes.get_mut("a").unwrap().hears_peers = false;
+    fleet.nodes.get_mut("b").unwrap().hears_peers = false;
+    fleet.start("d");
+    fleet.steps(5);
+    assert!(!fleet.nodes["d"].fresh);
+    fleet.steps(10);
+    assert!(fleet.nodes["d"].fresh);
+}
+
+#[test]
+fn instance_without_a_view_asks_the_instances_of_the_list() {
+    let mut fleet = Fleet::new(&[]);
+    fleet.add("d");
+    fleet.step();
+    assert_eq!(fleet.lines("send"), "");
+    fleet.event("d", Event::Hinted(vec![Bytes::from_static(b"d"), Bytes::from_static(b"a")]));
+    fleet.steps(5);
+    insta::assert_snapshot!(fleet.trace);
+}
