--- /dev/null
+++ b/src/borders.rs
@@ -0,0 +1,8 @@
+//! The outside parties, each behind a trait object with one adapter.
+
+pub mod callers;
+pub mod engines;
+pub mod http;
+pub mod peers;
+pub mod platform;
+pub mod services;
--- /dev/null
+++ b/src/borders/http/pool.rs
@@ -0,0 +1,132 @@
+//! Idle connections, kept for a short time and for one request at a time.
+
+use std::net;
+use std::pin;
+use std::sync;
+use std::task;
+use std::time;
+
+use bytes::Bytes;
+use hyper::body;
+use hyper::client::conn::http1;
+use tokio::time as tokio_time;
+
+use crate::borders::http;
+use crate::core::collections;
+
+/// Idle connections kept for one address.
+const MAX_IDLE_PER_ADDRESS: usize = 32;
+
+/// The idle connections of a client.
+#[derive(Debug)]
+pub struct Pool {
+    max_idle: time::Duration,
+    idle: sync::Mutex<collections::Map<net::SocketAddr, Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: http1::SendRequest<http::Body>,
+    since: tokio_time::Instant,
+}
+
+impl Pool {
+    /// Creates an empty pool whose connections are dropped after `max_idle`.
+    pub fn new(max_idle: time::Duration) -> Self {
+        Self { max_idle, idle: sync::Mutex::default() }
+    }
+
+    /// Takes the connection that was used last, if it is not too old.
+    pub fn take(&self, address: net::SocketAddr) -> Option<http1::SendRequest<http::Body>> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&address)?;
+        let newest = connections.pop()?;
+        if newest.since.elapsed() > self.max_idle {
+            connections.clear();
+            return None;
+        }
+        Some(newest.sender)
+    }
+
+    fn put(&self, address: net::SocketAddr, sender: http1::SendRequest<http::Body>) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let connections = idle.entry(address).or_default();
+        if connections.len() == MAX_IDLE_PER_ADDRESS {
+            connections.remove(0);
+        }
+        connections.push(Idle { sender, since: tokio_time::Instant::now() });
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::Map<net::SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// The body of an answer, which holds its connection until it is read to its end.
+pub struct PooledBody {
+    body: body::Incoming,
+    sender: Option<http1::SendRequest<http::Body>>,
+    address: net::SocketAddr,
+    pool: sync::Arc<Pool>,
+}
+
+impl PooledBody {
+    /// Ties a body to its connection.
+    pub fn new(
+        body: body::Incoming,
+        sender: http1::SendRequest<http::Body>,
+        address: net::SocketAddr,
+        pool: sync::Arc<Pool>,
+    ) -> Self {
+        let mut pooled = Self { body, sender: Some(sender), address, pool };
+        if body::Body::is_end_stream(&pooled.body) {
+            pooled.give_back();
+        }
+        pooled
+    }
+
+    fn give_back(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            self.pool.put(self.address, sender);
+        }
+    }
+}
+
+impl body::Body for PooledBody {
+    type Data = Bytes;
+    type Error = http::BoxError;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, Self::Error>>> {
+        let polled = pin::Pin::new(&mut self.body).poll_frame(context);
+        match task::ready!(polled) {
+            Some(Ok(frame)) => {
+                if body::Body::is_end_stream(&self.body) {
+                    self.give_back();
+                }
+                task::Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(failure)) => {
+                self.sender = None;
+                task::Poll::Ready(Some(Err(failure.into())))
+            }
+            None => {
+                self.give_back();
+                task::Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        body::Body::is_end_stream(&self.body)
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        body::Body::size_hint(&self.body)
+    }
+}
