Add the stand-ins: engine, plain service, log and instance list

Cause: nothing outside the router exists on a developer's machine, so no request can pass end to end. Change: the dev-only crate serves the shapes of docs/PROTOCOLS.md in one process each or many in one, with faults on command and a ledger for judging; the same stand-ins can be spawned in tests on free ports. Answers are a function of the prompt, so that a caller can check that it got the whole of its own.

--- /dev/null
+++ b/standins/src/engine/config.rs
@@ -0,0 +1,91 @@
+//! Settings of a fake engine.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What an engine takes on.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Prefills only.
+    Prefill,
+    /// Decodes, and prefills in place what comes without a KV cache.
+    Decode,
+    /// Does both.
+    #[default]
+    Both,
+}
+
+/// Settings of one engine.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on; port 0 takes a free port.
+    pub listen: SocketAddr,
+    /// What the engine takes on.
+    pub role: Role,
+    /// Models that it serves; empty serves any.
+    pub models: Vec<String>,
+    /// Requests that run together.
+    pub slots: usize,
+    /// Requests that wait for a slot; further ones are refused with `engine_full`.
+    pub queue_limit: usize,
+    /// Memory in pieces of [`super::PIECE_TOKENS`] tokens.
+    pub pieces_total: u64,
+    /// Prefill rate at speed 1.
+    pub prefill_tokens_per_s: f64,
+    /// Factor on the prefill rate.
+    pub prefill_speed: f64,
+    /// Time between tokens of a lone request at speed 1.
+    pub token_time: Duration,
+    /// Factor on the decode rate.
+    pub decode_speed: f64,
+    /// Rate at which KV caches are imported.
+    pub link_tokens_per_s: f64,
+    /// Prefix blocks that the cache keeps.
+    pub cache_blocks: usize,
+    /// Delay of cache events.
+    pub event_delay: Duration,
+    /// One in this many cache events is never published; 0 publishes all.
+    pub event_drop_every: u64,
+    /// Interval at which the reported load is measured.
+    pub load_lag: Duration,
+    /// Time for which an exported KV cache is kept.
+    pub export_lifetime: Duration,
+    /// Time for which a model takes to load after an order.
+    pub load_model_time: Duration,
+    /// One-way network latency.
+    pub latency: Duration,
+    /// Bytes of prompt that make one token.
+    pub bytes_per_token: f64,
+    /// Whether answers end between half of and the whole of `max_tokens`, by the prompt's digest.
+    pub early_stop: bool,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            role: Role::Both,
+            models: Vec::new(),
+            slots: 20,
+            queue_limit: 16,
+            pieces_total: 120,
+            prefill_tokens_per_s: 8_000.0,
+            prefill_speed: 1.0,
+            token_time: Duration::from_millis(26),
+            decode_speed: 1.0,
+            link_tokens_per_s: 100_000.0,
+            cache_blocks: 1_024,
+            event_delay: Duration::from_millis(200),
+            event_drop_every: 50,
+            load_lag: Duration::from_millis(250),
+            export_lifetime: Duration::from_millis(800),
+            load_model_time: Duration::ZERO,
+            latency: Duration::ZERO,
+            bytes_per_token: 4.0,
+            early_stop: false,
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,2 +1,9 @@
 //! Small fakes of the systems that galenayard meets: engines, plain services, the platform's log
 //! and its instance list.
+
+pub mod engine;
+pub mod http;
+pub mod instances;
+pub mod log;
+pub mod network;
+pub mod plain;
