Read the stand-ins' settings from one place

Cause: each subcommand parsed its flags by hand, and the load tool needs the same settings from TOML. Change: arguments become a TOML table that the settings types read, with unknown names refused.

--- a/standins/src/engine/state.rs
+++ b/standins/src/engine/state.rs
@@ -116,7 +116,10 @@
             models: config.models.clone(),
             loading_until: now,
             fence: 0,
-            faults: faults::Faults::default(),
+            faults: faults::Faults {
+                ignore_fence: config.ignore_fence,
+                ..faults::Faults::default()
+            },
             cache: cache::Cache::new(
                 config.cache_blocks,
                 config.event_delay,
--- a/standins/src/instances.rs
+++ b/standins/src/instances.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use crate::{http, network};
+use crate::{http, network, settings};
 
 /// Whether a machine stays.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -62,13 +62,16 @@
 }
 
 /// Settings of an instance list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Config {
     /// Address to listen on; port 0 takes a free port.
     pub listen: SocketAddr,
     /// One-way network latency.
+    #[serde(rename = "latency_ms", deserialize_with = "settings::millis")]
     pub latency: Duration,
     /// Time after which a change shows.
+    #[serde(rename = "lag_ms", deserialize_with = "settings::millis")]
     pub lag: Duration,
     /// The list at the start.
     pub listing: Listing,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod log;
 pub mod network;
 pub mod plain;
+pub mod settings;
--- a/standins/src/log.rs
+++ b/standins/src/log.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::{http, network};
+use crate::{http, network, settings};
 
 /// Largest record.
 const RECORD_LIMIT_BYTES: usize = 1 << 20;
@@ -30,13 +30,16 @@
 const READ_LIMIT_RECORDS: u64 = 1_000;
 
 /// Settings of a log.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Config {
     /// Address to listen on; port 0 takes a free port.
     pub listen: SocketAddr,
     /// One-way network latency.
+    #[serde(rename = "latency_ms", deserialize_with = "settings::millis")]
     pub latency: Duration,
     /// Time for which a record is kept.
+    #[serde(rename = "retention_ms", deserialize_with = "settings::millis")]
     pub retention: Duration,
     /// Appends taken in a second.
     pub appends_per_s: f64,
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -13,19 +13,22 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use crate::{http, network};
+use crate::{http, network, settings};
 
 /// Calls kept; later ones are only counted.
 const CALL_LIMIT: usize = 500_000;
 
 /// Settings of a plain service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Config {
     /// Address to listen on; port 0 takes a free port.
     pub listen: SocketAddr,
     /// One-way network latency.
+    #[serde(rename = "latency_ms", deserialize_with = "settings::millis")]
     pub latency: Duration,
     /// Time that each call takes.
+    #[serde(rename = "work_ms", deserialize_with = "settings::millis")]
     pub work_time: Duration,
 }
 
