--- /dev/null
+++ b/src/borders/callers/language.rs
@@ -0,0 +1,267 @@
+//! The task that serves one completion: carries out the reducer's commands and reports back.
+
+use std::sync;
+use std::time;
+
+use hyper::body;
+use tokio::time as tokio_time;
+
+use crate::borders::callers;
+use crate::borders::callers::completion;
+use crate::borders::callers::errors;
+use crate::borders::callers::read;
+use crate::borders::callers::relay;
+use crate::borders::callers::reply;
+use crate::borders::engines;
+use crate::borders::http;
+use crate::core::ids;
+use crate::core::request;
+use crate::shell::handle;
+
+/// Tokens after which progress is reported.
+const PROGRESS_TOKENS: u32 = 16;
+
+/// The time after which progress is reported.
+const PROGRESS_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Serves one completion request.
+pub async fn serve(
+    context: sync::Arc<callers::Context>,
+    api: engines::Api,
+    message: hyper::Request<body::Incoming>,
+) -> http::Response {
+    let key = read::key_digest(message.headers());
+    let completion = match read_completion(&context, api, message).await {
+        Ok(completion) => completion,
+        Err(unreadable) => return unreadable.response(),
+    };
+    let request = context.handle.next_request();
+    let (reply, head) = reply::Reply::new(request);
+    let session = Session::new(context, request, completion, reply);
+    tokio::spawn(session.run(key));
+    match head.await {
+        Ok(response) => response,
+        Err(_) => errors::refusal(&request::Refusal {
+            reason: request::Reason::Draining,
+            ran: request::Ran::Unknown,
+            retry_after_ms: None,
+        }),
+    }
+}
+
+async fn read_completion(
+    context: &callers::Context,
+    api: engines::Api,
+    message: hyper::Request<body::Incoming>,
+) -> Result<completion::Completion, errors::Unreadable> {
+    if !read::is_json(message.headers()) {
+        return Err(errors::Unreadable::MediaType);
+    }
+    let body = read::whole_body(message.into_body(), &context.limits).await?;
+    completion::parse(api, &body)
+}
+
+/// What the task does next.
+enum Turn {
+    Command(request::Command),
+    Wait,
+    Gone,
+    Over,
+}
+
+/// The task's state.
+struct Session {
+    context: sync::Arc<callers::Context>,
+    request: ids::RequestId,
+    completion: completion::Completion,
+    commands: Option<handle::Commands>,
+    reply: reply::Reply,
+    relay: relay::Relay,
+    transfer: Option<engines::Transfer>,
+}
+
+impl Session {
+    fn new(
+        context: sync::Arc<callers::Context>,
+        request: ids::RequestId,
+        completion: completion::Completion,
+        reply: reply::Reply,
+    ) -> Self {
+        let relay = relay::Relay::new(request, &completion);
+        Self { context, request, completion, commands: None, reply, relay, transfer: None }
+    }
+
+    async fn run(mut self, key: Option<ids::Digest>) {
+        let target = request::Target::Language(self.completion.call.clone());
+        let arrival = request::Arrival { key, target };
+        let handle = self.context.handle.clone();
+        self.commands = Some(handle.open(self.request, arrival).await);
+        let mut turn = Turn::Wait;
+        loop {
+            turn = match turn {
+                Turn::Wait => self.wait().await,
+                Turn::Command(command) => self.perform(command).await,
+                Turn::Gone => {
+                    handle.request_event(request::Event::Gone { request: self.request }).await;
+                    return;
+                }
+                Turn::Over => return,
+            };
+        }
+    }
+
+    /// Waits for a command or for the caller to go away.
+    async fn wait(&mut self) -> Turn {
+        let Some(commands) = &mut self.commands else { return Turn::Over };
+        tokio::select! {
+            biased;
+            command = commands.recv() => command.map_or(Turn::Over, Turn::Command),
+            () = self.reply.closed() => Turn::Gone,
+        }
+    }
+
+    async fn perform(&mut self, command: request::Command) -> Turn {
+        match command {
+            request::Command::Prefill { attempt, address, priority, .. } => {
+                let call = self.call(address, priority);
+                self.prefill(attempt, call).await
+            }
+            request::Command::Decode { attempt, address, priority, start, .. } => {
+                let call = self.call(address, priority);
+                self.decode(attempt, call, start).await
+            }
+            request::Command::Refuse(refusal) => {
+                let event = self.relay.error_event(&refusal);
+                self.reply.refuse(&refusal, event).await;
+                Turn::Over
+            }
+            request::Command::Forward { .. } | request::Command::Replay { .. } => Turn::Wait,
+        }
+    }
+
+    fn call(&self, address: std::net::SocketAddr, priority: i32) -> engines::Call {
+        engines::Call {
+            request: self.request,
+            address,
+            priority,
+            api: self.completion.api,
+            fields: sync::Arc::clone(&self.completion.fields),
+        }
+    }
+
+    async fn prefill(&mut self, attempt: ids::Attempt, call: engines::Call) -> Turn {
+        let context = sync::Arc::clone(&self.context);
+        let prefill = context.engines.prefill(call);
+        let outcome = tokio::select! {
+            outcome = prefill => outcome,
+            turn = self.wait() => return turn,
+        };
+        let request = self.request;
+        let event = match outcome {
+            Ok(prefilled) => {
+                self.transfer = Some(prefilled.transfer);
+                request::Event::Prefilled { request, attempt, usage: prefilled.usage }
+            }
+            Err(failure) => request::Event::Failed { request, attempt, failure },
+        };
+        context.handle.request_event(event).await;
+        Turn::Wait
+    }
+
+    async fn decode(
+        &mut self,
+        attempt: ids::Attempt,
+        call: engines::Call,
+        start: request::Start,
+    ) -> Turn {
+        let source = match (start, &self.transfer) {
+            (request::Start::Import, Some(transfer)) => engines::Source::Import(transfer.clone()),
+            (request::Start::Resume, _) => {
+                engines::Source::Resume { from_token: self.relay.relayed_tokens() }
+            }
+            _ => engines::Source::Whole,
+        };
+        let context = sync::Arc::clone(&self.context);
+        let decode = context.engines.decode(call, source);
+        let opened = tokio::select! {
+            opened = decode => opened,
+            turn = self.wait() => return turn,
+        };
+        match opened {
+            Ok(stream) => self.follow(attempt, stream, start).await,
+            Err(failure) => self.fail(attempt, failure).await,
+        }
+    }
+
+    /// Relays a stream to the caller until it ends.
+    async fn follow(
+        &mut self,
+        attempt: ids::Attempt,
+        mut stream: Box<dyn engines::Stream>,
+        start: request::Start,
+    ) -> Turn {
+        self.relay.begin_attempt(start);
+        let mut begun = false;
+        let mut reported_tokens = self.relay.relayed_tokens();
+        let mut reported_at = tokio_time::Instant::now();
+        loop {
+            let next = tokio::select! {
+                next = stream.next() => next,
+                turn = self.wait() => return turn,
+            };
+            let chunk = match next {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => return self.finish(attempt).await,
+                Err(failure) => return self.fail(attempt, failure).await,
+            };
+            if !begun {
+                begun = true;
+                let event = request::Event::Started { request: self.request, attempt };
+                self.context.handle.request_event(event).await;
+            }
+            if self.relay.take(chunk, &mut self.reply).await.is_err() {
+                return Turn::Gone;
+            }
+            let relayed_tokens = self.relay.relayed_tokens();
+            let due = reported_at.elapsed() >= PROGRESS_INTERVAL;
+            if relayed_tokens >= reported_tokens + PROGRESS_TOKENS || due {
+                reported_tokens = relayed_tokens;
+                reported_at = tokio_time::Instant::now();
+                self.report_progress(attempt).await;
+            }
+        }
+    }
+
+    async fn finish(&mut self, attempt: ids::Attempt) -> Turn {
+        if !self.relay.is_complete() {
+            let failure =
+                request::Failure { fault: request::Fault::Closed, ran: request::Ran::Unknown };
+            return self.fail(attempt, failure).await;
+        }
+        if self.relay.finish(&mut self.reply).await.is_err() {
+            return Turn::Gone;
+        }
+        let event = request::Event::Ended {
+            request: self.request,
+            attempt,
+            usage: self.relay.usage(),
+            answer: None,
+        };
+        self.context.handle.request_event(event).await;
+        Turn::Over
+    }
+
+    async fn fail(&mut self, attempt: ids::Attempt, failure: request::Failure) -> Turn {
+        self.report_progress(attempt).await;
+        let event = request::Event::Failed { request: self.request, attempt, failure };
+        self.context.handle.request_event(event).await;
+        Turn::Wait
+    }
+
+    async fn report_progress(&self, attempt: ids::Attempt) {
+        let relayed_tokens = self.relay.relayed_tokens();
+        let request = self.request;
+        let event = request::Event::Progressed { request, attempt, relayed_tokens };
+        self.context.handle.request_event(event).await;
+    }
+}
--- /dev/null
+++ b/src/borders/callers/plain.rs
@@ -0,0 +1,277 @@
+//! The task that serves one plain call: forwards it as the reducer says and relays the answer.
+
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use hyper::header;
+use sha2::Digest as _;
+use tokio::time as tokio_time;
+
+use crate::borders::callers;
+use crate::borders::callers::errors;
+use crate::borders::callers::read;
+use crate::borders::callers::reply;
+use crate::borders::http;
+use crate::borders::services;
+use crate::core::claims;
+use crate::core::ids;
+use crate::core::request;
+use crate::shell::handle;
+
+/// The header by which a caller makes a call idempotent.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The largest answer that is kept for callers that resend, in bytes.
+const MAX_KEPT_ANSWER_BYTES: usize = 16 * 1024;
+
+/// Serves one plain call.
+pub async fn serve(
+    context: sync::Arc<callers::Context>,
+    caller: net::SocketAddr,
+    message: hyper::Request<body::Incoming>,
+) -> http::Response {
+    let (parts, body) = message.into_parts();
+    let body = match read::whole_body(body, &context.limits).await {
+        Ok(body) => body,
+        Err(unreadable) => return unreadable.response(),
+    };
+    let key = read::key_digest(&parts.headers);
+    let call = request::PlainCall {
+        method: Bytes::copy_from_slice(parts.method.as_str().as_bytes()),
+        path: Bytes::copy_from_slice(parts.uri.path().as_bytes()),
+        idempotency_key: idempotency_key(&parts.headers),
+        fingerprint: fingerprint(&parts, &body),
+        replayable: true,
+    };
+    let request = context.handle.next_request();
+    let (reply, head) = reply::Reply::new(request);
+    let session = Session { context, request, caller, parts, body, reply, commands: None };
+    tokio::spawn(session.run(request::Arrival { key, target: request::Target::Plain(call) }));
+    match head.await {
+        Ok(response) => response,
+        Err(_) => errors::refusal(&request::Refusal {
+            reason: request::Reason::Draining,
+            ran: request::Ran::Unknown,
+            retry_after_ms: None,
+        }),
+    }
+}
+
+fn idempotency_key(headers: &header::HeaderMap) -> Option<Bytes> {
+    let value = headers.get(IDEMPOTENCY_KEY)?;
+    Some(Bytes::copy_from_slice(value.as_bytes()))
+}
+
+fn fingerprint(parts: &hyper::http::request::Parts, body: &Bytes) -> ids::Digest {
+    let mut hasher = sha2::Sha256::new();
+    let target = parts.uri.path_and_query().map(|target| target.as_str()).unwrap_or_default();
+    for part in [parts.method.as_str().as_bytes(), target.as_bytes(), body] {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
+
+enum Turn {
+    Command(request::Command),
+    Wait,
+    Gone,
+    Over,
+}
+
+struct Session {
+    context: sync::Arc<callers::Context>,
+    request: ids::RequestId,
+    caller: net::SocketAddr,
+    parts: hyper::http::request::Parts,
+    body: Bytes,
+    reply: reply::Reply,
+    commands: Option<handle::Commands>,
+}
+
+impl Session {
+    async fn run(mut self, arrival: request::Arrival) {
+        let handle = self.context.handle.clone();
+        self.commands = Some(handle.open(self.request, arrival).await);
+        let mut turn = Turn::Wait;
+        loop {
+            turn = match turn {
+                Turn::Wait => self.wait().await,
+                Turn::Command(command) => self.perform(command).await,
+                Turn::Gone => {
+                    handle.request_event(request::Event::Gone { request: self.request }).await;
+                    return;
+                }
+                Turn::Over => return,
+            };
+        }
+    }
+
+    async fn wait(&mut self) -> Turn {
+        let Some(commands) = &mut self.commands else { return Turn::Over };
+        tokio::select! {
+            biased;
+            command = commands.recv() => command.map_or(Turn::Over, Turn::Command),
+            () = self.reply.closed() => Turn::Gone,
+        }
+    }
+
+    async fn perform(&mut self, command: request::Command) -> Turn {
+        match command {
+            request::Command::Forward { attempt, address, fresh, keep_answer, .. } => {
+                self.forward(attempt, address, fresh, keep_answer).await
+            }
+            request::Command::Replay { answer, .. } => {
+                self.reply.send_whole(replayed(answer));
+                Turn::Over
+            }
+            request::Command::Refuse(refusal) => {
+                self.reply.refuse(&refusal, None).await;
+                Turn::Over
+            }
+            request::Command::Prefill { .. } | request::Command::Decode { .. } => Turn::Wait,
+        }
+    }
+
+    async fn forward(
+        &mut self,
+        attempt: ids::Attempt,
+        address: net::SocketAddr,
+        fresh: bool,
+        keep_answer: bool,
+    ) -> Turn {
+        let parts = self.parts.clone();
+        let message = hyper::Request::from_parts(parts, http::full(self.body.clone()));
+        let call =
+            services::Call { request: self.request, address, caller: self.caller, message, fresh };
+        let context = sync::Arc::clone(&self.context);
+        let forwarded = tokio::select! {
+            forwarded = context.services.forward(call) => forwarded,
+            turn = self.wait() => return turn,
+        };
+        match forwarded {
+            Ok(response) => {
+                let event = request::Event::Started { request: self.request, attempt };
+                context.handle.request_event(event).await;
+                self.relay(attempt, response, keep_answer).await
+            }
+            Err(failure) => self.fail(attempt, failure).await,
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        attempt: ids::Attempt,
+        response: http::Response,
+        keep_answer: bool,
+    ) -> Turn {
+        let (parts, mut body) = response.into_parts();
+        let mut kept = keep_answer.then(|| Kept::new(&parts));
+        if self.reply.start(hyper::Response::from_parts(parts, ())).is_err() {
+            return Turn::Gone;
+        }
+        loop {
+            let gap = self.context.gap;
+            let next = tokio::select! {
+                next = tokio_time::timeout(gap, body.frame()) => next,
+                turn = self.wait() => return turn,
+            };
+            let frame = match next {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => break,
+                Ok(Some(Err(_))) => {
+                    return self.fail(attempt, maybe_run(request::Fault::Closed)).await;
+                }
+                Err(_) => return self.fail(attempt, maybe_run(request::Fault::Gap)).await,
+            };
+            if let (Some(kept), Some(data)) = (&mut kept, frame.data_ref()) {
+                kept.push(data);
+            }
+            if self.reply.write(frame).await.is_err() {
+                return Turn::Gone;
+            }
+        }
+        let event = request::Event::Ended {
+            request: self.request,
+            attempt,
+            usage: request::Usage::default(),
+            answer: kept.map(Kept::into_answer),
+        };
+        self.context.handle.request_event(event).await;
+        Turn::Over
+    }
+
+    async fn fail(&mut self, attempt: ids::Attempt, failure: request::Failure) -> Turn {
+        let event = request::Event::Failed { request: self.request, attempt, failure };
+        self.context.handle.request_event(event).await;
+        Turn::Wait
+    }
+}
+
+/// An answer that is kept for callers that resend.
+struct Kept {
+    status: u16,
+    content_type: Bytes,
+    body: Vec<u8>,
+    too_large: bool,
+}
+
+impl Kept {
+    fn new(parts: &hyper::http::response::Parts) -> Self {
+        let content_type = parts.headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.map(|value| value.as_bytes()).unwrap_or_default();
+        Self {
+            status: parts.status.as_u16(),
+            content_type: Bytes::copy_from_slice(content_type),
+            body: Vec::new(),
+            too_large: false,
+        }
+    }
+
+    fn push(&mut self, data: &Bytes) {
+        self.too_large |= self.body.len() + data.len() > MAX_KEPT_ANSWER_BYTES;
+        if !self.too_large {
+            self.body.extend_from_slice(data);
+        }
+    }
+
+    fn into_answer(self) -> claims::Answer {
+        if self.too_large {
+            return claims::Answer::TooLarge { status: self.status };
+        }
+        claims::Answer::Whole {
+            status: self.status,
+            content_type: self.content_type,
+            body: Bytes::from(self.body),
+        }
+    }
+}
+
+/// Returns the answer for a call whose idempotency key another call has used.
+fn replayed(answer: claims::Answer) -> http::Response {
+    let refuse =
+        |reason, ran| errors::refusal(&request::Refusal { reason, ran, retry_after_ms: None });
+    match answer {
+        claims::Answer::Whole { status, content_type, body } => {
+            let mut response = hyper::Response::new(http::full(body));
+            *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+            if let Ok(value) = header::HeaderValue::from_bytes(&content_type) {
+                response.headers_mut().insert(header::CONTENT_TYPE, value);
+            }
+            let replayed = header::HeaderValue::from_static("true");
+            response.headers_mut().insert("idempotency-replayed", replayed);
+            response
+        }
+        claims::Answer::TooLarge { .. } | claims::Answer::Unknown => {
+            refuse(request::Reason::ClaimHeld, request::Ran::Unknown)
+        }
+        claims::Answer::NotRun => refuse(request::Reason::ClaimHeld, request::Ran::No),
+    }
+}
+
+fn maybe_run(fault: request::Fault) -> request::Failure {
+    request::Failure { fault, ran: request::Ran::Unknown }
+}
--- a/src/borders/engines.rs
+++ b/src/borders/engines.rs
@@ -103,7 +103,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Unanswered {
     /// The engine cannot be reached.
-    #[error("the engine at {address} did not answer ({fault:?}); check that it runs and its address in the document")]
+    #[error(
+        "the engine at {address} did not answer ({fault:?}); check that it runs and its address in the document"
+    )]
     Unreachable {
         /// The engine's address.
         address: net::SocketAddr,
@@ -111,7 +113,9 @@
         fault: request::Fault,
     },
     /// The engine's answer has another shape than the adapter's.
-    #[error("the engine at {address} answered in another format; check its version against docs/PROTOCOLS.md")]
+    #[error(
+        "the engine at {address} answered in another format; check its version against docs/PROTOCOLS.md"
+    )]
     Malformed {
         /// The engine's address.
         address: net::SocketAddr,
--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -151,7 +151,11 @@
     ) -> Result<A, engines::Unanswered> {
         let (status, answer) =
             self.question(address, hyper::Method::GET, path, Bytes::new()).await?;
-        if status.is_success() { Ok(answer) } else { Err(engines::Unanswered::Malformed { address }) }
+        if status.is_success() {
+            Ok(answer)
+        } else {
+            Err(engines::Unanswered::Malformed { address })
+        }
     }
 }
 
@@ -275,9 +279,7 @@
 }
 
 impl engines::Stream for EventStream {
-    fn next(
-        &mut self,
-    ) -> future::BoxFuture<'_, Result<Option<engines::Chunk>, request::Failure>> {
+    fn next(&mut self) -> future::BoxFuture<'_, Result<Option<engines::Chunk>, request::Failure>> {
         Box::pin(self.next_chunk())
     }
 }
--- a/src/borders/engines/openai/wire.rs
+++ b/src/borders/engines/openai/wire.rs
@@ -242,8 +242,7 @@
     data: String,
     request: ids::RequestId,
 ) -> Result<engines::Chunk, request::Fault> {
-    let chunk: RawChunk<'_> =
-        serde_json::from_str(&data).map_err(|_| request::Fault::Malformed)?;
+    let chunk: RawChunk<'_> = serde_json::from_str(&data).map_err(|_| request::Fault::Malformed)?;
     if !is_own(&chunk.id, request) {
         return Err(request::Fault::Crossed);
     }
--- a/src/borders/http.rs
+++ b/src/borders/http.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1.1 client that knows for each failure whether a byte of the request may have left.
 
-use std::error;
+use std::fmt;
 use std::net;
 use std::sync;
 use std::time;
@@ -17,11 +17,20 @@
 
 mod pool;
 
-/// Any error of a body.
-pub type BoxError = Box<dyn error::Error + Send + Sync>;
+/// A body broke off.
+#[derive(Debug, thiserror::Error)]
+#[error("the body broke off: {0}; send the request again on a new connection")]
+pub struct BodyError(String);
+
+impl BodyError {
+    /// Creates an error with the reason.
+    pub fn new<R: fmt::Display>(reason: R) -> Self {
+        Self(reason.to_string())
+    }
+}
 
 /// The body of a request or of an answer.
-pub type Body = combinators::UnsyncBoxBody<Bytes, BoxError>;
+pub type Body = combinators::UnsyncBoxBody<Bytes, BodyError>;
 
 /// An HTTP request with a body of any kind.
 pub type Request = hyper::Request<Body>;
@@ -126,8 +135,8 @@
         match answered {
             Ok(response) => {
                 let pool = self.pool.clone();
-                let response =
-                    response.map(|body| pool::PooledBody::new(body, sender, address, pool).boxed_unsync());
+                let response = response
+                    .map(|body| pool::PooledBody::new(body, sender, address, pool).boxed_unsync());
                 Ok(Exchanged::Answered(response))
             }
             Err(mut failure) => match failure.take_message() {
--- a/src/borders/http/pool.rs
+++ b/src/borders/http/pool.rs
@@ -97,7 +97,7 @@
 
 impl body::Body for PooledBody {
     type Data = Bytes;
-    type Error = http::BoxError;
+    type Error = http::BodyError;
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
@@ -113,7 +113,7 @@
             }
             Some(Err(failure)) => {
                 self.sender = None;
-                task::Poll::Ready(Some(Err(failure.into())))
+                task::Poll::Ready(Some(Err(http::BodyError::new(failure))))
             }
             None => {
                 self.give_back();
--- a/src/borders/peers/generated.rs
+++ b/src/borders/peers/generated.rs
@@ -24,10 +24,10 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
-    use tonic::codegen::*;
     use tonic::codegen::http::Uri;
+    use tonic::codegen::*;
     /// Delivers messages to the instance that serves it.
     #[derive(Debug, Clone)]
     pub struct PeersClient<T> {
@@ -67,14 +67,13 @@
             F: tonic::service::Interceptor,
             T::ResponseBody: Default,
             T: tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-                Response = http::Response<
-                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    http::Request<tonic::body::Body>,
+                    Response = http::Response<
+                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    >,
                 >,
-            >,
-            <T as tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
+                Into<StdError> + std::marker::Send + std::marker::Sync,
         {
             PeersClient::new(InterceptedService::new(inner, interceptor))
         }
@@ -114,21 +113,13 @@
             &mut self,
             request: impl tonic::IntoRequest<super::Batch>,
         ) -> std::result::Result<tonic::Response<super::Receipt>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/galenayard.peers.v1.Peers/Deliver",
-            );
+            let path = http::uri::PathAndQuery::from_static("/galenayard.peers.v1.Peers/Deliver");
             let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("galenayard.peers.v1.Peers", "Deliver"));
+            req.extensions_mut().insert(GrpcMethod::new("galenayard.peers.v1.Peers", "Deliver"));
             self.inner.unary(req, path, codec).await
         }
     }
@@ -140,7 +131,7 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
     use tonic::codegen::*;
     /// Generated trait containing gRPC methods that should be implemented for use with PeersServer.
@@ -174,10 +165,7 @@
                 max_encoding_message_size: None,
             }
         }
-        pub fn with_interceptor<F>(
-            inner: T,
-            interceptor: F,
-        ) -> InterceptedService<Self, F>
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
         where
             F: tonic::service::Interceptor,
         {
@@ -232,21 +220,12 @@
                 "/galenayard.peers.v1.Peers/Deliver" => {
                     #[allow(non_camel_case_types)]
                     struct DeliverSvc<T: Peers>(pub Arc<T>);
-                    impl<T: Peers> tonic::server::UnaryService<super::Batch>
-                    for DeliverSvc<T> {
+                    impl<T: Peers> tonic::server::UnaryService<super::Batch> for DeliverSvc<T> {
                         type Response = super::Receipt;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
-                        fn call(
-                            &mut self,
-                            request: tonic::Request<super::Batch>,
-                        ) -> Self::Future {
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(&mut self, request: tonic::Request<super::Batch>) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Peers>::deliver(&inner, request).await
-                            };
+                            let fut = async move { <T as Peers>::deliver(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -272,25 +251,16 @@
                     };
                     Box::pin(fut)
                 }
-                _ => {
-                    Box::pin(async move {
-                        let mut response = http::Response::new(
-                            tonic::body::Body::default(),
-                        );
-                        let headers = response.headers_mut();
-                        headers
-                            .insert(
-                                tonic::Status::GRPC_STATUS,
-                                (tonic::Code::Unimplemented as i32).into(),
-                            );
-                        headers
-                            .insert(
-                                http::header::CONTENT_TYPE,
-                                tonic::metadata::GRPC_CONTENT_TYPE,
-                            );
-                        Ok(response)
-                    })
-                }
+                _ => Box::pin(async move {
+                    let mut response = http::Response::new(tonic::body::Body::default());
+                    let headers = response.headers_mut();
+                    headers.insert(
+                        tonic::Status::GRPC_STATUS,
+                        (tonic::Code::Unimplemented as i32).into(),
+                    );
+                    headers.insert(http::header::CONTENT_TYPE, tonic::metadata::GRPC_CONTENT_TYPE);
+                    Ok(response)
+                }),
             }
         }
     }
--- /dev/null
+++ b/src/borders/platform/http_instances.rs
@@ -0,0 +1,79 @@
+//! The adapter for the platform's instance list over HTTP, as docs/PROTOCOLS.md describes it.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use futures_util::future;
+use serde::Deserialize;
+
+use crate::borders::http;
+use crate::borders::platform;
+use crate::core::membership;
+
+/// How long the list may take to come.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// The largest list, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// The adapter.
+#[derive(Debug, Clone)]
+pub struct HttpInstances {
+    client: http::Client,
+    address: net::SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListAnswer {
+    instances: Vec<ListEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListEntry {
+    id: Bytes,
+    peer_address: net::SocketAddr,
+}
+
+impl HttpInstances {
+    /// Creates an adapter for the list at an address.
+    pub fn new(client: http::Client, address: net::SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    async fn run_list(&self) -> Result<Vec<membership::Listed>, platform::Unavailable> {
+        let request = hyper::Request::get("/v1/instances")
+            .header(hyper::header::HOST, self.address.to_string())
+            .body(http::empty())
+            .map_err(|failure| self.unavailable(failure.to_string()))?;
+        let response = self
+            .client
+            .send(self.address, request, http::Reuse::Pooled, ANSWER_TIMEOUT)
+            .await
+            .map_err(|failure| self.unavailable(format!("{:?}", failure.fault)))?;
+        let body = http::read_body(response.into_body(), MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
+            .await
+            .map_err(|fault| self.unavailable(format!("{fault:?}")))?;
+        let answer: ListAnswer = serde_json::from_slice(&body)
+            .map_err(|failure| self.unavailable(failure.to_string()))?;
+        Ok(answer.instances.into_iter().map(ListEntry::into_listed).collect())
+    }
+
+    fn unavailable(&self, problem: String) -> platform::Unavailable {
+        platform::Unavailable { service: "instance list", address: self.address, problem }
+    }
+}
+
+impl ListEntry {
+    fn into_listed(self) -> membership::Listed {
+        membership::Listed { id: self.id, peer_address: self.peer_address }
+    }
+}
+
+impl platform::Instances for HttpInstances {
+    fn list(
+        &self,
+    ) -> future::BoxFuture<'_, Result<Vec<membership::Listed>, platform::Unavailable>> {
+        Box::pin(self.run_list())
+    }
+}
--- /dev/null
+++ b/src/borders/platform/http_log.rs
@@ -0,0 +1,157 @@
+//! The adapter for a log service over HTTP, as docs/PROTOCOLS.md describes it.
+
+use std::net;
+use std::time;
+
+use base64::Engine as _;
+use base64::prelude;
+use bytes::Bytes;
+use futures_util::future;
+use serde::Deserialize;
+
+use crate::borders::http;
+use crate::borders::platform;
+use crate::core::ids;
+use crate::core::log;
+use crate::core::request;
+
+/// How long the log may take to answer beyond the time that a read waits.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// The largest answer to a read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Records asked for in one read.
+const MAX_RECORDS: usize = 1_000;
+
+/// The adapter.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    client: http::Client,
+    address: net::SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Appended {
+    offset: ids::Offset,
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadAnswer {
+    first: ids::Offset,
+    next: ids::Offset,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadRecord {
+    offset: ids::Offset,
+    time_ms: u64,
+    body: String,
+}
+
+impl HttpLog {
+    /// Creates an adapter for the log service at an address.
+    pub fn new(client: http::Client, address: net::SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    async fn run_append(&self, stream: log::Stream, body: Bytes) -> log::AppendOutcome {
+        let path = format!("/v1/streams/{}/records", stream.as_str());
+        let request = hyper::Request::post(path)
+            .header(hyper::header::HOST, self.address.to_string())
+            .body(http::full(body));
+        let Ok(request) = request else { return log::AppendOutcome::Refused };
+        let sent =
+            self.client.send(self.address, request, http::Reuse::Never, ANSWER_TIMEOUT).await;
+        let response = match sent {
+            Ok(response) => response,
+            Err(failure) if failure.ran == request::Ran::No => return log::AppendOutcome::Refused,
+            Err(_) => return log::AppendOutcome::Unknown,
+        };
+        let status = response.status();
+        let body = http::read_body(response.into_body(), MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
+        let appended = body.ok().and_then(|body| serde_json::from_slice::<Appended>(&body).ok());
+        match appended {
+            Some(appended) if status.is_success() => log::AppendOutcome::At(appended.offset),
+            _ if is_refusal(status) => log::AppendOutcome::Refused,
+            _ => log::AppendOutcome::Unknown,
+        }
+    }
+
+    async fn run_read(
+        &self,
+        stream: log::Stream,
+        from: ids::Offset,
+        wait: time::Duration,
+    ) -> Result<platform::Page, platform::Unavailable> {
+        let path = format!(
+            "/v1/streams/{}/records?from={from}&max={MAX_RECORDS}&wait_ms={}",
+            stream.as_str(),
+            wait.as_millis()
+        );
+        let request = hyper::Request::get(path)
+            .header(hyper::header::HOST, self.address.to_string())
+            .body(http::empty())
+            .map_err(|failure| self.unavailable(failure.to_string()))?;
+        let limit = wait + ANSWER_TIMEOUT;
+        let response = self
+            .client
+            .send(self.address, request, http::Reuse::Pooled, limit)
+            .await
+            .map_err(|failure| self.unavailable(format!("{:?}", failure.fault)))?;
+        let status = response.status();
+        let body = http::read_body(response.into_body(), MAX_ANSWER_BYTES, limit)
+            .await
+            .map_err(|fault| self.unavailable(format!("{fault:?}")))?;
+        if !status.is_success() {
+            return Err(self.unavailable(format!("status {status}")));
+        }
+        let answer: ReadAnswer = serde_json::from_slice(&body)
+            .map_err(|failure| self.unavailable(failure.to_string()))?;
+        Ok(answer.into_page())
+    }
+
+    fn unavailable(&self, problem: String) -> platform::Unavailable {
+        platform::Unavailable { service: "log", address: self.address, problem }
+    }
+}
+
+impl ReadAnswer {
+    /// Decodes the records, leaving out those whose body is not base64.
+    fn into_page(self) -> platform::Page {
+        let records = self.records.into_iter().filter_map(ReadRecord::into_record).collect();
+        platform::Page { first: self.first, next: self.next, records }
+    }
+}
+
+impl ReadRecord {
+    fn into_record(self) -> Option<log::Record> {
+        let body = prelude::BASE64_STANDARD.decode(&self.body).ok()?;
+        Some(log::Record { offset: self.offset, time_ms: self.time_ms, body: Bytes::from(body) })
+    }
+}
+
+/// Returns whether a status says that the log did not take the record.
+fn is_refusal(status: hyper::StatusCode) -> bool {
+    status.is_client_error() || status == hyper::StatusCode::SERVICE_UNAVAILABLE
+}
+
+impl platform::Log for HttpLog {
+    fn append(
+        &self,
+        stream: log::Stream,
+        body: Bytes,
+    ) -> future::BoxFuture<'_, log::AppendOutcome> {
+        Box::pin(self.run_append(stream, body))
+    }
+
+    fn read(
+        &self,
+        stream: log::Stream,
+        from: ids::Offset,
+        wait: time::Duration,
+    ) -> future::BoxFuture<'_, Result<platform::Page, platform::Unavailable>> {
+        Box::pin(self.run_read(stream, from, wait))
+    }
+}
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -533,7 +533,7 @@
 /// What every request may consult.
 #[derive(Debug, Default)]
 struct Context {
-    environment: String,
+    environment: Option<document::Environment>,
     snapshot: Option<configuration::SharedSnapshot>,
     fresh: bool,
     valid: bool,
@@ -551,8 +551,8 @@
 
 impl Requests {
     /// Creates the state of an instance without requests.
-    pub fn new(environment: String) -> Self {
-        let context = Context { environment, ..Context::default() };
+    pub fn new(environment: document::Environment) -> Self {
+        let context = Context { environment: Some(environment), ..Context::default() };
         Self { context, ..Self::default() }
     }
 
@@ -657,7 +657,7 @@
     }
 
     fn address(&self, id: &ids::ServerId) -> Option<net::SocketAddr> {
-        self.server(id)?.addresses.get(&self.environment).copied()
+        self.server(id)?.addresses.get(self.environment?.as_str()).copied()
     }
 }
 
@@ -747,6 +747,34 @@
 }
 
 impl Reason {
+    /// Returns the name that metrics, logs and callers see.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reason::Unauthenticated => "unauthenticated",
+            Reason::Forbidden => "forbidden",
+            Reason::NoRoute => "no_route",
+            Reason::Method => "method_not_allowed",
+            Reason::Limit(escrow::Refusal::OverRate) => "over_rate",
+            Reason::Limit(escrow::Refusal::OverBurst) => "over_burst",
+            Reason::Limit(escrow::Refusal::Unreachable) => "limits_unreachable",
+            Reason::Limit(escrow::Refusal::QueueFull) => "limit_queue_full",
+            Reason::Limit(escrow::Refusal::Unlimited) => "no_limit_configured",
+            Reason::Place(scheduler::Unplaced::NoServer) => "no_server",
+            Reason::Place(scheduler::Unplaced::QueueFull) => "server_queue_full",
+            Reason::Place(scheduler::Unplaced::WaitedTooLong) => "waited_too_long",
+            Reason::Place(scheduler::Unplaced::Lost) => "place_lost",
+            Reason::Stale => "configuration_stale",
+            Reason::NotValid => "no_lease",
+            Reason::TooManyRequests => "instance_full",
+            Reason::Draining => "draining",
+            Reason::Failed(_) => "backend_server_failed",
+            Reason::KeyReused => "idempotency_key_reused",
+            Reason::ClaimUnavailable => "claim_unavailable",
+            Reason::ClaimHeld => "claim_held",
+            Reason::Deadline => "deadline",
+        }
+    }
+
     /// Returns when a caller should come back, where that does not depend on the workspace.
     fn retry_after_ms(&self) -> Option<u64> {
         match self {
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -17,6 +17,7 @@
 use crate::core::reducer::Reducer;
 use crate::core::request;
 use crate::core::scheduler;
+use crate::document;
 
 /// The reducers of one instance.
 #[derive(Debug)]
@@ -29,7 +30,7 @@
     scheduler: scheduler::Scheduler,
     requests: request::Requests,
     peers: collections::Map<ids::InstanceId, net::SocketAddr>,
-    environment: String,
+    environment: document::Environment,
     servers: collections::Map<ids::ServerId, net::SocketAddr>,
 }
 
@@ -49,14 +50,14 @@
 
 impl State {
     /// Creates the state of an instance whose process has just started.
-    pub fn new(own: membership::Member, environment: String, seed: u64) -> Self {
+    pub fn new(own: membership::Member, environment: document::Environment, seed: u64) -> Self {
         Self {
             escrow: escrow::Escrow::new(own.id.clone(), own.incarnation),
             configuration: configuration::Configuration::new(own.id.clone(), seed),
             claims: claims::Claims::new(own.id.clone(), own.incarnation),
             placement: placement::Placement::new(seed),
             scheduler: scheduler::Scheduler::new(own.id.clone(), own.incarnation),
-            requests: request::Requests::new(environment.clone()),
+            requests: request::Requests::new(environment),
             peers: collections::Map::default(),
             servers: collections::Map::default(),
             membership: membership::Membership::new(own),
@@ -232,7 +233,7 @@
         self.servers = servers
             .iter()
             .filter_map(|server| {
-                Some((server.id.clone(), *server.addresses.get(&self.environment)?))
+                Some((server.id.clone(), *server.addresses.get(self.environment.as_str())?))
             })
             .collect();
         let limits = snapshot
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! A router for language engines with separate prefill and decode pools, and for plain services.
 
+pub mod borders;
 pub mod core;
 pub mod document;
 pub mod schema;
 pub mod settings;
+pub mod shell;
--- /dev/null
+++ b/src/shell/explain.rs
@@ -0,0 +1,67 @@
+//! Keeps the decisions on the latest requests for `galenayard explain`.
+
+use std::collections as std_collections;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::collections;
+use crate::core::ids;
+use crate::core::request;
+
+/// Requests whose decisions are kept.
+const MAX_REQUESTS: usize = 4_096;
+
+/// Decisions that are kept of one request.
+const MAX_STEPS: usize = 64;
+
+/// A decision and when it was taken.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Milliseconds since the process started.
+    pub at_ms: u64,
+    /// The decision.
+    pub step: request::Step,
+}
+
+#[derive(Debug, Default)]
+struct Buffer {
+    entries: collections::Map<ids::RequestId, Vec<Entry>>,
+    order: std_collections::VecDeque<ids::RequestId>,
+}
+
+/// A bounded buffer of decisions.
+#[derive(Debug, Default)]
+pub struct Explanations {
+    buffer: sync::Mutex<Buffer>,
+}
+
+impl Explanations {
+    /// Keeps a decision, dropping the oldest request's decisions if there are too many.
+    pub fn push(&self, request: ids::RequestId, step: request::Step, now: ids::Timestamp) {
+        let at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let mut buffer = self.lock();
+        let buffer = &mut *buffer;
+        let entries = buffer.entries.entry(request).or_insert_with(|| {
+            buffer.order.push_back(request);
+            Vec::new()
+        });
+        if entries.len() < MAX_STEPS {
+            entries.push(Entry { at_ms, step });
+        }
+        if buffer.order.len() > MAX_REQUESTS
+            && let Some(oldest) = buffer.order.pop_front()
+        {
+            buffer.entries.remove(&oldest);
+        }
+    }
+
+    /// Returns the decisions on a request, if they are still kept.
+    pub fn of(&self, request: ids::RequestId) -> Option<Vec<Entry>> {
+        self.lock().entries.get(&request).cloned()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Buffer> {
+        self.buffer.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/shell/runtime.rs
@@ -0,0 +1,217 @@
+//! Builds an instance from its settings and runs it until it has left.
+
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use tokio::signal::unix;
+use tokio::sync as tokio_sync;
+use tokio::time as tokio_time;
+
+use crate::borders::callers;
+use crate::borders::engines::openai;
+use crate::borders::http;
+use crate::borders::peers;
+use crate::borders::platform;
+use crate::borders::platform::http_instances;
+use crate::borders::platform::http_log;
+use crate::borders::services;
+use crate::core::event;
+use crate::core::ids;
+use crate::core::log;
+use crate::core::membership;
+use crate::core::state;
+use crate::settings;
+use crate::shell::driver;
+use crate::shell::explain;
+use crate::shell::handle;
+use crate::shell::log_reader;
+
+/// The time between two reads of the platform's instance list.
+const LIST_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// How long a read of the configuration and claims streams waits for a record.
+const READ_WAIT: time::Duration = time::Duration::from_millis(1_000);
+
+/// How long handing over rights and the leave's record may take.
+const LEAVE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// An instance could not be run.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeError {
+    /// The callers' side could not be opened.
+    #[error(transparent)]
+    Callers(#[from] callers::ListenError),
+    /// The peers' side could not be opened.
+    #[error(transparent)]
+    Peers(#[from] peers::ServerError),
+    /// Signals cannot be received.
+    #[error("cannot receive signals: {0}; run the instance where signals are allowed")]
+    Signals(std::io::Error),
+}
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if a listening socket cannot be opened.
+pub async fn serve(settings: settings::Settings) -> Result<(), ServeError> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate()).map_err(ServeError::Signals)?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).map_err(ServeError::Signals)?;
+    let instance = start(&settings).await?;
+    ::log::info!(instance = settings.instance.id; "instance started");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    ::log::info!("stopping: a second signal ends the instance at once");
+    tokio::select! {
+        () = instance.stop(&settings) => ::log::info!("instance left"),
+        _ = terminate.recv() => ::log::warn!("ended at once"),
+        _ = interrupt.recv() => ::log::warn!("ended at once"),
+    }
+    Ok(())
+}
+
+/// A running instance.
+struct Instance {
+    handle: handle::Handle,
+    published: tokio_sync::watch::Sender<handle::Published>,
+    stop_callers: sync::Arc<tokio_sync::Notify>,
+}
+
+async fn start(settings: &settings::Settings) -> Result<Instance, ServeError> {
+    let started = time::Instant::now();
+    let incarnation: ids::Incarnation = rand::random();
+    let callers_server = callers::Server::bind(settings.listen.callers).await?;
+    let peers_server = peers::Server::bind(settings.listen.peers).await?;
+    let (inputs, receiver) = tokio_sync::mpsc::channel(handle::INPUT_QUEUE);
+    let (published, watch) = tokio_sync::watch::channel(handle::Published::default());
+    let explanations = sync::Arc::new(explain::Explanations::default());
+    let handle = handle::Handle::new(inputs, watch, explanations, incarnation, started);
+
+    let client = http::Client::new(http::Timeouts {
+        connect: settings.timeouts.connect(),
+        idle: settings.timeouts.idle_connection(),
+    });
+    let engines = sync::Arc::new(openai::OpenAi::new(client.clone(), engine_timeouts(settings)));
+    let log: sync::Arc<dyn platform::Log> =
+        sync::Arc::new(http_log::HttpLog::new(client.clone(), settings.platform.log));
+    let credential: sync::Arc<str> = sync::Arc::from(settings.fleet.credential.as_str());
+    let identity = peers::Identity {
+        id: Bytes::from(settings.instance.id.clone()),
+        incarnation,
+        credential: sync::Arc::clone(&credential),
+    };
+    let borders = driver::Borders {
+        log: sync::Arc::clone(&log),
+        engines: sync::Arc::clone(&engines) as _,
+        peers: sync::Arc::new(peers::GrpcPeers::new(identity)),
+    };
+    let own = own_member(settings, incarnation);
+    let state = state::State::new(own, settings.instance.environment, incarnation);
+    let driver = driver::Driver::new(state, borders, handle.clone(), published.clone());
+    tokio::spawn(driver.run(receiver));
+
+    let context = callers::Context {
+        handle: handle.clone(),
+        engines,
+        services: sync::Arc::new(services::HttpServices::new(
+            client.clone(),
+            settings.timeouts.first_byte(),
+        )),
+        limits: settings.limits.clone(),
+        discovery_ttl: time::Duration::from_millis(settings.discovery.ttl_ms),
+        gap: settings.timeouts.gap(),
+    };
+    let stop_callers = sync::Arc::new(tokio_sync::Notify::new());
+    tokio::spawn(callers_server.run(sync::Arc::new(context), sync::Arc::clone(&stop_callers)));
+    tokio::spawn(serve_peers(peers_server, credential, handle.clone()));
+    follow_platform(settings, log, client, &handle);
+    Ok(Instance { handle, published, stop_callers })
+}
+
+fn engine_timeouts(settings: &settings::Settings) -> openai::Timeouts {
+    openai::Timeouts {
+        prefill: settings.timeouts.prefill(),
+        first_token: settings.timeouts.transfer_progress(),
+        gap: settings.timeouts.gap(),
+    }
+}
+
+fn own_member(settings: &settings::Settings, incarnation: ids::Incarnation) -> membership::Member {
+    membership::Member {
+        id: Bytes::from(settings.instance.id.clone()),
+        incarnation,
+        failure_domain: Bytes::from(settings.instance.failure_domain.clone()),
+        weight: settings.instance.weight,
+        peer_address: settings.listen.peer_address(),
+        caller_address: settings.listen.caller_address(),
+        leaving: false,
+        joined: 0,
+    }
+}
+
+async fn serve_peers(server: peers::Server, credential: sync::Arc<str>, handle: handle::Handle) {
+    let receiver: sync::Arc<dyn peers::Receiver> = sync::Arc::new(handle);
+    if let Err(failure) = server.run(credential, receiver, std::future::pending()).await {
+        ::log::error!("{failure}");
+    }
+}
+
+/// Follows the log's streams and the instance list.
+fn follow_platform(
+    settings: &settings::Settings,
+    log: sync::Arc<dyn platform::Log>,
+    client: http::Client,
+    handle: &handle::Handle,
+) {
+    for stream in log::Stream::ALL {
+        let wait = match stream {
+            log::Stream::Membership => {
+                time::Duration::from_millis(settings.membership.heartbeat_ms)
+            }
+            log::Stream::Configuration | log::Stream::Claims => READ_WAIT,
+        };
+        tokio::spawn(log_reader::follow(sync::Arc::clone(&log), stream, wait, handle.clone()));
+    }
+    let list = http_instances::HttpInstances::new(client, settings.platform.instances);
+    tokio::spawn(follow_list(sync::Arc::new(list), handle.clone()));
+}
+
+async fn follow_list(list: sync::Arc<dyn platform::Instances>, handle: handle::Handle) {
+    let mut interval = tokio_time::interval(LIST_INTERVAL);
+    interval.set_missed_tick_behavior(tokio_time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        match list.list().await {
+            Ok(listed) => handle.event(event::Event::Listed(listed)).await,
+            Err(failure) => ::log::debug!("{failure}"),
+        }
+    }
+}
+
+impl Instance {
+    /// Leaves discovery, lets callers move on, finishes all requests and leaves the fleet.
+    async fn stop(&self, settings: &settings::Settings) {
+        self.published.send_modify(|published| published.leaving = true);
+        tokio_time::sleep(time::Duration::from_millis(settings.discovery.ttl_ms)).await;
+        self.stop_callers.notify_one();
+        self.handle.event(event::Event::Drain).await;
+        let drained = self.until(|published| published.live_requests == 0);
+        if tokio_time::timeout(settings.timeouts.drain(), drained).await.is_err() {
+            let cut = self.handle.published().live_requests;
+            ::log::warn!(requests = cut; "drain timeout: requests are cut");
+        }
+        self.handle.event(event::Event::Leave).await;
+        let left = self.until(|published| published.left);
+        if tokio_time::timeout(LEAVE_TIMEOUT, left).await.is_err() {
+            ::log::warn!("the leave is not on record; peers evict this instance after its lease");
+        }
+    }
+
+    async fn until<C: FnMut(&handle::Published) -> bool>(&self, condition: C) {
+        let mut watch = self.handle.watch();
+        drop(watch.wait_for(condition).await);
+    }
+}
--- /dev/null
+++ b/src/shell/watchers.rs
@@ -0,0 +1,169 @@
+//! Polls the engines that this instance schedules: load, held requests and cache events.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use tokio::sync as tokio_sync;
+use tokio::task;
+use tokio::time as tokio_time;
+
+use crate::borders::engines;
+use crate::core::collections;
+use crate::core::event;
+use crate::core::ids;
+use crate::core::placement;
+use crate::shell::handle;
+
+/// The time between two reads of an engine's load.
+const LOAD_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Reads of the load for each read of the held requests.
+const LOADS_PER_HELD: u32 = 2;
+
+/// The pause after an engine did not answer.
+const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// The tasks that watch engines.
+pub struct Watchers {
+    engines: sync::Arc<dyn engines::Engines>,
+    handle: handle::Handle,
+    watched: collections::Map<ids::ServerId, Watched>,
+}
+
+struct Watched {
+    address: net::SocketAddr,
+    resynchronise: sync::Arc<tokio_sync::Notify>,
+    tasks: [task::JoinHandle<()>; 2],
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Watchers {
+    /// Creates watchers of no engine.
+    pub fn new(engines: sync::Arc<dyn engines::Engines>, handle: handle::Handle) -> Self {
+        Self { engines, handle, watched: collections::Map::default() }
+    }
+
+    /// Watches these engines and no others.
+    pub fn set(&mut self, servers: Vec<(ids::ServerId, net::SocketAddr)>) {
+        let wanted: collections::Map<_, _> = servers.into_iter().collect();
+        self.watched.retain(|server, watched| wanted.get(server) == Some(&watched.address));
+        for (server, address) in wanted {
+            if !self.watched.contains_key(&server) {
+                let watched = self.start(server.clone(), address);
+                self.watched.insert(server, watched);
+            }
+        }
+    }
+
+    /// Reads an engine's prefix cache as a whole again.
+    pub fn resynchronise(&self, server: &ids::ServerId) {
+        if let Some(watched) = self.watched.get(server) {
+            watched.resynchronise.notify_one();
+        }
+    }
+
+    fn start(&self, server: ids::ServerId, address: net::SocketAddr) -> Watched {
+        let resynchronise = sync::Arc::new(tokio_sync::Notify::new());
+        let watcher = Watcher {
+            engines: sync::Arc::clone(&self.engines),
+            handle: self.handle.clone(),
+            server,
+            address,
+            resynchronise: sync::Arc::clone(&resynchronise),
+        };
+        let tasks =
+            [tokio::spawn(watcher.clone().follow_load()), tokio::spawn(watcher.follow_cache())];
+        Watched { address, resynchronise, tasks }
+    }
+}
+
+#[derive(Clone)]
+struct Watcher {
+    engines: sync::Arc<dyn engines::Engines>,
+    handle: handle::Handle,
+    server: ids::ServerId,
+    address: net::SocketAddr,
+    resynchronise: sync::Arc<tokio_sync::Notify>,
+}
+
+impl Watcher {
+    async fn follow_load(self) {
+        let mut interval = tokio_time::interval(LOAD_INTERVAL);
+        interval.set_missed_tick_behavior(tokio_time::MissedTickBehavior::Delay);
+        let mut round = 0_u32;
+        loop {
+            interval.tick().await;
+            round = round.wrapping_add(1);
+            if let Ok(load) = self.engines.load(self.server.clone(), self.address).await {
+                self.handle.event(event::Event::Loaded(load)).await;
+            }
+            if round.is_multiple_of(LOADS_PER_HELD) {
+                self.read_held().await;
+            }
+        }
+    }
+
+    async fn read_held(&self) {
+        if let Ok(held) = self.engines.held(self.address).await {
+            let server = self.server.clone();
+            self.handle.event(event::Event::Held { server, held }).await;
+        }
+    }
+
+    async fn follow_cache(self) {
+        let mut next = None;
+        loop {
+            let outcome = match next {
+                None => self.read_cache().await,
+                Some(from) => tokio::select! {
+                    () = self.resynchronise.notified() => Ok(None),
+                    outcome = self.read_events(from) => outcome,
+                },
+            };
+            match outcome {
+                Ok(from) => next = from,
+                Err(failure) => {
+                    log::debug!("{failure}");
+                    tokio_time::sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the whole cache and returns the sequence number to go on from.
+    async fn read_cache(&self) -> Result<Option<u64>, engines::Unanswered> {
+        let change = self.engines.cache(self.address).await?;
+        let next = match &change {
+            placement::CacheEvent::Snapshot { sequence, .. }
+            | placement::CacheEvent::Stored { sequence, .. }
+            | placement::CacheEvent::Evicted { sequence, .. } => sequence + 1,
+        };
+        self.report(change).await;
+        Ok(Some(next))
+    }
+
+    /// Reads events and returns the sequence number to go on from; `None` after a gap.
+    async fn read_events(&self, from: u64) -> Result<Option<u64>, engines::Unanswered> {
+        let answer = self.engines.cache_events(self.address, from).await?;
+        if answer.first > from {
+            return Ok(None);
+        }
+        for change in answer.events {
+            self.report(change).await;
+        }
+        Ok(Some(answer.next.max(from)))
+    }
+
+    async fn report(&self, change: placement::CacheEvent) {
+        let server = self.server.clone();
+        self.handle.event(event::Event::Cached { server, change }).await;
+    }
+}
