Split each workspace's limit over quota holders and grant tokens from them

A broker grants tokens from its own bucket and from what it pulls from the other holders; a share moves only with the permission of every live member.

--- a/src/core/escrow.rs
+++ b/src/core/escrow.rs
@@ -1,7 +1,26 @@
 //! Holds each workspace's rate and burst as rights that are split over quota holders.
+//!
+//! The rules and the reasons for them are in `docs/design/escrow.md`.
+
+pub mod account;
+pub mod bucket;
+pub mod constants;
+pub mod message;
+pub mod ranking;
+pub mod settings;
+pub mod status;
+
+mod broker;
+mod reports;
+mod requester;
+mod rights;
+
+use std::collections::VecDeque;
+use std::time;
 
 use serde::{Deserialize, Serialize};
 
+use crate::core::collections;
 use crate::core::ids;
 use crate::core::membership;
 use crate::core::reducer;
@@ -115,18 +134,191 @@
     Unlimited,
 }
 
-/// What instances tell each other about rights.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {}
+pub use message::Message;
 
 /// The rights of this instance and the requests that wait for tokens.
 #[derive(Debug, Default)]
-pub struct Escrow {}
+pub struct Escrow {
+    own: ids::InstanceId,
+    incarnation: ids::Incarnation,
+    settings: settings::Settings,
+    valid_until: Option<ids::Timestamp>,
+    joined: Option<ids::Offset>,
+    view: membership::SharedView,
+    newcomers: collections::Map<ids::InstanceId, ids::Offset>,
+    departed: collections::Map<ids::InstanceId, ids::Incarnation>,
+    limits_version: ids::Offset,
+    accounts: collections::Map<ids::WorkspaceId, Box<account::Account>>,
+    peers: collections::Map<ids::InstanceId, reports::Peer>,
+    claiming: bool,
+    next_number: message::Number,
+    questions: collections::Map<message::Number, requester::Question>,
+    question_order: VecDeque<(ids::Timestamp, message::Number)>,
+    grants: collections::Map<(ids::InstanceId, message::Number), broker::Grant>,
+    grant_order: VecDeque<(ids::Timestamp, (ids::InstanceId, message::Number))>,
+    reservations: collections::Map<ids::RequestId, requester::Reservation>,
+    leaving_since: Option<ids::Timestamp>,
+    departs_at: ids::Timestamp,
+    handed_over: bool,
+}
 
 impl Escrow {
     /// Creates the state of an instance without rights.
-    pub fn new(_own: ids::InstanceId, _incarnation: ids::Incarnation) -> Self {
-        Self {}
+    pub fn new(own: ids::InstanceId, incarnation: ids::Incarnation) -> Self {
+        Self::with_settings(own, incarnation, settings::Settings::default())
+    }
+
+    /// Creates the state of an instance without rights, with settings.
+    pub fn with_settings(
+        own: ids::InstanceId,
+        incarnation: ids::Incarnation,
+        settings: settings::Settings,
+    ) -> Self {
+        // The upper half comes from the incarnation: no process repeats another one's numbers.
+        let next_number = incarnation >> 1;
+        Self { own, incarnation, settings, next_number, ..Self::default() }
+    }
+
+    /// Tells whether this instance may spend and give rights.
+    fn may_act(&self, now: ids::Timestamp) -> bool {
+        self.valid_until.is_some_and(|until| now < until)
+    }
+
+    fn draw_number(&mut self) -> message::Number {
+        let number = self.next_number;
+        self.next_number += 1;
+        number
+    }
+
+    /// Lends an account and the rest of the state; `None` if the workspace has no limit.
+    fn with_account<T>(
+        &mut self,
+        workspace: &ids::WorkspaceId,
+        act: impl FnOnce(&mut Self, &mut account::Account) -> T,
+    ) -> Option<T> {
+        let (workspace, mut account) = self.accounts.remove_entry(workspace)?;
+        let result = act(self, &mut account);
+        self.accounts.insert(workspace, account);
+        Some(result)
+    }
+
+    /// Drops all rights when the permission to hold them has run out.
+    fn lapse(&mut self, now: ids::Timestamp) {
+        if self.valid_until.is_some_and(|until| until <= now) {
+            self.valid_until = None;
+            self.forfeit();
+        }
+    }
+
+    fn validity(
+        &mut self,
+        valid: bool,
+        until: ids::Timestamp,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let was_valid = self.valid_until.is_some();
+        self.valid_until = valid.then_some(until).filter(|until| *until > now);
+        if self.valid_until.is_none() {
+            self.forfeit();
+        }
+        if was_valid != self.valid_until.is_some() {
+            self.advance_claims(now, effects);
+        }
+    }
+
+    fn limited(
+        &mut self,
+        version: ids::Offset,
+        limits: Vec<Limit>,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if version < self.limits_version {
+            return;
+        }
+        self.limits_version = version;
+        let mut former = std::mem::take(&mut self.accounts);
+        for limit in limits {
+            let mut account = former.remove(&limit.workspace).unwrap_or_else(|| {
+                let drift = self.settings.clock_drift_ppm;
+                Box::new(account::Account::new(limit.clone(), drift, now))
+            });
+            account.bucket.limit(limit.rate_tokens_per_s, limit.burst_tokens, now);
+            account.limit = limit;
+            self.accounts.insert(account.limit.workspace.clone(), account);
+        }
+        for request in former.values().flat_map(|account| &account.waiting) {
+            let (request, reason) = (request.request, Refusal::Unlimited);
+            effects.push(Effect::Refused { request, retry_after_ms: 0, reason });
+        }
+        self.rank(now);
+        self.advance_claims(now, effects);
+    }
+
+    fn tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        self.expire_grants(now);
+        self.expire_questions(now);
+        if self.claiming {
+            self.advance_claims(now, effects);
+        }
+        self.advance_leave(now, effects);
+        let active = self.accounts.iter().filter(|(_, account)| account.is_active());
+        let mut workspaces: Vec<_> = active.map(|(workspace, _)| workspace.clone()).collect();
+        workspaces.sort();
+        for workspace in workspaces {
+            self.with_account(&workspace, |escrow, account| {
+                escrow.tidy(account, now);
+                escrow.advance_waiting(account, now, effects);
+                escrow.serve(account, now, effects);
+            });
+        }
+        self.send_reports(now, effects);
+    }
+
+    fn received(
+        &mut self,
+        (from, incarnation): (ids::InstanceId, ids::Incarnation),
+        message: Message,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Claim { number, joined, version, claims } => {
+                let claim = rights::ClaimMessage { number, joined, version, claims };
+                self.claimed(&from, claim, now, effects);
+            }
+            Message::Permit { number, free, handed } => {
+                self.permitted(&from, number, free, handed);
+                self.advance_claims(now, effects);
+            }
+            Message::Depart => self.departing(from, incarnation, now, effects),
+            Message::Ask { number, workspace, tokens, wait_ms } => {
+                let deadline = now + time::Duration::from_millis(wait_ms);
+                let origin = account::Origin::Peer(from, number);
+                let queued = account::Queued { origin, tokens, deadline };
+                self.asked(&workspace, queued, now, effects);
+            }
+            Message::Queued { number } => self.queued(&from, number),
+            Message::Grant { number, ttl_ms } => {
+                self.granted(&from, (number, ttl_ms), now, effects);
+            }
+            Message::Deny { number, retry_after_ms, reason } => {
+                self.denied(&from, number, (retry_after_ms, reason), now, effects);
+            }
+            Message::Pull { number, workspace, tokens } => {
+                self.with_account(&workspace, |escrow, account| {
+                    escrow.pulled_from(account, from, (number, tokens), now, effects);
+                });
+            }
+            Message::Pulled { number, tokens, left_tokens } => {
+                self.pull_answered(&from, (number, tokens, left_tokens), now, effects);
+            }
+            Message::Report { number, settled, refunds } => {
+                let report = (number, settled, refunds);
+                self.reported((&from, incarnation), report, now, effects);
+            }
+        }
     }
 }
 
@@ -134,9 +326,24 @@
     type Event = Event;
     type Effect = Effect;
 
-    fn apply(&mut self, event: Event, _now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        if let Event::Reserve { request, .. } = event {
-            effects.push(Effect::Admitted { request });
+    fn apply(&mut self, event: Event, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        self.lapse(now);
+        match event {
+            Event::Tick => self.tick(now, effects),
+            Event::Viewed(view) => self.view(view, now, effects),
+            Event::Validity { valid, until } => self.validity(valid, until, now, effects),
+            Event::Limited { version, limits } => self.limited(version, limits, now, effects),
+            Event::Received { from, incarnation, message } => {
+                self.received((from, incarnation), message, now, effects);
+            }
+            Event::Reserve { request, workspace, tokens } => {
+                self.reserve(request, &workspace, tokens, now, effects);
+            }
+            Event::Settle { request, used_tokens } => {
+                self.settle(request, used_tokens, now, effects);
+            }
+            Event::Withdraw { request } => self.withdraw(request),
+            Event::Leave => self.leave(now, effects),
         }
     }
 }
