--- /dev/null
+++ b/src/core/scheduler/message.rs
@@ -0,0 +1,158 @@
+//! What instances tell each other about places.
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::ids;
+
+/// A client's number for one ask of one server, unique within its incarnation.
+pub type Ticket = u64;
+
+/// What a client observed on a server since it last told.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Tokens that were processed.
+    pub tokens: u32,
+    /// The time they took, in milliseconds.
+    pub elapsed_ms: u32,
+    /// Failed attempts since the last successful one.
+    pub failures: u32,
+}
+
+/// A request for a place on one server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The client's number for it.
+    pub ticket: Ticket,
+    /// The lower half of the request id; the upper one is the sender's incarnation.
+    pub sequence: u64,
+    /// The server.
+    pub server: ids::ServerId,
+    /// Whether the place is for decode.
+    pub decode: bool,
+    /// The workspace that waits.
+    pub workspace: ids::WorkspaceId,
+    /// The work, in tokens.
+    pub work_tokens: u32,
+    /// Pieces of engine memory.
+    pub memory_pieces: u32,
+    /// How long the request has waited since its arrival, in milliseconds.
+    pub age_ms: u32,
+    /// Milliseconds within which the first token is due.
+    pub slack_ms: i32,
+    /// What the client observed on the server in this phase.
+    pub report: Option<Report>,
+}
+
+/// A place that a client holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// The client's number for it.
+    pub ticket: Ticket,
+    /// The lower half of the request id.
+    pub sequence: u64,
+    /// Whether the place is for decode.
+    pub decode: bool,
+    /// The work, in tokens.
+    pub work_tokens: u32,
+    /// Pieces of engine memory.
+    pub memory_pieces: u32,
+}
+
+/// Why a scheduler does not queue a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The queue is full, or the workspace's part of it.
+    Full,
+    /// The server is leaving.
+    Leaving,
+    /// Another instance schedules the server.
+    Moved,
+    /// The server is ejected.
+    Sick,
+}
+
+/// A message between the client of a place and the scheduler that grants it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for a place.
+    Ask(Ask),
+    /// Gives up a place or the wait for one.
+    Release {
+        /// The server.
+        server: ids::ServerId,
+        /// The client's number for it.
+        ticket: Ticket,
+        /// What the client observed on the server in this phase.
+        report: Option<Report>,
+    },
+    /// Tells what a client observed.
+    Report {
+        /// The server.
+        server: ids::ServerId,
+        /// Whether it concerns decode.
+        decode: bool,
+        /// What was observed.
+        report: Report,
+    },
+    /// Grants a place.
+    Grant {
+        /// The server.
+        server: ids::ServerId,
+        /// The client's incarnation.
+        incarnation: ids::Incarnation,
+        /// The client's number for it.
+        ticket: Ticket,
+    },
+    /// The request is queued.
+    Queued {
+        /// The server.
+        server: ids::ServerId,
+        /// The client's incarnation.
+        incarnation: ids::Incarnation,
+        /// The client's number for it.
+        ticket: Ticket,
+        /// The expected wait, in milliseconds.
+        wait_ms: u32,
+    },
+    /// The request is not queued.
+    Refuse {
+        /// The server.
+        server: ids::ServerId,
+        /// The client's incarnation.
+        incarnation: ids::Incarnation,
+        /// The client's number for it.
+        ticket: Ticket,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// Registers places that the client holds, with a new scheduler or in answer to a check.
+    Hold {
+        /// The server.
+        server: ids::ServerId,
+        /// The places.
+        places: Vec<Registration>,
+    },
+    /// Acknowledges the registration of a server's places.
+    Kept {
+        /// The server.
+        server: ids::ServerId,
+    },
+    /// Asks whether the client holds places for requests on a server.
+    Check {
+        /// The client's incarnation.
+        incarnation: ids::Incarnation,
+        /// The server.
+        server: ids::ServerId,
+        /// The lower halves of the request ids.
+        sequences: Vec<u64>,
+    },
+    /// The client holds no place for a request on a server.
+    Unheld {
+        /// The server.
+        server: ids::ServerId,
+        /// The lower half of the request id.
+        sequence: u64,
+        /// Whether the request is alive, with a place elsewhere or waiting for one.
+        live: bool,
+    },
+}
--- /dev/null
+++ b/tests/scheduler/golden.rs
@@ -0,0 +1,320 @@
+//! Golden files of whole sessions.
+
+use galenayard::core::ids;
+use galenayard::core::scheduler;
+use galenayard::document;
+
+use crate::fleet;
+
+const MEMBERS: [(&str, ids::Incarnation); 3] = [("a", 10), ("b", 20), ("c", 30)];
+const DECODE: scheduler::Phase = scheduler::Phase::Decode;
+const PREFILL: scheduler::Phase = scheduler::Phase::Prefill;
+
+fn steady() -> fleet::Transport {
+    Box::new(|| vec![2])
+}
+
+/// Two decode servers with one slot each, one prefill server.
+fn document() -> document::Document {
+    document::Document {
+        workspaces: vec![fleet::workspace("w", 1), fleet::workspace("v", 1)],
+        servers: vec![
+            fleet::server("d1", document::Role::Decode, 1, 8),
+            fleet::server("d2", document::Role::Decode, 1, 8),
+            fleet::server("p1", document::Role::Prefill, 4, 8),
+        ],
+        ..document::Document::default()
+    }
+}
+
+/// A fleet whose hand-over grace is over.
+fn settled(document: document::Document) -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::new(&MEMBERS, document, steady());
+    fleet.run(700);
+    fleet.trace.clear();
+    fleet.outcomes.clear();
+    fleet
+}
+
+fn request(client: &str, sequence: u64) -> ids::RequestId {
+    let member = MEMBERS.iter().find(|(id, _)| *id == client).expect("member");
+    ids::request_id(member.1, sequence)
+}
+
+fn place_decode(fleet: &mut fleet::Fleet, client: &str, sequence: u64) {
+    let demand = fleet::demand(request(client, sequence), DECODE, "w");
+    fleet.place(client, demand, &["d1", "d2"]);
+    fleet.run(20);
+}
+
+fn held(request: ids::RequestId) -> Vec<scheduler::Held> {
+    vec![scheduler::Held { request, pieces: 1, age_ms: 0 }]
+}
+
+#[test]
+fn late_binding_takes_the_first_grant_of_two() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "a", 1);
+    place_decode(&mut fleet, "b", 1);
+    fleet.note("both servers are full: the third request queues at both");
+    place_decode(&mut fleet, "c", 1);
+    fleet.note("the second server is released first");
+    fleet.release("b", request("b", 1), DECODE);
+    fleet.run(20);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").queued + fleet.usage("d2").queued, 0);
+}
+
+#[test]
+fn cancel_while_queued_leaves_nothing() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "a", 1);
+    place_decode(&mut fleet, "b", 1);
+    place_decode(&mut fleet, "c", 1);
+    fleet.note("the caller of the queued request goes away");
+    fleet.release("c", request("c", 1), DECODE);
+    fleet.run(20);
+    fleet.release("a", request("a", 1), DECODE);
+    fleet.run(20);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").queued + fleet.usage("d2").queued, 0);
+    assert_eq!(fleet.usage("d1").places, 0);
+}
+
+#[test]
+fn scheduler_killed_with_requests_queued_and_running() {
+    let mut fleet = settled(document());
+    let owner = fleet.owner("d1");
+    let owner = std::str::from_utf8(&owner).expect("name").to_owned();
+    let clients: Vec<_> = MEMBERS.into_iter().filter(|(id, _)| *id != owner).collect();
+    let [(first, _), (second, _)] = clients[..] else { panic!("two other members") };
+    let ask = |client, sequence| fleet::demand(request(client, sequence), DECODE, "w");
+    fleet.place(first, ask(first, 1), &["d1"]);
+    fleet.place(second, ask(second, 1), &["d1"]);
+    fleet.run(20);
+    fleet.note("the scheduler of d1 dies; the others read its eviction");
+    fleet.kill(&owner);
+    fleet.view(&clients);
+    fleet.run(400);
+    let before = fleet.usage("d1");
+    assert_eq!((before.places, before.queued), (1, 1));
+    fleet.note("the running request ends");
+    fleet.release(first, request(first, 1), DECODE);
+    fleet.run(400);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 1);
+}
+
+#[test]
+fn crashed_client_releases_its_places() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "c", 1);
+    place_decode(&mut fleet, "b", 1);
+    place_decode(&mut fleet, "a", 1);
+    fleet.note("c and b die, and a new process takes b's name");
+    fleet.kill("c");
+    fleet.kill("b");
+    fleet.start("b", 21);
+    fleet.view(&[("a", 10), ("b", 21)]);
+    fleet.run(700);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places + fleet.usage("d2").places, 1);
+}
+
+#[test]
+fn leaving_server_gets_no_new_work() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "a", 1);
+    place_decode(&mut fleet, "b", 1);
+    place_decode(&mut fleet, "c", 1);
+    fleet.note("d1 is leaving");
+    let mut changed = document();
+    changed.servers[0].leaving = true;
+    fleet.document(changed);
+    fleet.run(20);
+    fleet.release("a", request("a", 1), DECODE);
+    fleet.run(20);
+    assert_eq!(fleet.usage("d1").places, 0);
+    fleet.note("d2 is taken out of the document");
+    let mut changed = document();
+    changed.servers[0].leaving = true;
+    changed.servers.remove(1);
+    fleet.document(changed);
+    fleet.run(20);
+    insta::assert_snapshot!(fleet.trace);
+}
+
+#[test]
+fn old_and_repeated_grants_change_nothing() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    let owner = fleet.owner("d1");
+    let grant = |incarnation, ticket| scheduler::Message::Grant {
+        server: fleet::key("d1"),
+        incarnation,
+        ticket,
+    };
+    fleet.note("the grant comes again");
+    fleet.deliver(&owner, 10, "b", grant(20, 1));
+    fleet.run(20);
+    fleet.note("a grant for an older process of the same name");
+    fleet.deliver(&owner, 10, "b", grant(19, 1));
+    fleet.run(20);
+    fleet.note("the request has ended when the grant comes a third time");
+    fleet.release("b", request("b", 1), DECODE);
+    fleet.deliver(&owner, 10, "b", grant(20, 1));
+    fleet.run(20);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 0);
+}
+
+fn observe(fleet: &mut fleet::Fleet, client: &str, tokens: u32, elapsed_ms: u32) {
+    let observation = scheduler::Observation {
+        server: fleet::key("d1"),
+        phase: DECODE,
+        tokens,
+        elapsed_ms,
+        failed: false,
+    };
+    fleet.event(client, scheduler::Event::Observed(observation));
+}
+
+#[test]
+fn limit_follows_the_inter_token_target() {
+    let mut wide = document();
+    wide.servers[0].slots = 20;
+    wide.servers[0].memory_pieces = 100;
+    let mut fleet = settled(wide);
+    fleet.quiet();
+    let mut limits = Vec::new();
+    for sequence in 1..=40 {
+        let demand = fleet::demand(request("a", sequence), DECODE, "w");
+        fleet.place("a", demand, &["d1"]);
+    }
+    for token_ms in [30, 30, 30, 60, 60, 60, 39, 39, 30, 30] {
+        for _ in 0..10 {
+            observe(&mut fleet, "a", 20, 20 * token_ms);
+            let decodes = scheduler::Phase::Decode;
+            let running = fleet.outcomes.iter().rev().find_map(|(_, effect)| match effect {
+                scheduler::Effect::Placed { request, .. } => Some(*request),
+                _ => None,
+            });
+            let running = running.expect("a running request");
+            fleet.release("a", running, decodes);
+            let demand = fleet::demand(running, decodes, "w");
+            fleet.place("a", demand, &["d1"]);
+            fleet.run(200);
+        }
+        limits.push((token_ms, fleet.usage("d1").decode_limit));
+    }
+    insta::assert_debug_snapshot!(limits);
+}
+
+fn fail(fleet: &mut fleet::Fleet, client: &str, sequence: u64) {
+    let observation = scheduler::Observation {
+        server: fleet::key("d1"),
+        phase: DECODE,
+        tokens: 0,
+        elapsed_ms: 0,
+        failed: true,
+    };
+    fleet.event(client, scheduler::Event::Observed(observation));
+    fleet.release(client, request(client, sequence), DECODE);
+}
+
+#[test]
+fn sick_server_is_ejected_and_returns_slowly() {
+    let mut wide = document();
+    wide.servers[0].slots = 8;
+    wide.servers[1].slots = 8;
+    let mut fleet = settled(wide);
+    for sequence in 1..=5 {
+        let demand = fleet::demand(request("a", sequence), DECODE, "w");
+        fleet.place("a", demand, &["d1"]);
+        fail(&mut fleet, "a", sequence);
+    }
+    fleet.note("ejected: the next request goes to the other server");
+    let demand = fleet::demand(request("a", 6), DECODE, "w");
+    fleet.place("a", demand, &["d1", "d2"]);
+    fleet.run(20);
+    fleet.note("three requests that may use only d1");
+    for sequence in 7..=9 {
+        let demand = fleet::demand(request("a", sequence), DECODE, "w");
+        fleet.place("a", demand, &["d1"]);
+    }
+    fleet.run(1_500);
+    assert_eq!(fleet.usage("d1").places, 1);
+    fleet.note("the first one succeeds, so two may run");
+    observe(&mut fleet, "a", 20, 600);
+    let placed = fleet.outcomes.iter().rev().find_map(|(_, effect)| match effect {
+        scheduler::Effect::Placed { request, .. } => Some(*request),
+        _ => None,
+    });
+    fleet.release("a", placed.expect("a probe"), DECODE);
+    fleet.run(400);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 2);
+}
+
+#[test]
+fn orphans_are_canceled_and_live_requests_are_not() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    let owner = fleet.owner("d1");
+    let owner = std::str::from_utf8(&owner).expect("name").to_owned();
+    let listed = [request("b", 1), request("c", 7), ids::request_id(99, 1)];
+    let list = |fleet: &mut fleet::Fleet, requests: &[ids::RequestId]| {
+        let held = requests.iter().flat_map(|request| held(*request)).collect();
+        let server = fleet::key("d1");
+        fleet.event(&owner, scheduler::Event::Listed { server, held });
+    };
+    fleet.note("held: one with a place, one that c has forgotten, one of an unknown process");
+    list(&mut fleet, &listed);
+    fleet.run(800);
+    list(&mut fleet, &listed);
+    fleet.run(20);
+    fleet.note("b is gone, so its request is gone, too");
+    fleet.kill("b");
+    fleet.view(&[("a", 10), ("c", 30)]);
+    list(&mut fleet, &listed[..1]);
+    fleet.run(800);
+    list(&mut fleet, &listed[..1]);
+    insta::assert_snapshot!(fleet.trace);
+}
+
+#[test]
+fn place_whose_release_was_lost_is_freed_after_a_check() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    let owner = fleet.owner("d1");
+    assert_ne!(owner, "b");
+    fleet.note("b starts anew under the same incarnation's name and has forgotten the place");
+    fleet.start("b", 20);
+    fleet.view_of(&fleet::key("b"), &MEMBERS);
+    fleet.run(4_000);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 0);
+}
+
+#[test]
+fn prefill_is_given_ahead_only_for_a_short_window() {
+    let mut fleet = settled(document());
+    for sequence in 1..=3 {
+        let mut demand = fleet::demand(request("b", sequence), PREFILL, "w");
+        demand.work_tokens = 4_000;
+        fleet.place("b", demand, &["p1"]);
+    }
+    fleet.run(20);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!((fleet.usage("p1").places, fleet.usage("p1").queued), (1, 2));
+}
+
+#[test]
+fn invalid_scheduler_grants_nothing() {
+    let mut fleet = settled(document());
+    fleet.event("a", scheduler::Event::Validity { valid: false });
+    place_decode(&mut fleet, "b", 1);
+    assert_eq!(fleet.owner("d1"), "a");
+    assert_eq!(fleet.usage("d1").places, 0);
+    insta::assert_snapshot!(fleet.trace);
+}
--- /dev/null
+++ b/tests/scheduler/main.rs
@@ -0,0 +1,4 @@
+//! Sessions and properties of the scheduler reducer, with several instances joined by a queue.
+
+mod fleet;
+mod golden;
