--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -61,6 +61,8 @@
         /// The change.
         change: placement::CacheEvent,
     },
+    /// The instance will leave soon and is to be shown as leaving.
+    Announce,
     /// The instance stops accepting requests.
     Drain,
     /// The instance has no requests left and hands its rights over.
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -34,6 +34,23 @@
     servers: collections::Map<ids::ServerId, net::SocketAddr>,
 }
 
+/// What a state is created from.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// This instance.
+    pub own: membership::Member,
+    /// The environment whose server addresses count.
+    pub environment: document::Environment,
+    /// The seed of all pseudo-random choices.
+    pub seed: u64,
+    /// Settings of the membership protocol.
+    pub membership: membership::settings::Settings,
+    /// Settings of the limits.
+    pub escrow: escrow::settings::Settings,
+    /// How engines are chosen.
+    pub placement: placement::Policy,
+}
+
 /// An event on its way to one reducer.
 #[derive(Debug)]
 enum Internal {
@@ -50,17 +67,19 @@
 
 impl State {
     /// Creates the state of an instance whose process has just started.
-    pub fn new(own: membership::Member, environment: document::Environment, seed: u64) -> Self {
+    pub fn new(options: Options) -> Self {
+        let Options { own, environment, seed, membership, escrow, placement } = options;
+        let (id, incarnation) = (own.id.clone(), own.incarnation);
         Self {
-            escrow: escrow::Escrow::new(own.id.clone(), own.incarnation),
-            configuration: configuration::Configuration::new(own.id.clone(), seed),
-            claims: claims::Claims::new(own.id.clone(), own.incarnation),
-            placement: placement::Placement::new(seed),
-            scheduler: scheduler::Scheduler::new(own.id.clone(), own.incarnation),
+            escrow: escrow::Escrow::with_settings(id.clone(), incarnation, escrow),
+            configuration: configuration::Configuration::new(id.clone(), seed),
+            claims: claims::Claims::new(id.clone(), incarnation),
+            placement: placement::Placement::with_policy(seed, placement),
+            scheduler: scheduler::Scheduler::new(id, incarnation),
             requests: request::Requests::new(environment),
             peers: collections::Map::default(),
             servers: collections::Map::default(),
-            membership: membership::Membership::new(own),
+            membership: membership::Membership::new(own, membership),
             environment,
         }
     }
@@ -368,6 +387,7 @@
         event::Event::Cached { server, change } => {
             queue.push_back(Internal::Placement(placement::Event::Cached { server, change }));
         }
+        event::Event::Announce => queue.push_back(Internal::Membership(membership::Event::Drain)),
         event::Event::Drain => queue.push_back(Internal::Request(request::Event::Drain)),
         event::Event::Leave => queue.push_back(Internal::Escrow(escrow::Event::Leave)),
     }
--- a/src/shell/runtime.rs
+++ b/src/shell/runtime.rs
@@ -16,10 +16,12 @@
 use crate::borders::platform::http_instances;
 use crate::borders::platform::http_log;
 use crate::borders::services;
+use crate::core::escrow;
 use crate::core::event;
 use crate::core::ids;
 use crate::core::log;
 use crate::core::membership;
+use crate::core::placement;
 use crate::core::state;
 use crate::settings;
 use crate::shell::driver;
@@ -108,8 +110,7 @@
         engines: sync::Arc::clone(&engines) as _,
         peers: sync::Arc::new(peers::GrpcPeers::new(identity)),
     };
-    let own = own_member(settings, incarnation);
-    let state = state::State::new(own, settings.instance.environment, incarnation);
+    let state = state::State::new(state_options(settings, incarnation));
     let driver = driver::Driver::new(state, borders, handle.clone(), published.clone());
     tokio::spawn(driver.run(receiver));
 
@@ -139,6 +140,30 @@
     }
 }
 
+fn state_options(settings: &settings::Settings, incarnation: ids::Incarnation) -> state::Options {
+    let membership = membership::settings::Settings {
+        lease: time::Duration::from_millis(settings.membership.lease_ms),
+        heartbeat_interval: time::Duration::from_millis(settings.membership.heartbeat_ms),
+        ..membership::settings::Settings::default()
+    };
+    let policy = match settings.policy.limits {
+        settings::LimitPolicy::Escrow => escrow::settings::Policy::Escrow,
+        settings::LimitPolicy::RateOverN => escrow::settings::Policy::EqualSplit,
+    };
+    state::Options {
+        own: own_member(settings, incarnation),
+        environment: settings.instance.environment,
+        seed: incarnation,
+        membership,
+        escrow: escrow::settings::Settings { policy, ..escrow::settings::Settings::default() },
+        placement: match settings.policy.placement {
+            settings::Placement::Affinity => placement::Policy::Affinity,
+            settings::Placement::RoundRobin => placement::Policy::RoundRobin,
+            settings::Placement::LeastOutstanding => placement::Policy::LeastOutstanding,
+        },
+    }
+}
+
 fn own_member(settings: &settings::Settings, incarnation: ids::Incarnation) -> membership::Member {
     membership::Member {
         id: Bytes::from(settings.instance.id.clone()),
@@ -195,6 +220,7 @@
     /// Leaves discovery, lets callers move on, finishes all requests and leaves the fleet.
     async fn stop(&self, settings: &settings::Settings) {
         self.published.send_modify(|published| published.leaving = true);
+        self.handle.event(event::Event::Announce).await;
         tokio_time::sleep(time::Duration::from_millis(settings.discovery.ttl_ms)).await;
         self.stop_callers.notify_one();
         self.handle.event(event::Event::Drain).await;
