--- a/src/borders.rs
+++ b/src/borders.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod engines;
 pub mod http;
+pub mod operators;
 pub mod peers;
 pub mod platform;
 pub mod services;
--- /dev/null
+++ b/src/borders/operators/reply.rs
@@ -0,0 +1,107 @@
+//! Builds the answers to operators.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header;
+use serde::Serialize;
+
+use crate::borders::operators::{self, api};
+use crate::core::configuration;
+use crate::document::hex;
+
+/// An answer to an operator.
+pub type Response = hyper::Response<Full<Bytes>>;
+
+/// Answers with a JSON body.
+pub fn json<T: Serialize>(status: hyper::StatusCode, value: &T) -> Response {
+    // Serializing the types of the interface fails on no value.
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    with_type(status, "application/json", Bytes::from(body))
+}
+
+/// Answers with a text.
+pub fn text(content_type: &'static str, body: String) -> Response {
+    with_type(hyper::StatusCode::OK, content_type, Bytes::from(body))
+}
+
+fn with_type(status: hyper::StatusCode, content_type: &'static str, body: Bytes) -> Response {
+    let mut response = hyper::Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let content_type = header::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Answers that a request was not carried out.
+pub fn failure(detail: api::ErrorDetail) -> Response {
+    let status = match detail.kind {
+        api::Kind::Unauthorized => hyper::StatusCode::UNAUTHORIZED,
+        api::Kind::NotFound => hyper::StatusCode::NOT_FOUND,
+        api::Kind::MethodNotAllowed => hyper::StatusCode::METHOD_NOT_ALLOWED,
+        api::Kind::BadRequest => hyper::StatusCode::BAD_REQUEST,
+        api::Kind::Timeout => hyper::StatusCode::REQUEST_TIMEOUT,
+        api::Kind::TooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
+        api::Kind::Conflict => hyper::StatusCode::CONFLICT,
+        api::Kind::Invalid => hyper::StatusCode::UNPROCESSABLE_ENTITY,
+        api::Kind::Unavailable => hyper::StatusCode::SERVICE_UNAVAILABLE,
+        api::Kind::Unknown => hyper::StatusCode::GATEWAY_TIMEOUT,
+    };
+    json(status, &api::ErrorBody { error: detail })
+}
+
+/// Answers with the document in force.
+pub fn document(current: &operators::Current) -> Response {
+    let mut response = with_type(hyper::StatusCode::OK, "application/toml", current.body.clone());
+    let headers = response.headers_mut();
+    let entry = &current.entry;
+    headers.insert(api::VERSION_HEADER, header::HeaderValue::from(entry.version));
+    let texts = [
+        (api::DIGEST_HEADER, hex::format(&entry.digest).into_bytes()),
+        (api::AUTHOR_HEADER, entry.author.to_vec()),
+    ];
+    for (name, value) in texts {
+        if let Ok(value) = header::HeaderValue::from_bytes(&value) {
+            headers.insert(name, value);
+        }
+    }
+    response
+}
+
+/// Answers how a proposal ended.
+pub fn verdict(verdict: configuration::Verdict, digest: String) -> Response {
+    match verdict {
+        configuration::Verdict::Accepted { version } => {
+            json(hyper::StatusCode::OK, &api::Accepted { version, digest })
+        }
+        configuration::Verdict::Conflict { current, author } => {
+            let author = String::from_utf8_lossy(&author).into_owned();
+            failure(api::ErrorDetail {
+                current: Some(current),
+                author: Some(author.clone()),
+                ..api::ErrorDetail::new(
+                    api::Kind::Conflict,
+                    format!("version {current} by {author} is in force"),
+                    "compare with `galenayard config diff` and propose again on that version",
+                )
+            })
+        }
+        configuration::Verdict::Invalid { faults } => failure(api::ErrorDetail {
+            faults,
+            ..api::ErrorDetail::new(
+                api::Kind::Invalid,
+                "the document is not valid",
+                "correct each fault and propose again",
+            )
+        }),
+        configuration::Verdict::Unavailable => failure(api::ErrorDetail::new(
+            api::Kind::Unavailable,
+            "the log did not take the proposal; nothing has changed",
+            "propose again when the log can be reached",
+        )),
+        configuration::Verdict::Unknown => failure(api::ErrorDetail::new(
+            api::Kind::Unknown,
+            "the log may have taken the proposal",
+            "propose again with the same proposal id",
+        )),
+    }
+}
--- a/src/core/configuration/proposals.rs
+++ b/src/core/configuration/proposals.rs
@@ -50,6 +50,7 @@
 struct Pending {
     id: u128,
     base: ids::Offset,
+    digest: ids::Digest,
     deadline: ids::Timestamp,
     phase: Phase,
 }
@@ -81,8 +82,9 @@
         sink: &mut Sink<'_>,
     ) {
         let id = proposal.id;
-        if let Some(version) = replica.version_of(id) {
-            return sink.decide(id, configuration::Verdict::Accepted { version });
+        let digest = content::digest(&proposal.body);
+        if let Some(entry) = replica.entry_of(id) {
+            return sink.decide(id, repeated(entry, &digest, replica));
         }
         if self.pending.iter().any(|pending| pending.id == id) {
             return;
@@ -101,7 +103,7 @@
         } else {
             Phase::Base(proposal)
         };
-        self.pending.push(Pending { id, base, deadline, phase });
+        self.pending.push(Pending { id, base, digest, deadline, phase });
         self.review(replica, None, sink);
     }
 
@@ -183,14 +185,31 @@
     document::parse(&proposal.body, environment).map(drop)
 }
 
+fn conflict(replica: &replica::Replica) -> configuration::Verdict {
+    let (current, author) = (replica.version(), replica.author());
+    configuration::Verdict::Conflict { current, author }
+}
+
+/// Decides on a proposal whose id has taken effect, if it is for the same document.
+fn repeated(
+    entry: &configuration::Entry,
+    digest: &ids::Digest,
+    replica: &replica::Replica,
+) -> configuration::Verdict {
+    if entry.digest != *digest {
+        return conflict(replica);
+    }
+    configuration::Verdict::Accepted { version: entry.version }
+}
+
 /// Decides on a proposal whose end can be told from what is in force.
 fn verdict(pending: &Pending, replica: &replica::Replica) -> Option<configuration::Verdict> {
-    if let Some(version) = replica.version_of(pending.id) {
-        return Some(configuration::Verdict::Accepted { version });
+    if let Some(entry) = replica.entry_of(pending.id) {
+        return Some(repeated(entry, &pending.digest, replica));
     }
     let current = replica.version();
     if pending.base < current {
-        return Some(configuration::Verdict::Conflict { current, author: replica.author() });
+        return Some(conflict(replica));
     }
     let unsent = !matches!(pending.phase, Phase::Record(_));
     let unchanged = match &pending.phase {
--- a/src/core/configuration/replica.rs
+++ b/src/core/configuration/replica.rs
@@ -115,10 +115,9 @@
         self.history.iter()
     }
 
-    /// Returns the version that a proposal made.
-    pub fn version_of(&self, proposal: u128) -> Option<ids::Offset> {
-        let entry = self.history.iter().rev().find(|entry| entry.proposal == proposal)?;
-        Some(entry.version)
+    /// Returns the entry that a proposal made.
+    pub fn entry_of(&self, proposal: u128) -> Option<&configuration::Entry> {
+        self.history.iter().rev().find(|entry| entry.proposal == proposal)
     }
 
     /// Returns whether everything in the log at the time of a read is accounted for.
@@ -293,7 +292,7 @@
         change: record::Change,
         record: &log::Record,
     ) -> Result<Option<configuration::SharedSnapshot>, String> {
-        if self.version_of(change.proposal).is_some() {
+        if self.entry_of(change.proposal).is_some() {
             return Ok(None);
         }
         if change.base != self.version() {
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -412,3 +412,10 @@
     fleet.steps(5);
     insta::assert_snapshot!(fleet.trace);
 }
+
+#[test]
+fn proposal_id_of_another_document_is_a_conflict() {
+    let mut fleet = running();
+    fleet.propose("a", 1, 1, "ada", &document(900, &[1]));
+    insta::assert_snapshot!(fleet.report());
+}
