--- /dev/null
+++ b/src/cli/serve.rs
@@ -0,0 +1,28 @@
+//! The command that runs an instance.
+
+use std::path;
+use std::str;
+
+use crate::cli::{config, exit, logging};
+use crate::schema;
+use crate::settings;
+use crate::shell::runtime;
+
+/// Runs an instance until it is told to stop.
+pub fn serve(file: &path::Path) -> Result<exit::Exit, exit::Failure> {
+    let settings = read(file)?;
+    // A logger that exists already keeps its own form and level.
+    let _ = logging::start(settings.log.level);
+    let tokio = tokio::runtime::Runtime::new()
+        .map_err(|source| exit::Failure::File { path: file.to_path_buf(), source })?;
+    tokio.block_on(runtime::serve(settings))?;
+    Ok(exit::Exit::Done)
+}
+
+fn read(file: &path::Path) -> Result<settings::Settings, exit::Failure> {
+    let body = config::read(file)?;
+    let invalid = |faults| exit::Failure::Invalid { path: file.to_path_buf(), faults };
+    let text = str::from_utf8(&body)
+        .map_err(|_| invalid(schema::Faults::whole("not UTF-8", "save the settings as UTF-8")))?;
+    settings::Settings::parse(text).map_err(invalid)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A router for language engines with separate prefill and decode pools, and for plain services.
 
 pub mod borders;
+pub mod cli;
 pub mod core;
 pub mod document;
 pub mod schema;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,17 +1,11 @@
 //! The `galenayard` command.
 
+use std::io;
 use std::process;
 
-use galenayard::settings;
-use galenayard::shell::runtime;
+use galenayard::cli;
 
 fn main() -> process::ExitCode {
-    let Some(path) = std::env::args().nth(1) else { return process::ExitCode::from(2) };
-    let Ok(text) = std::fs::read_to_string(path) else { return process::ExitCode::from(2) };
-    let Ok(settings) = settings::Settings::parse(&text) else { return process::ExitCode::from(2) };
-    let Ok(tokio) = tokio::runtime::Runtime::new() else { return process::ExitCode::from(1) };
-    match tokio.block_on(runtime::serve(settings)) {
-        Ok(()) => process::ExitCode::SUCCESS,
-        Err(_) => process::ExitCode::FAILURE,
-    }
+    let arguments = std::env::args_os().skip(1).collect();
+    cli::run(arguments, &mut io::stdout(), &mut io::stderr()).into()
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -333,6 +333,18 @@
 }
 
 impl LogLevel {
+    /// Parses the name of a level.
+    pub fn parse(name: &str) -> Option<LogLevel> {
+        match name {
+            "error" => Some(LogLevel::Error),
+            "warn" => Some(LogLevel::Warn),
+            "info" => Some(LogLevel::Info),
+            "debug" => Some(LogLevel::Debug),
+            "trace" => Some(LogLevel::Trace),
+            _ => None,
+        }
+    }
+
     /// Returns the filter of the `log` crate for this level.
     pub fn filter(self) -> log::LevelFilter {
         match self {
