--- a/src/borders/operators.rs
+++ b/src/borders/operators.rs
@@ -79,16 +79,33 @@
     },
 }
 
+/// How long a client may take to send a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// The request line and headers.
+    pub headers: time::Duration,
+    /// The body.
+    pub body: time::Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self { headers: constants::HEADER_TIMEOUT, body: constants::BODY_TIMEOUT }
+    }
+}
+
 /// What each request needs.
 struct Context {
     operations: sync::Arc<dyn Operations>,
     key_digest: ids::Digest,
+    timeouts: Timeouts,
 }
 
 /// The listening socket for operators.
 #[derive(Debug)]
 pub struct Server {
     listener: tokio_net::TcpListener,
+    timeouts: Timeouts,
 }
 
 impl Server {
@@ -101,7 +118,12 @@
         let listener = tokio_net::TcpListener::bind(address)
             .await
             .map_err(|source| ListenError::Bind { address, source })?;
-        Ok(Self { listener })
+        Ok(Self { listener, timeouts: Timeouts::default() })
+    }
+
+    /// Sets other timeouts.
+    pub fn with_timeouts(self, timeouts: Timeouts) -> Self {
+        Self { timeouts, ..self }
     }
 
     /// Returns the address that is listened on.
@@ -120,10 +142,11 @@
         key_digest: ids::Digest,
         stop: sync::Arc<tokio_sync::Notify>,
     ) {
-        let context = sync::Arc::new(Context { operations, key_digest });
+        let timeouts = self.timeouts;
+        let context = sync::Arc::new(Context { operations, key_digest, timeouts });
         let connections = sync::Arc::new(tokio_sync::Semaphore::new(constants::MAX_CONNECTIONS));
         let graceful = graceful::GracefulShutdown::new();
-        let builder = connection_builder();
+        let builder = connection_builder(timeouts);
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -156,17 +179,17 @@
     }
 }
 
-fn connection_builder() -> auto::Builder<rt::TokioExecutor> {
+fn connection_builder(timeouts: Timeouts) -> auto::Builder<rt::TokioExecutor> {
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(constants::HEADER_TIMEOUT)
+        .header_read_timeout(timeouts.headers)
         .max_buf_size(constants::HEADER_BYTES);
     builder
         .http2()
         .timer(rt::TokioTimer::new())
-        .keep_alive_interval(time::Duration::from_secs(10))
+        .keep_alive_interval(constants::PING_INTERVAL)
         .max_concurrent_streams(constants::MAX_STREAMS)
         .max_header_list_size(constants::HEADER_BYTES as u32);
     builder
--- a/src/borders/operators/constants.rs
+++ b/src/borders/operators/constants.rs
@@ -25,3 +25,6 @@
 
 /// How long a shutdown waits for requests of operators.
 pub const SHUTDOWN_TIMEOUT: time::Duration = time::Duration::from_secs(6);
+
+/// The interval of HTTP/2 pings, by which silent connections are found.
+pub const PING_INTERVAL: time::Duration = time::Duration::from_secs(10);
--- a/src/borders/operators/routes.rs
+++ b/src/borders/operators/routes.rs
@@ -61,9 +61,9 @@
         "/v1/status" if is_get => Ok(ok(&operations.status().await)),
         "/v1/instances" if is_get => Ok(ok(&operations.instances().await)),
         "/v1/config" if is_get => show(operations).await,
-        "/v1/config" if method == hyper::Method::POST => propose(operations, request).await,
+        "/v1/config" if method == hyper::Method::POST => propose(context, request).await,
         "/v1/config/history" if is_get => Ok(ok(&history(operations).await)),
-        "/v1/log-level" if method == hyper::Method::PUT => set_level(operations, request).await,
+        "/v1/log-level" if method == hyper::Method::PUT => set_level(context, request).await,
         "/metrics" | "/v1/status" | "/v1/instances" | "/v1/config/history" => {
             Err(not_allowed("GET"))
         }
@@ -127,19 +127,19 @@
 }
 
 async fn set_level(
-    operations: &dyn operators::Operations,
+    context: &operators::Context,
     request: Request,
 ) -> Result<reply::Response, api::ErrorDetail> {
-    let body = read(request.into_body(), constants::SMALL_BODY_BYTES).await?;
+    let body = read(context, request.into_body(), constants::SMALL_BODY_BYTES).await?;
     let level: api::Level = serde_json::from_slice(&body).map_err(|error| {
         bad_request(error.to_string(), "send {\"level\": \"info\"} or another level")
     })?;
-    operations.set_log_level(level.level);
+    context.operations.set_log_level(level.level);
     Ok(ok(&level))
 }
 
 async fn propose(
-    operations: &dyn operators::Operations,
+    context: &operators::Context,
     request: Request,
 ) -> Result<reply::Response, api::ErrorDetail> {
     let headers = request.headers();
@@ -150,10 +150,10 @@
         .ok_or_else(|| bad_header(api::PROPOSAL_HEADER, "32 hexadecimal digits"))?;
     let author = text(headers, api::AUTHOR_HEADER)?;
     let author = Bytes::copy_from_slice(author.as_bytes());
-    let body = read(request.into_body(), document::constants::MAX_DOCUMENT_BYTES).await?;
+    let body = read(context, request.into_body(), document::constants::MAX_DOCUMENT_BYTES).await?;
     let digest = hex::format(&content::digest(&body));
     let proposal = configuration::Proposal { id, base, author, body };
-    let verdict = operations.propose(proposal).await;
+    let verdict = context.operations.propose(proposal).await;
     Ok(reply::verdict(verdict, digest))
 }
 
@@ -174,22 +174,27 @@
 }
 
 /// Reads a body within bounds of size and time.
-async fn read(body: body::Incoming, limit_bytes: usize) -> Result<Bytes, api::ErrorDetail> {
+async fn read(
+    context: &operators::Context,
+    body: body::Incoming,
+    limit_bytes: usize,
+) -> Result<Bytes, api::ErrorDetail> {
+    let too_large = || {
+        let remedy = format!("send at most {limit_bytes} bytes");
+        api::ErrorDetail::new(api::Kind::TooLarge, "the body is too long", remedy)
+    };
+    if body::Body::size_hint(&body).lower() > limit_bytes as u64 {
+        return Err(too_large());
+    }
     let limited = http_body_util::Limited::new(body, limit_bytes);
-    match tokio_time::timeout(constants::BODY_TIMEOUT, limited.collect()).await {
+    match tokio_time::timeout(context.timeouts.body, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(failure)) if failure.is::<http_body_util::LengthLimitError>() => {
-            Err(api::ErrorDetail::new(
-                api::Kind::TooLarge,
-                "the body is too long",
-                format!("send at most {limit_bytes} bytes"),
-            ))
-        }
+        Ok(Err(failure)) if failure.is::<http_body_util::LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => Err(bad_request("the body broke off", "send it whole")),
         Err(_) => Err(api::ErrorDetail::new(
             api::Kind::Timeout,
             "the body took too long",
-            format!("send it within {} s", constants::BODY_TIMEOUT.as_secs()),
+            format!("send it within {} ms", context.timeouts.body.as_millis()),
         )),
     }
 }
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -101,7 +101,7 @@
         base: u64,
     },
     /// The instance did not carry out the request.
-    #[error("{}{}; {}", .0.message, faults_text(&.0.faults), .0.remedy)]
+    #[error("{}; {}{}", .0.message, .0.remedy, faults_text(&.0.faults))]
     Refused(api::ErrorDetail),
     /// The answer cannot be read.
     #[error(
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -57,9 +57,12 @@
         return format!("galenayard: {failure}");
     }
     let detail = match failure {
-        exit::Failure::Refused(detail) => Some(detail),
-        _ => None,
+        exit::Failure::Refused(detail) => serde_json::to_value(detail),
+        exit::Failure::Invalid { faults, .. } => serde_json::to_value(faults),
+        _ => Ok(serde_json::Value::Null),
     };
+    // Formatting these types fails on no value.
+    let detail = detail.unwrap_or_default();
     serde_json::json!({
         "error": {
             "kind": failure.kind(),
--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -383,8 +383,8 @@
     }
 
     fn on_tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let (proposals, _, mut sink) = self.decider(effects);
-        proposals.tick(now, &mut sink);
+        let (proposals, replica, mut sink) = self.decider(effects);
+        proposals.tick(replica, now, &mut sink);
         self.gossip.tick(self.replica.version(), now, effects);
         self.append_snapshot(now, effects);
     }
--- a/src/core/configuration/proposals.rs
+++ b/src/core/configuration/proposals.rs
@@ -145,13 +145,14 @@
     }
 
     /// Ends proposals that take too long.
-    pub fn tick(&mut self, now: ids::Timestamp, sink: &mut Sink<'_>) {
+    pub fn tick(&mut self, replica: &replica::Replica, now: ids::Timestamp, sink: &mut Sink<'_>) {
         for pending in std::mem::take(&mut self.pending) {
             if now < pending.deadline {
                 self.pending.push(pending);
                 continue;
             }
             let verdict = match pending.phase {
+                Phase::Base(_) if replica.is_informed() => conflict(replica),
                 Phase::Base(_) => configuration::Verdict::Unavailable,
                 Phase::ReadBack(..) | Phase::Record(_) => {
                     self.remember_uncertain(pending.id);
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -419,3 +419,16 @@
     fleet.propose("a", 1, 1, "ada", &document(900, &[1]));
     insta::assert_snapshot!(fleet.report());
 }
+
+#[test]
+fn base_that_never_comes() {
+    let mut fleet = running();
+    fleet.propose("a", 2, 9, "ada", &document(200, &[1]));
+    fleet.note("d has neither the log nor peers");
+    fleet.start("d");
+    fleet.nodes.get_mut("d").unwrap().reads_log = false;
+    fleet.nodes.get_mut("d").unwrap().hears_peers = false;
+    fleet.propose("d", 3, 1, "ada", &document(200, &[1]));
+    fleet.steps(51);
+    insta::assert_snapshot!(fleet.lines("Decided"));
+}
