Decide idempotency keys through the log and prove sessions by golden files

Cause: keyed orders were refused outright, and no whole session was proved. Change: core/claims (group commit, first offset wins, answers kept for those that resend, release of claims that did not run); golden sessions over the whole state for language and plain requests; a tick is run to its end before an event that follows a pause; a bucket accrues between expiring debits. Found by the sessions: a workspace idle since its limit was set was refused as over its rate (the lazy refill capped the whole idle time by debits long expired); an arrival right after a pause was judged with old freshness. Conclusion: both mended, each with its session.

--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -4,10 +4,20 @@
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 
+use crate::core::collections;
 use crate::core::ids;
 use crate::core::log;
+use crate::core::membership;
 use crate::core::reducer;
 
+mod answers;
+mod committer;
+pub mod constants;
+pub mod record;
+mod table;
+#[cfg(test)]
+mod tests;
+
 /// Digests a workspace and the idempotency key that one of its callers chose.
 pub fn key_digest(workspace: Option<&ids::WorkspaceId>, key: &Bytes) -> ids::Digest {
     let mut hasher = sha2::Sha256::new();
@@ -24,6 +34,8 @@
 pub enum Event {
     /// Time has passed.
     Tick,
+    /// The membership view has changed.
+    Viewed(membership::SharedView),
     /// The log answered a read of the claims stream.
     Read(log::Batch),
     /// The log answered an append to the claims stream, or the append failed.
@@ -133,16 +145,343 @@
 
 /// What instances tell each other about claims.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {}
+pub enum Message {
+    /// Asks for the answer to a request that holds a claim.
+    Ask {
+        /// The request that holds the claim.
+        holder: ids::RequestId,
+    },
+    /// Tells the answer to a request that holds a claim.
+    Tell {
+        /// The request that holds the claim.
+        holder: ids::RequestId,
+        /// Its answer; `None` while it runs.
+        answer: Option<Answer>,
+    },
+}
 
 /// The claims that this instance knows and those it waits for.
-#[derive(Debug, Default)]
-pub struct Claims {}
+#[derive(Debug)]
+pub struct Claims {
+    incarnation: ids::Incarnation,
+    members: collections::Map<ids::Incarnation, ids::InstanceId>,
+    table: table::Table,
+    answers: answers::Answers,
+    committer: committer::Committer,
+    waiting: collections::Map<ids::RequestId, Waiting>,
+    askers: collections::Map<ids::RequestId, Vec<ids::RequestId>>,
+}
+
+/// A request of this instance that waits for its claim or for another's answer.
+#[derive(Debug, Clone)]
+struct Waiting {
+    key: ids::Digest,
+    fingerprint: ids::Digest,
+    since: ids::Timestamp,
+    stage: Stage,
+}
+
+/// What a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its own claim to be read in the log.
+    Committing,
+    /// The answer of the request that holds the claim.
+    Asking { holder: ids::RequestId, asked_at: ids::Timestamp, heard_at: ids::Timestamp },
+    /// The release of a claim whose holder has not run to be read in the log.
+    Blocked { checked_at: ids::Timestamp },
+}
+
+type Effects = Vec<Effect>;
 
 impl Claims {
     /// Creates the state of an instance that knows no claims.
-    pub fn new(_own: ids::InstanceId, _incarnation: ids::Incarnation) -> Self {
-        Self {}
+    pub fn new(incarnation: ids::Incarnation) -> Self {
+        Self {
+            committer: committer::Committer::new(incarnation),
+            incarnation,
+            members: collections::Map::default(),
+            table: table::Table::default(),
+            answers: answers::Answers::default(),
+            waiting: collections::Map::default(),
+            askers: collections::Map::default(),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        request: ids::RequestId,
+        key: ids::Digest,
+        fingerprint: ids::Digest,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        if self.waiting.len() >= constants::MAX_WAITING || self.table.is_full() {
+            return effects.push(Effect::Unavailable { request });
+        }
+        let waiting = Waiting { key, fingerprint, since: now, stage: Stage::Committing };
+        self.waiting.insert(request, waiting);
+        match self.table.holder(&key, now) {
+            Some(claim) => self.lose(request, claim, now, effects),
+            None => self.committer.claim(request, key, fingerprint),
+        }
+        self.committer.flush(now, effects);
+    }
+
+    /// Another request holds the claim that a request asked for.
+    fn lose(
+        &mut self,
+        request: ids::RequestId,
+        claim: table::Claim,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        if waiting.fingerprint != claim.fingerprint {
+            self.waiting.remove(&request);
+            return effects.push(Effect::Mismatch { request });
+        }
+        let holder = claim.request;
+        waiting.stage = Stage::Asking { holder, asked_at: now, heard_at: now };
+        self.askers.entry(holder).or_default().push(request);
+        self.ask(request, holder, now, effects);
+    }
+
+    fn ask(
+        &mut self,
+        request: ids::RequestId,
+        holder: ids::RequestId,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        let incarnation = ids::incarnation_of(holder);
+        if incarnation == self.incarnation {
+            if let Some(answer) = self.answers.of(holder) {
+                self.resolve(holder, answer, now, effects);
+            }
+            return;
+        }
+        match self.members.get(&incarnation) {
+            Some(to) => {
+                effects.push(Effect::Send { to: to.clone(), message: Message::Ask { holder } });
+            }
+            None => self.answer(request, holder, Answer::Unknown, now, effects),
+        }
+    }
+
+    /// Passes a holder's answer to all requests that wait for it.
+    fn resolve(
+        &mut self,
+        holder: ids::RequestId,
+        answer: Answer,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        for request in self.askers.remove(&holder).unwrap_or_default() {
+            self.answer(request, holder, answer.clone(), now, effects);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        request: ids::RequestId,
+        holder: ids::RequestId,
+        answer: Answer,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        if answer != Answer::NotRun {
+            self.waiting.remove(&request);
+            return effects.push(Effect::Answered { request, holder, answer });
+        }
+        waiting.since = now;
+        waiting.stage = Stage::Blocked { checked_at: now };
+    }
+
+    /// Claims a key again once the log shows that its holder has released it.
+    fn unblock(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        if now.saturating_sub(waiting.since) >= constants::CLAIM_TIMEOUT {
+            self.waiting.remove(&request);
+            return effects.push(Effect::Unavailable { request });
+        }
+        if self.table.holder(&waiting.key, now).is_some() {
+            waiting.stage = Stage::Blocked { checked_at: now };
+            return;
+        }
+        waiting.stage = Stage::Committing;
+        self.committer.claim(request, waiting.key, waiting.fingerprint);
+        self.committer.flush(now, effects);
+    }
+
+    fn read(&mut self, batch: log::Batch, now: ids::Timestamp, effects: &mut Effects) {
+        for entry in batch.records {
+            let Some(record) = record::Record::decode(&entry.body) else { continue };
+            if entry.offset <= self.table.offset() {
+                continue;
+            }
+            self.table.advance(entry.offset, entry.time_ms, now);
+            self.fold(record, entry.time_ms, now, effects);
+        }
+    }
+
+    fn fold(
+        &mut self,
+        record: record::Record,
+        time_ms: u64,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        for sequence in &record.releases {
+            self.table.release(ids::request_id(record.incarnation, *sequence));
+        }
+        for claim in &record.claims {
+            let request = ids::request_id(record.incarnation, claim.sequence);
+            let claim = table::Claim { request, fingerprint: claim.fingerprint, key: claim.key };
+            let holder = self.table.claim(claim, time_ms);
+            if record.incarnation == self.incarnation {
+                self.committer.read(request);
+                self.decide(request, holder, now, effects);
+            }
+        }
+    }
+
+    /// Tells a request of this instance what the order of the log has decided.
+    fn decide(
+        &mut self,
+        request: ids::RequestId,
+        holder: table::Claim,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        let is_waiting =
+            self.waiting.get(&request).is_some_and(|waiting| waiting.stage == Stage::Committing);
+        if holder.request != request {
+            if is_waiting {
+                self.lose(request, holder, now, effects);
+            }
+            return;
+        }
+        if is_waiting {
+            self.waiting.remove(&request);
+            self.answers.expect(request);
+            return effects.push(Effect::Granted { request });
+        }
+        if !self.answers.may_have_run(request) {
+            self.settle(request, Answer::NotRun, now, effects);
+        }
+    }
+
+    /// Keeps the answer of a request that held a claim and tells those that wait for it.
+    fn settle(
+        &mut self,
+        request: ids::RequestId,
+        answer: Answer,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        if answer == Answer::NotRun {
+            self.committer.release(request);
+            self.committer.flush(now, effects);
+        }
+        self.answers.keep(request, answer.clone(), now);
+        self.resolve(request, answer, now, effects);
+    }
+
+    /// Gives up a claim that was not decided: if it is granted later, it is released.
+    fn withdraw(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
+        let Some(waiting) = self.waiting.remove(&request) else { return };
+        match waiting.stage {
+            Stage::Committing => {
+                if !self.committer.withdraw(request) {
+                    self.settle(request, Answer::NotRun, now, effects);
+                }
+            }
+            Stage::Blocked { .. } => {}
+            Stage::Asking { holder, .. } => {
+                if let Some(askers) = self.askers.get_mut(&holder) {
+                    askers.retain(|asker| *asker != request);
+                }
+            }
+        }
+    }
+
+    fn receive(
+        &mut self,
+        from: ids::InstanceId,
+        message: Message,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) {
+        match message {
+            Message::Ask { holder } => {
+                let answer = self.answers.reply(holder, self.incarnation);
+                effects.push(Effect::Send { to: from, message: Message::Tell { holder, answer } });
+            }
+            Message::Tell { holder, answer: Some(answer) } => {
+                self.resolve(holder, answer, now, effects);
+            }
+            Message::Tell { holder, answer: None } => self.heard(holder, now),
+        }
+    }
+
+    /// The holder runs still: its askers go on waiting.
+    fn heard(&mut self, holder: ids::RequestId, now: ids::Timestamp) {
+        for request in self.askers.get(&holder).into_iter().flatten() {
+            if let Some(waiting) = self.waiting.get_mut(request)
+                && let Stage::Asking { heard_at, .. } = &mut waiting.stage
+            {
+                *heard_at = now;
+            }
+        }
+    }
+
+    fn tick(&mut self, now: ids::Timestamp, effects: &mut Effects) {
+        self.committer.flush(now, effects);
+        self.table.prune(now);
+        self.answers.prune(now);
+        let mut due: Vec<ids::RequestId> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.is_due(now))
+            .map(|(request, _)| *request)
+            .collect();
+        due.sort_unstable();
+        for request in due {
+            self.on_due(request, now, effects);
+        }
+    }
+
+    fn on_due(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        match &mut waiting.stage {
+            Stage::Committing => {
+                self.withdraw(request, now, effects);
+                effects.push(Effect::Unavailable { request });
+            }
+            Stage::Blocked { .. } => self.unblock(request, now, effects),
+            Stage::Asking { holder, asked_at, heard_at } => {
+                let holder = *holder;
+                *asked_at = now;
+                if now.saturating_sub(*heard_at) > constants::ASK_TIMEOUT {
+                    self.answer(request, holder, Answer::Unknown, now, effects);
+                } else {
+                    self.ask(request, holder, now, effects);
+                }
+            }
+        }
+    }
+}
+
+impl Waiting {
+    fn is_due(&self, now: ids::Timestamp) -> bool {
+        match self.stage {
+            Stage::Committing => now.saturating_sub(self.since) >= constants::CLAIM_TIMEOUT,
+            Stage::Asking { asked_at: at, .. } | Stage::Blocked { checked_at: at } => {
+                now.saturating_sub(at) >= constants::ASK_INTERVAL
+            }
+        }
     }
 }
 
@@ -150,9 +489,25 @@
     type Event = Event;
     type Effect = Effect;
 
-    fn apply(&mut self, event: Event, _now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        if let Event::Claim { request, .. } = event {
-            effects.push(Effect::Unavailable { request });
+    fn apply(&mut self, event: Event, now: ids::Timestamp, effects: &mut Effects) {
+        match event {
+            Event::Tick => self.tick(now, effects),
+            Event::Viewed(view) => {
+                let members = view.members.iter();
+                self.members =
+                    members.map(|member| (member.incarnation, member.id.clone())).collect();
+                self.committer.set_fleet_size(view.members.len());
+            }
+            Event::Read(batch) => self.read(batch, now, effects),
+            Event::Appended { token, outcome } => {
+                self.committer.appended(token, outcome, now, effects);
+            }
+            Event::Received { from, message, .. } => self.receive(from, message, now, effects),
+            Event::Claim { request, key, fingerprint } => {
+                self.claim(request, key, fingerprint, now, effects);
+            }
+            Event::Settled { request, answer } => self.settle(request, answer, now, effects),
+            Event::Withdraw { request } => self.withdraw(request, now, effects),
         }
     }
 }
--- /dev/null
+++ b/src/core/claims/committer.rs
@@ -0,0 +1,159 @@
+//! Gathers claims and releases and commits them to the log in groups.
+
+use std::time;
+
+use crate::core::claims;
+use crate::core::claims::constants;
+use crate::core::claims::record;
+use crate::core::collections;
+use crate::core::ids;
+use crate::core::log;
+
+/// What waits to be committed and what is on its way.
+#[derive(Debug)]
+pub struct Committer {
+    incarnation: ids::Incarnation,
+    interval: time::Duration,
+    claims: Vec<record::Claim>,
+    releases: Vec<u64>,
+    in_flight: Option<InFlight>,
+    unread: collections::Set<u64>,
+    appended_at: Option<ids::Timestamp>,
+    retry_at: ids::Timestamp,
+    next_token: ids::AppendToken,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    token: ids::AppendToken,
+    sent_at: ids::Timestamp,
+    record: record::Record,
+}
+
+impl Committer {
+    /// Creates a committer with nothing to commit.
+    pub fn new(incarnation: ids::Incarnation) -> Self {
+        Self {
+            incarnation,
+            interval: constants::MIN_APPEND_INTERVAL,
+            claims: Vec::new(),
+            releases: Vec::new(),
+            in_flight: None,
+            unread: collections::Set::default(),
+            appended_at: None,
+            retry_at: ids::Timestamp::ZERO,
+            next_token: 1,
+        }
+    }
+
+    /// Spreads the log's appends a second over the instances.
+    pub fn set_fleet_size(&mut self, members: usize) {
+        let members = u32::try_from(members).unwrap_or(u32::MAX).max(1);
+        let share = time::Duration::from_secs(1) * members / constants::FLEET_APPENDS_PER_S;
+        self.interval = share.max(constants::MIN_APPEND_INTERVAL);
+    }
+
+    /// Adds a claim to the next group.
+    pub fn claim(&mut self, request: ids::RequestId, key: ids::Digest, fingerprint: ids::Digest) {
+        self.claims.push(record::Claim { sequence: request as u64, key, fingerprint });
+    }
+
+    /// Adds a release to the next group.
+    pub fn release(&mut self, request: ids::RequestId) {
+        self.releases.push(request as u64);
+    }
+
+    /// Takes a claim back; returns whether it certainly was never sent.
+    pub fn withdraw(&mut self, request: ids::RequestId) -> bool {
+        let sequence = request as u64;
+        let sent = self.is_sent(sequence);
+        self.claims.retain(|claim| claim.sequence != sequence);
+        self.unread.remove(&sequence);
+        !sent
+    }
+
+    /// A claim was read in the log.
+    pub fn read(&mut self, request: ids::RequestId) {
+        self.unread.remove(&(request as u64));
+    }
+
+    fn is_sent(&self, sequence: u64) -> bool {
+        let mut in_flight = self.in_flight.iter().flat_map(|in_flight| &in_flight.record.claims);
+        in_flight.any(|claim| claim.sequence == sequence) || self.unread.contains(&sequence)
+    }
+
+    /// Sends the next group if none is on its way and the interval has passed.
+    pub fn flush(&mut self, now: ids::Timestamp, effects: &mut Vec<claims::Effect>) {
+        self.expire(now);
+        let is_idle = self.claims.is_empty() && self.releases.is_empty();
+        if is_idle || self.in_flight.is_some() || !self.interval_has_passed(now) {
+            return;
+        }
+        let record = self.next_record();
+        let token = self.next_token;
+        self.next_token += 1;
+        self.appended_at = Some(now);
+        effects.push(claims::Effect::Append { token, body: record.encode() });
+        self.in_flight = Some(InFlight { token, sent_at: now, record });
+    }
+
+    /// The log answered an append, or it failed.
+    pub fn appended(
+        &mut self,
+        token: ids::AppendToken,
+        outcome: log::AppendOutcome,
+        now: ids::Timestamp,
+        effects: &mut Vec<claims::Effect>,
+    ) {
+        if self.in_flight.as_ref().is_none_or(|in_flight| in_flight.token != token) {
+            return;
+        }
+        let Some(in_flight) = self.in_flight.take() else { return };
+        match outcome {
+            log::AppendOutcome::At(_) => self.note_unread(&in_flight.record),
+            log::AppendOutcome::Refused => self.requeue(in_flight.record, now),
+            log::AppendOutcome::Unknown => {
+                self.note_unread(&in_flight.record);
+                self.requeue(in_flight.record, now);
+            }
+        }
+        self.flush(now, effects);
+    }
+
+    /// Counts an append without an answer as one of unknown outcome.
+    fn expire(&mut self, now: ids::Timestamp) {
+        let is_late = self.in_flight.as_ref().is_some_and(|in_flight| {
+            now.saturating_sub(in_flight.sent_at) >= constants::APPEND_TIMEOUT
+        });
+        if is_late && let Some(in_flight) = self.in_flight.take() {
+            self.note_unread(&in_flight.record);
+            self.requeue(in_flight.record, now);
+        }
+    }
+
+    fn note_unread(&mut self, record: &record::Record) {
+        self.unread.extend(record.claims.iter().map(|claim| claim.sequence));
+    }
+
+    /// Sends a group again; a second record with the same claims changes nothing.
+    fn requeue(&mut self, record: record::Record, now: ids::Timestamp) {
+        self.retry_at = now + constants::APPEND_RETRY_INTERVAL;
+        self.claims.splice(0..0, record.claims);
+        self.releases.splice(0..0, record.releases);
+    }
+
+    fn interval_has_passed(&self, now: ids::Timestamp) -> bool {
+        let spaced = self.appended_at.is_none_or(|at| now.saturating_sub(at) >= self.interval);
+        spaced && now >= self.retry_at
+    }
+
+    fn next_record(&mut self) -> record::Record {
+        let releases = self.releases.len().min(constants::MAX_ENTRIES_PER_RECORD);
+        let claims = self.claims.len().min(constants::MAX_ENTRIES_PER_RECORD - releases);
+        record::Record {
+            incarnation: self.incarnation,
+            releases: self.releases.drain(..releases).collect(),
+            claims: self.claims.drain(..claims).collect(),
+        }
+    }
+}
--- a/src/core/escrow/bucket.rs
+++ b/src/core/escrow/bucket.rs
@@ -140,13 +140,28 @@
         tokens - credited
     }
 
-    /// Adds what has become available since the last call.
+    /// Adds what has become available since the last call, in steps between expiring debits.
     pub fn refill(&mut self, now: ids::Timestamp) {
-        let elapsed = now.saturating_sub(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
+        while let Some(debit) = self.debits.front() {
+            if debit.left_microtokens > 0 && debit.expires_at > now {
+                break;
+            }
+            let Debit { left_microtokens, expires_at, .. } = *debit;
+            if left_microtokens > 0 {
+                self.accrue(expires_at);
+            }
+            self.outstanding_microtokens -= left_microtokens;
+            self.debits.pop_front();
+        }
+        self.accrue(now);
+    }
+
+    /// Adds what becomes available until a time at which no debit has expired since the last call.
+    fn accrue(&mut self, until: ids::Timestamp) {
+        let elapsed = until.saturating_sub(self.refilled_at);
+        self.refilled_at = self.refilled_at.max(until);
         let gain = self.gain_in(elapsed).min(self.room());
         self.level_microtokens += gain;
-        self.expire(now);
     }
 
     /// Returns the whole tokens that can be taken.
@@ -210,16 +225,6 @@
         self.debits.push_back(Debit { id, left_microtokens: amount_microtokens, expires_at });
         id
     }
-
-    fn expire(&mut self, now: ids::Timestamp) {
-        while let Some(debit) = self.debits.front() {
-            if debit.left_microtokens > 0 && debit.expires_at > now {
-                return;
-            }
-            self.outstanding_microtokens -= debit.left_microtokens;
-            self.debits.pop_front();
-        }
-    }
 }
 
 /// Converts whole tokens to millionths of a token.
--- a/src/core/request/language.rs
+++ b/src/core/request/language.rs
@@ -193,7 +193,7 @@
         let refusal = request::Refusal {
             reason: request::Reason::Limit(reason),
             ran: request::Ran::No,
-            retry_after_ms: Some(retry_after_ms),
+            retry_after_ms: (reason != escrow::Refusal::OverBurst).then_some(retry_after_ms),
         };
         self.refuse(refusal, now, effects)
     }
--- a/src/core/request/plain.rs
+++ b/src/core/request/plain.rs
@@ -245,7 +245,9 @@
             0 => request::Ran::No,
             _ => request::Ran::Unknown,
         };
-        let refusal = request::Refusal { retry_after_ms: reason.retry_after_ms(), reason, ran };
+        let may_come_back = ran == request::Ran::No || self.idempotent;
+        let retry_after_ms = reason.retry_after_ms().filter(|_| may_come_back);
+        let refusal = request::Refusal { reason, ran, retry_after_ms };
         effects.push(self.explained(request::Step::Refused(refusal.clone())));
         let command = request::Command::Refuse(refusal.clone());
         effects.push(request::Effect::Command { request: self.request, command });
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections as std_collections;
 use std::net;
+use std::time;
 
 use crate::core::claims;
 use crate::core::collections;
@@ -31,9 +32,13 @@
     requests: request::Requests,
     peers: collections::Map<ids::InstanceId, net::SocketAddr>,
     environment: document::Environment,
+    ticked_at: ids::Timestamp,
     servers: collections::Map<ids::ServerId, net::SocketAddr>,
 }
 
+/// After a longer time without a tick, as after a pause of the process, one comes before the event.
+const MAX_TICK_GAP: time::Duration = time::Duration::from_millis(250);
+
 /// What a state is created from.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -72,8 +77,9 @@
         let (id, incarnation) = (own.id.clone(), own.incarnation);
         Self {
             escrow: escrow::Escrow::with_settings(id.clone(), incarnation, escrow),
-            configuration: configuration::Configuration::new(id.clone(), seed),
-            claims: claims::Claims::new(id.clone(), incarnation),
+            configuration: configuration::Configuration::new(id.clone(), seed)
+                .with_options(configuration::Options { environment, ..Default::default() }),
+            claims: claims::Claims::new(incarnation),
             placement: placement::Placement::with_policy(seed, placement),
             scheduler: scheduler::Scheduler::new(id, incarnation),
             requests: request::Requests::new(environment),
@@ -81,6 +87,7 @@
             servers: collections::Map::default(),
             membership: membership::Membership::new(own, membership),
             environment,
+            ticked_at: ids::Timestamp::ZERO,
         }
     }
 
@@ -96,13 +103,25 @@
 
     /// Applies one event at the time `now` and returns what is to be done.
     pub fn apply(&mut self, event: event::Event, now: ids::Timestamp) -> Vec<effect::Effect> {
-        let mut queue = Queue::new();
         let mut effects = Vec::new();
+        let is_tick = event == event::Event::Tick;
+        if is_tick || now.saturating_sub(self.ticked_at) > MAX_TICK_GAP {
+            self.ticked_at = now;
+            self.run(event::Event::Tick, now, &mut effects);
+        }
+        if !is_tick {
+            self.run(event, now, &mut effects);
+        }
+        effects
+    }
+
+    /// Applies one event and all that follows from it.
+    fn run(&mut self, event: event::Event, now: ids::Timestamp, out: &mut Vec<effect::Effect>) {
+        let mut queue = Queue::new();
         enqueue(event, &mut queue);
         while let Some(internal) = queue.pop_front() {
-            self.step(internal, now, &mut queue, &mut effects);
+            self.step(internal, now, &mut queue, out);
         }
-        effects
     }
 
     fn step(
@@ -187,6 +206,7 @@
         queue.push_back(Internal::Escrow(escrow::Event::Viewed(view.clone())));
         queue.push_back(Internal::Configuration(configuration::Event::Viewed(view.clone())));
         queue.push_back(Internal::Scheduler(scheduler::Event::Viewed(view.clone())));
+        queue.push_back(Internal::Claims(claims::Event::Viewed(view.clone())));
         out.push(effect::Effect::Viewed(view));
     }
 
