--- a/src/core/escrow/account.rs
+++ b/src/core/escrow/account.rs
@@ -52,6 +52,8 @@
     pub holder: ids::InstanceId,
     /// The number of the request for them.
     pub number: message::Number,
+    /// Tokens that the quota holder gave.
+    pub given_tokens: u64,
     /// Tokens that can be granted.
     pub free_tokens: u64,
     /// Tokens that are known to be spent or given back, as the quota holder is told.
@@ -176,6 +178,8 @@
     pub waiting: VecDeque<Waiting>,
     /// Tokens that were used beyond what was reserved.
     pub debt_tokens: u64,
+    /// Tokens that were reserved, not used, and put back here, since the process started.
+    pub refunded_tokens: u64,
 }
 
 impl Account {
@@ -195,6 +199,7 @@
             demand: Demand::default(),
             waiting: VecDeque::new(),
             debt_tokens: 0,
+            refunded_tokens: 0,
         }
     }
 
@@ -230,6 +235,11 @@
 }
 
 impl Lot {
+    /// Tells whether some tokens are neither spent nor given back.
+    pub fn is_open(&self) -> bool {
+        self.settled.spent_tokens + self.settled.returned_tokens < self.given_tokens
+    }
+
     /// Tells whether the tokens live long enough to be granted.
     pub fn is_usable(&self, now: ids::Timestamp) -> bool {
         self.expires_at >= now + time::Duration::from_millis(constants::MIN_LOT_LIFE_MS)
--- a/src/core/escrow/broker.rs
+++ b/src/core/escrow/broker.rs
@@ -1,5 +1,6 @@
 //! Grants tokens to those who wait, from the shares held here and from other quota holders.
 
+use std::cmp;
 use std::time;
 
 use crate::core::collections;
@@ -65,6 +66,17 @@
         self.holders.iter().any(|holder| holder.asked)
     }
 
+    /// Returns the tokens to wait for beyond the first request's need, so that a workspace over
+    /// its rate does not cause a round of messages for each of its requests.
+    fn batch_tokens(&self, asked: u64, deadline: ids::Timestamp, now: ids::Timestamp) -> u64 {
+        let urgent = time::Duration::from_millis(constants::ASK_TIMEOUT_MS);
+        if asked <= self.total_tokens() || deadline <= now + urgent {
+            return 0;
+        }
+        let batch = self.rate_microtokens_per_s / 1_000 * constants::PULL_BATCH_MS;
+        batch / constants::MICROTOKENS_PER_TOKEN
+    }
+
     /// Returns the time until so many more tokens have been refilled.
     fn time_to_refill(&self, tokens: u64) -> Option<time::Duration> {
         let rate = u128::from(self.rate_microtokens_per_s);
@@ -211,6 +223,7 @@
             account.lots.push(account::Lot {
                 holder: pull.holder,
                 number,
+                given_tokens: tokens,
                 free_tokens: tokens,
                 settled: message::Settled { number, ..message::Settled::default() },
                 expires_at,
@@ -244,7 +257,7 @@
             lot.settled.returned_tokens += std::mem::take(&mut lot.free_tokens);
             self.report(&lot.holder, lot.settled, now);
         }
-        lots.retain(|lot| lot.expires_at > now);
+        lots.retain(|lot| lot.expires_at > now && lot.is_open());
         account.lots = lots;
         let timeout = time::Duration::from_millis(constants::ASK_TIMEOUT_MS);
         let mut silent = Vec::new();
@@ -396,12 +409,16 @@
         now: ids::Timestamp,
     ) {
         let Some(number) = source.lot() else { return };
-        let Some(lot) = account.lots.iter_mut().find(|lot| lot.number == number) else { return };
+        let Some(index) = account.lots.iter().position(|lot| lot.number == number) else { return };
+        let lot = &mut account.lots[index];
         lot.settled.spent_tokens += spent;
         lot.free_tokens += returned;
+        let lot = lot.clone();
         if spent > 0 {
-            let (holder, settled) = (lot.holder.clone(), lot.settled);
-            self.report(&holder, settled, now);
+            self.report(&lot.holder, lot.settled, now);
+        }
+        if !lot.is_open() {
+            account.lots.remove(index);
         }
     }
 
@@ -486,18 +503,20 @@
         if self.settings.policy == settings::Policy::EqualSplit {
             return;
         }
-        let supply = self.supply(account, now);
-        let wanted = wanted_tokens(account, &supply, now);
-        let idle = supply.idle_tokens();
-        if wanted == 0 || idle == 0 {
+        if account.queue.is_empty() && account.demand.tokens_per_s(now) == 0 {
             return;
         }
-        for holder in supply.holders.iter().filter(|holder| !holder.asked) {
-            let part = u128::from(wanted.min(idle)) * u128::from(holder.tokens);
-            let tokens = u64::try_from(part.div_ceil(u128::from(idle))).unwrap_or(u64::MAX);
-            if tokens > 0 {
-                self.send_pull(account, &holder.id, tokens, now, effects);
+        let mut supply = self.supply(account, now);
+        let mut wanted = wanted_tokens(account, &supply, now);
+        supply.holders.retain(|holder| !holder.asked && holder.tokens > 0);
+        supply.holders.sort_by_key(|holder| cmp::Reverse(holder.tokens));
+        for holder in supply.holders {
+            let tokens = wanted.min(holder.tokens);
+            if tokens == 0 {
+                return;
             }
+            wanted -= tokens;
+            self.send_pull(account, &holder.id, tokens, now, effects);
         }
     }
 
@@ -556,13 +575,16 @@
 /// Returns how many tokens to pull: for those who wait, if the first of them can be served, and
 /// for the demand of the next moments.
 fn wanted_tokens(account: &account::Account, supply: &Supply, now: ids::Timestamp) -> u64 {
-    let demand = account.demand.tokens_per_s(now);
-    let ahead = demand / constants::PREFETCH_FRACTION;
+    let ahead = account.demand.tokens_per_s(now) / constants::PREFETCH_FRACTION;
+    let ready = supply.ready_tokens;
+    let Some(first) = account.queue.front() else {
+        let enough = supply.is_asking() || ready >= ahead / 2;
+        return if enough { 0 } else { ahead - ready };
+    };
     let asked: u64 = account.queue.iter().map(|queued| queued.tokens).sum();
-    match account.queue.front() {
-        Some(first) if first.tokens > supply.ready_tokens + supply.idle_tokens() => 0,
-        Some(_) => (asked + ahead).saturating_sub(supply.ready_tokens),
-        None if supply.is_asking() || supply.ready_tokens >= ahead / 2 => 0,
-        None => ahead - supply.ready_tokens,
+    let least = first.tokens + supply.batch_tokens(asked, first.deadline, now);
+    if least > ready + supply.idle_tokens() {
+        return 0;
     }
+    (asked + ahead).saturating_sub(ready)
 }
--- a/src/core/escrow/constants.rs
+++ b/src/core/escrow/constants.rs
@@ -38,6 +38,9 @@
 /// Time within which a leaving instance hands its shares over before it gives up.
 pub const HAND_OVER_TIMEOUT_MS: u64 = 5_000;
 
+/// Time of refill that is pulled at once for a workspace over its rate.
+pub const PULL_BATCH_MS: u64 = 50;
+
 /// Share of a second of demand that a broker pulls in advance.
 pub const PREFETCH_FRACTION: u64 = 4;
 
--- a/src/core/escrow/requester.rs
+++ b/src/core/escrow/requester.rs
@@ -220,6 +220,7 @@
             return;
         }
         let left_tokens = account.bucket.credit(tokens, now);
+        account.refunded_tokens += tokens - left_tokens;
         if left_tokens > 0 {
             self.pass_refund(account, left_tokens, hops, now);
         }
--- a/src/core/escrow/status.rs
+++ b/src/core/escrow/status.rs
@@ -27,6 +27,8 @@
     pub queued: usize,
     /// Tokens that were used beyond what was reserved.
     pub debt_tokens: u64,
+    /// Tokens that were reserved, not used, and put back here, since the process started.
+    pub refunded_tokens: u64,
 }
 
 impl Escrow {
@@ -50,6 +52,7 @@
         waiting: account.waiting.len(),
         queued: account.queue.len(),
         debt_tokens: account.debt_tokens,
+        refunded_tokens: account.refunded_tokens,
     }
 }
 
--- a/tests/escrow.rs
+++ b/tests/escrow.rs
@@ -4,3 +4,5 @@
 mod fleet;
 #[path = "escrow/golden.rs"]
 mod golden;
+#[path = "escrow/properties.rs"]
+mod properties;
--- a/tests/escrow/fleet.rs
+++ b/tests/escrow/fleet.rs
@@ -14,10 +14,8 @@
 use galenayard::core::reducer::Reducer;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
-pub const LEASE_MS: u64 = 2_000;
-const LEASE_MARGIN_MS: u64 = 200;
-const RENEW_MS: u64 = 500;
-const READ_MS: u64 = 100;
+/// The instance's clock may be faster than another one's by 2%.
+const LEASE_MARGIN_PERCENT: u64 = 5;
 /// The longest time that a request may go without an answer at a running instance.
 const ANSWER_BOUND_MS: u64 = 900;
 
@@ -78,8 +76,6 @@
     at: usize,
     incarnation: ids::Incarnation,
     request: ids::RequestId,
-    workspace: usize,
-    tokens: u64,
     used: u64,
 }
 
@@ -140,6 +136,7 @@
     read_us: u64,
     requests: BTreeMap<ids::RequestId, Request>,
     held: Vec<(usize, u8)>,
+    refunded: Vec<u64>,
     left: bool,
 }
 
@@ -181,6 +178,7 @@
     pub skews_ppm: Vec<i64>,
     pub latency_us: u64,
     pub tick_ms: u64,
+    pub lease_ms: u64,
     pub settings: escrow::settings::Settings,
     /// Percentage of reserved tokens that a request uses.
     pub used_percent: u64,
@@ -200,6 +198,7 @@
             skews_ppm: Vec::new(),
             latency_us: 1_500,
             tick_ms: 20,
+            lease_ms: 2_000,
             settings: escrow::settings::Settings::default(),
             used_percent: 100,
             measure_bytes: false,
@@ -328,6 +327,7 @@
             read_us: 0,
             requests: BTreeMap::new(),
             held: Vec::new(),
+            refunded: vec![0; self.options.workspaces],
             left: false,
         }
     }
@@ -398,10 +398,6 @@
             self.schedule(at_us, Step::Settle(settlement));
             return;
         }
-        // What a request did not use may be spent by another one from now on.
-        let unused = settlement.tokens.saturating_sub(settlement.used);
-        let ledger = &mut self.ledgers[settlement.workspace];
-        ledger.spend(-(unused as f64), self.rate as f64, self.now_us);
         let (request, used_tokens) = (settlement.request, settlement.used);
         self.apply(at, escrow::Event::Settle { request, used_tokens });
     }
@@ -419,7 +415,7 @@
             self.schedule(at_us, Step::Wake(index, generation));
             return;
         }
-        if self.now_us >= self.nodes[index].read_us + READ_MS * 1_000 {
+        if self.now_us >= self.nodes[index].read_us + self.options.lease_ms * 1_000 / 20 {
             self.read(index);
         }
         self.renew(index);
@@ -432,7 +428,7 @@
     /// Folds the log's records into the view of one instance.
     fn read(&mut self, index: usize) {
         let now = self.local(index);
-        let margin = time::Duration::from_millis(LEASE_MS * 102 / 100 + LEASE_MARGIN_MS);
+        let margin = time::Duration::from_millis(self.options.lease_ms * (100 + LEASE_MARGIN_PERCENT) / 100);
         let end = if self.nodes[index].log_cut { self.nodes[index].cursor } else { self.log.len() };
         let node = &mut self.nodes[index];
         node.read_us = self.now_us;
@@ -495,18 +491,18 @@
 
     /// Renews the lease, unless the log has a record of the eviction.
     fn renew(&mut self, index: usize) {
-        let due = self.now_us >= self.nodes[index].renewed_us + RENEW_MS * 1_000;
+        let due = self.now_us >= self.nodes[index].renewed_us + self.options.lease_ms * 1_000 / 4;
         if !due || !self.is_member(index) {
             return;
         }
-        let until = self.local(index) + time::Duration::from_millis(LEASE_MS);
+        let until = self.local(index) + time::Duration::from_millis(self.options.lease_ms);
         self.nodes[index].renewed_us = self.now_us;
         self.nodes[index].until = until;
         self.apply(index, escrow::Event::Validity { valid: true, until });
     }
 
     /// Tells whether an instance has read its join and the log has no later eviction.
-    fn is_member(&self, index: usize) -> bool {
+    pub fn is_member(&self, index: usize) -> bool {
         let node = &self.nodes[index];
         let Some(seen) = node.members.get(&index) else { return false };
         let evicted = self.log.iter().any(|record| {
@@ -532,7 +528,7 @@
                 self.nodes[index].running = false;
                 self.nodes[index].requests.clear();
                 // The witnesses accuse it when its lease has run out.
-                self.at(self.now_us / 1_000 + LEASE_MS, Action::Evict(index));
+                self.at(self.now_us / 1_000 + self.options.lease_ms, Action::Evict(index));
             }
             Action::Restart(index) => {
                 if !self.nodes[index].running {
@@ -541,8 +537,8 @@
             }
             Action::Pause(index, ms) => {
                 self.nodes[index].paused_until_us = self.now_us + ms * 1_000;
-                if ms > LEASE_MS {
-                    self.at(self.now_us / 1_000 + LEASE_MS, Action::Evict(index));
+                if ms > self.options.lease_ms {
+                    self.at(self.now_us / 1_000 + self.options.lease_ms, Action::Evict(index));
                 }
             }
             Action::Evict(index) => self.evict(index),
@@ -570,7 +566,7 @@
         let Some(joined) = self.latest_join(index) else { return };
         let node = &self.nodes[index];
         let since_us = self.now_us.saturating_sub(node.renewed_us);
-        let restarted = node.running && !self.postpone(index) && since_us < RENEW_MS * 500;
+        let restarted = node.running && !self.postpone(index) && since_us < self.options.lease_ms * 1_000 / 8;
         let own = node.members.get(&index).is_some_and(|seen| seen.joined == joined);
         if restarted && !own {
             return;
@@ -631,19 +627,22 @@
     fn apply(&mut self, index: usize, event: escrow::Event) {
         let now = self.local(index);
         let quiet = matches!(event, escrow::Event::Tick | escrow::Event::Validity { .. });
+        let steady = matches!(event, escrow::Event::Tick | escrow::Event::Reserve { .. });
         let text = if self.options.trace { describe(&event) } else { String::new() };
         let mut effects = Vec::new();
         self.nodes[index].escrow.apply(event, now, &mut effects);
         if self.options.trace && !(quiet && effects.is_empty()) {
             let _ = writeln!(self.trace, "{:>9.3} i{index} {text}", self.now_us as f64 / 1e3);
         }
+        if !steady || !effects.is_empty() {
+            self.check_status(index);
+        }
         for effect in effects {
             if self.options.trace {
                 let _ = writeln!(self.trace, "             => {}", describe_effect(&effect));
             }
             self.carry_out(index, effect);
         }
-        self.check_holders(index);
     }
 
     fn carry_out(&mut self, index: usize, effect: escrow::Effect) {
@@ -686,19 +685,20 @@
             );
             self.faults.push(text);
         }
-        let (workspace, tokens) = (entry.workspace, entry.tokens);
+        let tokens = entry.tokens;
         let used = tokens * self.options.used_percent / 100;
         if used == tokens {
             return;
         }
         let at_us = self.now_us + 20_000 + self.rng.next_u64() % 500_000;
         let incarnation = self.nodes[index].incarnation;
-        let settlement = Settlement { at: index, incarnation, request, workspace, tokens, used };
+        let settlement = Settlement { at: index, incarnation, request, used };
         self.schedule(at_us, Step::Settle(settlement));
     }
 
     fn send(&mut self, from: usize, to: &Bytes, message: escrow::Message) {
-        let kind = kind(&message);
+        let needs_kind = self.options.measure_bytes || !self.mishaps.is_empty();
+        let kind = if needs_kind { kind(&message) } else { String::new() };
         if self.options.measure_bytes {
             let bytes = rmp_serde::to_vec(&message).map_or(0, |bytes| bytes.len()) as u64;
             for traffic in [&mut self.traffic[from], self.kinds.entry(kind.clone()).or_default()] {
@@ -734,10 +734,18 @@
         per_mille > 0 && self.rng.next_u32() % 1_000 < per_mille
     }
 
-    fn check_holders(&mut self, index: usize) {
+    fn check_status(&mut self, index: usize) {
         let mut held = Vec::new();
         for status in self.nodes[index].escrow.status() {
             let workspace = number(&status.workspace);
+            let known = &mut self.nodes[index].refunded[workspace];
+            let refunded = status.refunded_tokens.saturating_sub(*known);
+            *known = status.refunded_tokens;
+            if refunded > 0 {
+                // What a request did not use may be spent by another one from now on.
+                let rate = self.rate as f64;
+                self.ledgers[workspace].spend(-(refunded as f64), rate, self.now_us);
+            }
             held.extend(status.held_shares.iter().map(|share| (workspace, *share)));
         }
         if held == self.nodes[index].held {
