--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -365,9 +365,10 @@
     ) {
         let mut member = self.own.clone();
         member.joined = self.entry().map_or(0, |entry| entry.member.joined);
+        let renewed_ms = self.entry().map_or(0, |entry| entry.time_ms);
         let sequence = self.journal.next_sequence();
         let witnesses = self.witnesses.clone();
-        let record = kind(record::Own { member, sequence, witnesses });
+        let record = kind(record::Own { member, sequence, renewed_ms, witnesses });
         let token = self.next_token();
         effects.push(self.journal.propose(record, token, now));
     }
@@ -471,7 +472,11 @@
 
     fn read(&mut self, batch: &log::Batch, now: ids::Timestamp) {
         let mut changes = Vec::new();
+        let next = self.roster.next();
         let is_at_tail = self.roster.read(batch, &mut changes);
+        if self.roster.next() != next {
+            self.outlook.invalidate();
+        }
         let has_lost = self.has_lost_membership(&changes);
         for change in &changes {
             self.follow(change, now);
--- a/src/core/membership/outlook.rs
+++ b/src/core/membership/outlook.rs
@@ -23,6 +23,7 @@
     departing: Vec<Departing>,
     announced: Vec<membership::Member>,
     published: membership::SharedView,
+    is_stale: bool,
 }
 
 impl Outlook {
@@ -36,10 +37,16 @@
         &self.departing
     }
 
+    /// Notes that the roster has changed.
+    pub fn invalidate(&mut self) {
+        self.is_stale = true;
+    }
+
     /// Keeps a removed member in the view until its permissions have run out.
     pub fn depart(&mut self, member: membership::Member, until: ids::Timestamp) {
         self.departing.retain(|departing| departing.member.id != member.id);
         self.departing.push(Departing { member, until });
+        self.is_stale = true;
     }
 
     /// Takes in what a member tells of itself; false if there is no room for it.
@@ -49,6 +56,7 @@
             return false;
         }
         self.announced.push(member);
+        self.is_stale = true;
         true
     }
 
@@ -63,7 +71,12 @@
         roster: &roster::Roster,
         now: ids::Timestamp,
     ) -> Option<membership::SharedView> {
+        let departing = self.departing.len();
         self.departing.retain(|departing| departing.until > now);
+        if !self.is_stale && self.departing.len() == departing {
+            return None;
+        }
+        self.is_stale = false;
         self.announced.retain(|member| is_news(roster, member));
         let members = self.members(roster);
         if members == self.published.members {
--- a/src/core/membership/record.rs
+++ b/src/core/membership/record.rs
@@ -45,6 +45,8 @@
     pub member: membership::Member,
     /// The number of the record among those of the process.
     pub sequence: u64,
+    /// When the log took the record that this one renews; 0 in a join record.
+    pub renewed_ms: u64,
     /// The members that may accuse it.
     pub witnesses: Vec<ids::InstanceId>,
 }
--- a/src/core/membership/roster.rs
+++ b/src/core/membership/roster.rs
@@ -197,6 +197,9 @@
     }
 
     fn renew(&mut self, own: record::Own, record: &log::Record, changes: &mut Vec<Change>) {
+        if self.is_past(own.renewed_ms) {
+            return;
+        }
         let member = &own.member;
         // The join record was dropped from the log before this reader started.
         let is_unread = member.joined < self.start;
--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,5 @@
+//! Proves membership by sessions and by random schedules of failures.
+
+mod network;
+mod safety;
+mod sessions;
--- /dev/null
+++ b/tests/membership/network.rs
@@ -0,0 +1,503 @@
+//! Membership reducers joined by a queue with virtual time, and a log that fails on demand.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use galenayard::core::ids;
+use galenayard::core::log;
+use galenayard::core::membership;
+use galenayard::core::membership::settings;
+use galenayard::core::reducer::Reducer;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+
+const TICK_MS: u64 = 100;
+const POLL_TIMEOUT_MS: u64 = 400;
+const APPEND_TIMEOUT_MS: u64 = 500;
+const BATCH_RECORDS: usize = 4;
+const MAX_LATE_MS: u64 = 4_000;
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// How badly the network and the log treat messages; rates are per mille.
+#[derive(Debug, Clone, Copy)]
+pub struct Conditions {
+    pub max_delay_ms: u64,
+    pub lost: u64,
+    pub duplicated: u64,
+    pub append_lost: u64,
+    pub answer_lost: u64,
+    pub append_late: u64,
+}
+
+pub const CALM: Conditions = Conditions {
+    max_delay_ms: 1,
+    lost: 0,
+    duplicated: 0,
+    append_lost: 0,
+    answer_lost: 0,
+    append_late: 0,
+};
+
+pub fn settings() -> settings::Settings {
+    settings::Settings {
+        lease: time::Duration::from_millis(1_000),
+        heartbeat_interval: time::Duration::from_millis(300),
+        clock_margin: time::Duration::from_millis(30),
+        renew_interval: time::Duration::from_secs(4),
+        record_expiry: time::Duration::from_secs(12),
+        leave_timeout: time::Duration::from_secs(2),
+        append_timeout: time::Duration::from_secs(1),
+        ..settings::Settings::default()
+    }
+}
+
+enum Input {
+    Tick,
+    Event(membership::Event),
+    ToLog(Request),
+}
+
+enum Request {
+    Read { from: ids::Offset, requested_at: ids::Timestamp },
+    Append { token: ids::AppendToken, body: Bytes, answer_ms: Option<u64> },
+}
+
+/// One process, with what the other reducers know of it from its effects.
+pub struct Node {
+    pub member: membership::Member,
+    pub reducer: membership::Membership,
+    pub view: membership::SharedView,
+    pub is_running: bool,
+    until: ids::Timestamp,
+    rate: u64,
+    started_ms: u64,
+    polled_ms: u64,
+    paused_ms: u64,
+    log_cut_ms: u64,
+    peers_cut_ms: u64,
+    read_from: ids::Offset,
+    seen: usize,
+}
+
+impl Node {
+    fn clock(&self, now_ms: u64) -> ids::Timestamp {
+        time::Duration::from_micros((now_ms - self.started_ms) * self.rate)
+    }
+
+    /// Tells whether the other reducers of this process would act on its rights.
+    pub fn is_valid(&self, now_ms: u64) -> bool {
+        self.is_running && self.clock(now_ms) < self.until
+    }
+}
+
+/// A fleet, its network and its log.
+pub struct Network {
+    pub now_ms: u64,
+    pub nodes: Vec<Node>,
+    pub conditions: Conditions,
+    pub settings: settings::Settings,
+    pub log_down_ms: u64,
+    pub retention_ms: u64,
+    pub trace: Vec<String>,
+    records: Vec<log::Record>,
+    first: usize,
+    folded: collections::BTreeMap<ids::Offset, Vec<membership::Member>>,
+    queue: collections::BTreeMap<(u64, u64), (usize, ids::Incarnation, Input)>,
+    is_changed: bool,
+    sequence: u64,
+    incarnations: ids::Incarnation,
+    random: ChaCha8Rng,
+}
+
+impl Network {
+    pub fn new(seed: u64, settings: settings::Settings) -> Self {
+        Self {
+            now_ms: 0,
+            nodes: Vec::new(),
+            conditions: CALM,
+            settings,
+            log_down_ms: 0,
+            retention_ms: 17_000,
+            trace: Vec::new(),
+            records: Vec::new(),
+            first: 0,
+            folded: collections::BTreeMap::new(),
+            queue: collections::BTreeMap::new(),
+            is_changed: false,
+            sequence: 0,
+            incarnations: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Starts a process in a new slot; its clock runs at `rate` per mille of true time.
+    pub fn start(&mut self, name: &str, failure_domain: usize, rate: u64) -> usize {
+        let slot = self.nodes.len();
+        self.incarnations += 1;
+        let member = membership::Member {
+            id: Bytes::copy_from_slice(name.as_bytes()),
+            incarnation: self.incarnations,
+            failure_domain: Bytes::from(format!("domain-{failure_domain}")),
+            weight: 1,
+            peer_address: ([127, 0, 0, 1], 7_000 + slot as u16).into(),
+            caller_address: ([127, 0, 0, 1], 8_000 + slot as u16).into(),
+            leaving: false,
+            joined: 0,
+        };
+        self.nodes.push(Node {
+            reducer: membership::Membership::new(member.clone(), self.settings.clone()),
+            view: sync::Arc::default(),
+            is_running: true,
+            until: ids::Timestamp::ZERO,
+            rate,
+            started_ms: self.now_ms,
+            polled_ms: 0,
+            paused_ms: 0,
+            log_cut_ms: 0,
+            peers_cut_ms: 0,
+            read_from: 0,
+            seen: 0,
+            member,
+        });
+        self.push(TICK_MS, slot, Input::Tick);
+        slot
+    }
+
+    pub fn crash(&mut self, slot: usize) {
+        self.nodes[slot].is_running = false;
+    }
+
+    pub fn pause(&mut self, slot: usize, duration_ms: u64) {
+        self.nodes[slot].paused_ms = self.now_ms + duration_ms;
+    }
+
+    pub fn cut_log(&mut self, slot: usize, duration_ms: u64) {
+        self.nodes[slot].log_cut_ms = self.now_ms + duration_ms;
+    }
+
+    pub fn cut_peers(&mut self, slot: usize, duration_ms: u64) {
+        self.nodes[slot].peers_cut_ms = self.now_ms + duration_ms;
+    }
+
+    /// Ends all failures that have an end.
+    pub fn heal(&mut self) {
+        self.conditions = CALM;
+        self.log_down_ms = 0;
+        for node in &mut self.nodes {
+            (node.paused_ms, node.log_cut_ms, node.peers_cut_ms) = (0, 0, 0);
+        }
+    }
+
+    /// Tells whether all running processes are valid and see exactly each other.
+    pub fn is_whole(&self) -> bool {
+        let running = || self.nodes.iter().filter(|node| node.is_running);
+        let mut members: Vec<_> = running().map(|node| &node.member.id).collect();
+        members.sort();
+        running().all(|node| {
+            let seen: Vec<_> = node.view.members.iter().map(|member| &member.id).collect();
+            node.is_valid(self.now_ms) && seen == members
+        })
+    }
+
+    /// Carries out all that is due until a time, checking the claims after each event.
+    pub fn run(&mut self, until_ms: u64) -> Result<(), String> {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > until_ms {
+                break;
+            }
+            let ((at_ms, sequence), (slot, incarnation, input)) = entry.remove_entry();
+            self.now_ms = at_ms;
+            let node = &self.nodes[slot];
+            if let Input::ToLog(request) = input {
+                self.serve(slot, incarnation, request);
+            } else if node.paused_ms > at_ms {
+                let key = (node.paused_ms, sequence);
+                self.queue.insert(key, (slot, incarnation, input));
+            } else if node.is_running && node.member.incarnation == incarnation {
+                let next = self.nodes[slot].reducer.next_offset();
+                self.deliver(slot, input);
+                if self.nodes[slot].reducer.next_offset() != next {
+                    self.check_fold(slot)?;
+                }
+                if std::mem::take(&mut self.is_changed) {
+                    self.check_views()?;
+                }
+            }
+        }
+        self.now_ms = until_ms;
+        Ok(())
+    }
+
+    /// Lets a process take in an event now.
+    pub fn apply(&mut self, slot: usize, event: membership::Event) {
+        let mut effects = Vec::new();
+        let now = self.nodes[slot].clock(self.now_ms);
+        self.nodes[slot].reducer.apply(event, now, &mut effects);
+        for effect in effects {
+            self.note(slot, &effect);
+            self.carry_out(slot, effect);
+        }
+    }
+
+    fn deliver(&mut self, slot: usize, input: Input) {
+        match input {
+            Input::Tick => {
+                self.push(TICK_MS, slot, Input::Tick);
+                self.apply(slot, membership::Event::Tick);
+                self.poll(slot);
+            }
+            Input::Event(event) => {
+                if let membership::Event::Read(batch) = &event {
+                    let node = &mut self.nodes[slot];
+                    node.polled_ms = 0;
+                    if node.reducer.next_offset() < batch.first {
+                        node.read_from = batch.first;
+                    }
+                }
+                self.apply(slot, event);
+            }
+            Input::ToLog(_) => {}
+        }
+    }
+
+    fn poll(&mut self, slot: usize) {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[slot];
+        if node.polled_ms != 0 && now_ms < node.polled_ms + POLL_TIMEOUT_MS {
+            return;
+        }
+        node.polled_ms = now_ms;
+        let (from, requested_at) = (node.reducer.next_offset(), node.clock(now_ms));
+        let delay_ms = self.delay_ms();
+        self.push(delay_ms, slot, Input::ToLog(Request::Read { from, requested_at }));
+    }
+
+    fn carry_out(&mut self, slot: usize, effect: membership::Effect) {
+        match effect {
+            membership::Effect::Send { to, address, message } => {
+                self.send(slot, &to, address, message);
+            }
+            membership::Effect::Append { token, body } => self.append(slot, token, body),
+            membership::Effect::Viewed(view) => {
+                self.nodes[slot].view = view;
+                self.is_changed = true;
+            }
+            membership::Effect::Validity { valid, until } => {
+                self.is_changed = true;
+                self.nodes[slot].until = if valid { until } else { ids::Timestamp::ZERO };
+            }
+            membership::Effect::Left => self.crash(slot),
+        }
+    }
+
+    fn send(
+        &mut self,
+        from: usize,
+        to: &ids::InstanceId,
+        address: std::net::SocketAddr,
+        message: membership::Message,
+    ) {
+        let known = |node: &Node| node.member.peer_address == address && node.member.id == *to;
+        let Some(slot) = self.nodes.iter().position(known) else { return };
+        let is_cut = |node: &Node| node.peers_cut_ms > self.now_ms;
+        if is_cut(&self.nodes[from]) || is_cut(&self.nodes[slot]) || self.draw(self.conditions.lost)
+        {
+            return;
+        }
+        let copies = 1 + usize::from(self.draw(self.conditions.duplicated));
+        let sender = self.nodes[from].member.clone();
+        for _ in 0..copies {
+            let (from, incarnation) = (sender.id.clone(), sender.incarnation);
+            let message = message.clone();
+            let event = membership::Event::Received { from, incarnation, message };
+            let delay_ms = self.delay_ms();
+            self.push(delay_ms, slot, Input::Event(event));
+        }
+    }
+
+    fn append(&mut self, slot: usize, token: ids::AppendToken, body: Bytes) {
+        let is_late = self.draw(self.conditions.append_late);
+        let is_unanswered = is_late || self.draw(self.conditions.answer_lost);
+        let is_cut = self.nodes[slot].log_cut_ms > self.now_ms;
+        let is_lost = is_cut || self.draw(self.conditions.append_lost);
+        if is_unanswered || is_lost {
+            let outcome = log::AppendOutcome::Unknown;
+            let event = membership::Event::Appended { token, outcome };
+            self.push(APPEND_TIMEOUT_MS, slot, Input::Event(event));
+        }
+        if !is_lost {
+            let answer_ms = (!is_unanswered).then(|| self.delay_ms());
+            let late_ms = if is_late { self.random.next_u64() % MAX_LATE_MS } else { 0 };
+            let delay_ms = self.delay_ms() + late_ms;
+            let request = Request::Append { token, body, answer_ms };
+            self.push(delay_ms, slot, Input::ToLog(request));
+        }
+    }
+
+    fn serve(&mut self, slot: usize, incarnation: ids::Incarnation, request: Request) {
+        let is_up = self.log_down_ms <= self.now_ms;
+        match request {
+            Request::Read { from, requested_at } => {
+                if is_up && self.nodes[slot].log_cut_ms <= self.now_ms {
+                    let batch = self.batch(from, requested_at);
+                    let delay_ms = self.delay_ms();
+                    let event = membership::Event::Read(batch);
+                    self.push_to(delay_ms, slot, incarnation, Input::Event(event));
+                }
+            }
+            Request::Append { token, body, answer_ms } => {
+                let offset = self.records.len() as u64 + 1;
+                let outcome = if is_up {
+                    let time_ms = EPOCH_MS + self.now_ms;
+                    self.records.push(log::Record { offset, time_ms, body });
+                    log::AppendOutcome::At(offset)
+                } else {
+                    log::AppendOutcome::Refused
+                };
+                let event = membership::Event::Appended { token, outcome };
+                if let Some(answer_ms) = answer_ms {
+                    self.push_to(answer_ms, slot, incarnation, Input::Event(event));
+                }
+            }
+        }
+    }
+
+    fn batch(&mut self, from: ids::Offset, requested_at: ids::Timestamp) -> log::Batch {
+        let oldest_ms = (EPOCH_MS + self.now_ms).saturating_sub(self.retention_ms);
+        let kept = &self.records[self.first..];
+        self.first += kept.iter().take_while(|record| record.time_ms < oldest_ms).count();
+        let start = self.first.max(from.saturating_sub(1) as usize);
+        let records = self.records[start..].iter().take(BATCH_RECORDS).cloned().collect();
+        let (first, next) = (self.first as u64 + 1, self.records.len() as u64 + 1);
+        log::Batch { requested_at, first, next, records }
+    }
+
+    fn draw(&mut self, per_mille: u64) -> bool {
+        per_mille > 0 && self.random.next_u64() % 1_000 < per_mille
+    }
+
+    fn delay_ms(&mut self) -> u64 {
+        1 + self.random.next_u64() % self.conditions.max_delay_ms
+    }
+
+    fn push(&mut self, delay_ms: u64, slot: usize, input: Input) {
+        self.push_to(delay_ms, slot, self.nodes[slot].member.incarnation, input);
+    }
+
+    fn push_to(&mut self, delay_ms: u64, slot: usize, incarnation: ids::Incarnation, input: Input) {
+        self.sequence += 1;
+        self.queue.insert((self.now_ms + delay_ms, self.sequence), (slot, incarnation, input));
+    }
+
+    /// Checks that all readers hold the same members at the same offset.
+    fn check_fold(&mut self, slot: usize) -> Result<(), String> {
+        let recorded = self.nodes[slot].reducer.recorded();
+        if self.is_complete(slot, recorded.version) {
+            let folded = self.folded.entry(recorded.version).or_insert(recorded.members.clone());
+            if *folded != recorded.members {
+                return Err(format!("{} ms: two folds of {}", self.now_ms, recorded.version));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that each of two valid processes is in the other's view.
+    fn check_views(&self) -> Result<(), String> {
+        let valid: Vec<_> = self.nodes.iter().filter(|node| node.is_valid(self.now_ms)).collect();
+        for one in &valid {
+            for other in &valid {
+                let own = &other.member;
+                let includes = |member: &membership::Member| {
+                    member.id == own.id && member.incarnation == own.incarnation
+                };
+                if !one.view.members.iter().any(includes) {
+                    let (one, other) = (&one.member.id, &own.id);
+                    let now_ms = self.now_ms;
+                    return Err(format!("{now_ms} ms: valid {one:?} misses valid {other:?}"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells whether the records that a reader has not read, as the log had dropped them, have no
+    /// effect any more at an offset: also not on a record that the log took late.
+    fn is_complete(&self, slot: usize, version: ids::Offset) -> bool {
+        let read_from = self.nodes[slot].read_from;
+        let time_ms = |offset: ids::Offset| self.records[offset as usize - 1].time_ms;
+        let effect_ms = self.settings.record_expiry.as_millis() as u64 + MAX_LATE_MS;
+        read_from == 1 || (version > 0 && time_ms(version) > time_ms(read_from - 1) + effect_ms)
+    }
+
+    /// Adds an effect to the trace; routine ones are counted only.
+    fn note(&mut self, slot: usize, effect: &membership::Effect) {
+        let node = &mut self.nodes[slot];
+        let name = String::from_utf8_lossy(&node.member.id).into_owned();
+        let text = match effect {
+            membership::Effect::Validity { valid: true, until } if node.until.is_zero() => {
+                format!("valid until {} ms of its clock", until.as_millis())
+            }
+            membership::Effect::Validity { valid: false, .. } => "not valid".to_owned(),
+            membership::Effect::Viewed(view) => {
+                let text = |id: &Bytes| String::from_utf8_lossy(id).into_owned();
+                let members = view.members.iter().map(|member| {
+                    let mark = if member.leaving { "(leaving)" } else { "" };
+                    format!("{}{mark}", text(&member.id))
+                });
+                format!("view {}: {}", view.version, members.collect::<Vec<_>>().join(" "))
+            }
+            membership::Effect::Append { token, body } => {
+                format!("append {token}: {}", record_text(body))
+            }
+            membership::Effect::Send {
+                to,
+                message:
+                    message @ (membership::Message::Announce(_) | membership::Message::Welcome { .. }),
+                ..
+            } => {
+                let kind = match message {
+                    membership::Message::Announce(_) => "announce",
+                    _ => "welcome",
+                };
+                format!("{kind} to {}", String::from_utf8_lossy(to))
+            }
+            membership::Effect::Left => "left".to_owned(),
+            _ => {
+                node.seen += 1;
+                return;
+            }
+        };
+        let routine = std::mem::take(&mut node.seen);
+        let routine =
+            if routine > 0 { format!(" (after {routine} routine effects)") } else { String::new() };
+        self.trace.push(format!("{:>7} {name}: {text}{routine}", self.now_ms));
+    }
+}
+
+fn record_text(body: &Bytes) -> String {
+    use galenayard::core::membership::record;
+    let names = |ids: &[Bytes]| {
+        let names: Vec<_> = ids.iter().map(|id| String::from_utf8_lossy(id)).collect();
+        names.join(" ")
+    };
+    match record::decode(body) {
+        Some(record::Record::Join(own)) => {
+            format!("join {} naming [{}]", own.sequence, names(&own.witnesses))
+        }
+        Some(record::Record::Renew(own)) => {
+            let leaving = if own.member.leaving { " leaving" } else { "" };
+            format!("renew {}{leaving} naming [{}]", own.sequence, names(&own.witnesses))
+        }
+        Some(record::Record::Leave { sequence, .. }) => format!("leave {sequence}"),
+        Some(record::Record::Accuse { charges, .. }) => {
+            let charge = |charge: &record::Charge| {
+                let member = names(std::slice::from_ref(&charge.member));
+                format!("{member}@{} absent [{}]", charge.record, names(&charge.absent))
+            };
+            format!("accuse {}", charges.iter().map(charge).collect::<Vec<_>>().join(", "))
+        }
+        None => "not a record".to_owned(),
+    }
+}
--- /dev/null
+++ b/tests/membership/sessions.rs
@@ -0,0 +1,1 @@
+//! sessions
