--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -53,6 +53,26 @@
     pub slack_ms: i32,
     /// The first blocks of the prompt's chain of hashes, for prefix affinity.
     pub prefix: Vec<ids::BlockHash>,
+    /// The part of the work that the first candidate saves, since its cache is believed to hold
+    /// it, in tokens.
+    pub cached_tokens: u32,
+}
+
+/// How places are given.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Discipline {
+    /// Servers grant places, fairly over workspaces, and a request takes the first grant.
+    #[default]
+    Fair,
+    /// As [`Discipline::Fair`], but a request waits for a server that holds its prefix for this
+    /// share of the time that the cached part would take, before it asks another server.
+    Delayed {
+        /// The share.
+        share: f64,
+    },
+    /// Each request has a place on its first candidate at once. A baseline to compare with.
+    Direct,
 }
 
 /// What a running request shows of its server.
@@ -259,6 +279,17 @@
         }
     }
 
+    /// Creates the state of an instance that gives places by a discipline.
+    pub fn with_discipline(
+        own: ids::InstanceId,
+        incarnation: ids::Incarnation,
+        discipline: Discipline,
+    ) -> Self {
+        let mut scheduler = Self::new(own, incarnation);
+        scheduler.client = client::Client::new(discipline);
+        scheduler
+    }
+
     /// Returns what is counted for a server, if this instance schedules it.
     pub fn usage(&self, server: &ids::ServerId) -> Option<Usage> {
         self.owned.get(server).map(|owned| owned.server.usage())
--- a/src/core/scheduler/client.rs
+++ b/src/core/scheduler/client.rs
@@ -70,6 +70,8 @@
 pub enum Timer {
     /// A waiting request asks again.
     Wait(Subject, u64),
+    /// A request has waited long enough for the server that holds its prefix.
+    Delay(Subject, u64),
     /// Places are registered again with a server's scheduler.
     Register(ids::ServerId),
 }
@@ -88,6 +90,7 @@
 /// All places and waits of this instance.
 #[derive(Debug, Default)]
 pub struct Client {
+    discipline: scheduler::Discipline,
     slots: collections::Map<Subject, Slot>,
     tickets: collections::Map<message::Ticket, Subject>,
     by_server: collections::Map<ids::ServerId, collections::Set<message::Ticket>>,
@@ -102,6 +105,11 @@
 }
 
 impl Client {
+    /// Creates a client without places.
+    pub fn new(discipline: scheduler::Discipline) -> Self {
+        Self { discipline, ..Self::default() }
+    }
+
     /// Returns the number of requests that wait or hold.
     pub fn len(&self) -> usize {
         self.slots.len()
@@ -122,6 +130,10 @@
             out.effects.push(unplaced(subject, scheduler::Unplaced::NoServer));
             return;
         }
+        if self.discipline == scheduler::Discipline::Direct {
+            self.place_directly(subject, &demand, candidates, out);
+            return;
+        }
         self.epoch += 1;
         let wait = Wait { demand, since: context.now, candidates, epoch: self.epoch };
         self.timers.add(context.now + constants::ASK_TIMEOUT, Timer::Wait(subject, wait.epoch));
@@ -197,9 +209,15 @@
         let Some(candidate) = candidate else { return };
         let first_answer = candidate.stand != Stand::Queued;
         candidate.stand = Stand::Queued;
-        if first_answer {
+        if !first_answer {
+            return;
+        }
+        let delay = delay(self.discipline, &wait.demand);
+        if delay.is_zero() {
             self.ask_next(subject, context, out);
+            return;
         }
+        self.timers.add(context.now + delay, Timer::Delay(subject, wait.epoch));
     }
 
     /// A server's scheduler does not queue the request.
@@ -313,6 +331,7 @@
             match self.timers.pop_due(context.now) {
                 None => break,
                 Some(Timer::Wait(subject, epoch)) => self.wait_due(subject, epoch, context, out),
+                Some(Timer::Delay(subject, epoch)) => self.delay_due(subject, epoch, context, out),
                 Some(Timer::Register(server)) if self.unregistered.contains(&server) => {
                     self.register(&server, context, out);
                 }
@@ -396,13 +415,14 @@
         let report = self.reports.remove(&(candidate.server.clone(), decode));
         let waited_ms = millis(context.now.saturating_sub(wait.since));
         let demand = &wait.demand;
+        let cached_tokens = if index == 0 { demand.cached_tokens } else { 0 };
         let ask = message::Ask {
             ticket: candidate.ticket,
             sequence: demand.request as u64,
             server: candidate.server.clone(),
             decode,
             workspace: demand.workspace.clone(),
-            work_tokens: demand.work_tokens,
+            work_tokens: demand.work_tokens.saturating_sub(cached_tokens).max(1),
             memory_pieces: demand.memory_pieces,
             age_ms: demand.age_ms.saturating_add(waited_ms),
             slack_ms: demand.slack_ms.saturating_sub(waited_ms as i32),
@@ -411,6 +431,34 @@
         out.send(owner, message::Message::Ask(ask));
     }
 
+    fn place_directly(
+        &mut self,
+        subject: Subject,
+        demand: &scheduler::Demand,
+        candidates: Vec<Candidate>,
+        out: &mut outbox::Outbox<'_>,
+    ) {
+        let Some(Candidate { server, ticket, .. }) = candidates.into_iter().next() else { return };
+        let (work_tokens, memory_pieces) = (demand.work_tokens, demand.memory_pieces);
+        let hold = Hold { server: server.clone(), ticket, work_tokens, memory_pieces };
+        self.slots.insert(subject, Slot::Holding(hold));
+        let (request, phase) = subject;
+        out.effects.push(scheduler::Effect::Placed { request, phase, server, waited_ms: 0 });
+    }
+
+    fn delay_due(
+        &mut self,
+        subject: Subject,
+        epoch: u64,
+        context: &Context<'_>,
+        out: &mut outbox::Outbox<'_>,
+    ) {
+        let Some(Slot::Waiting(wait)) = self.slots.get(&subject) else { return };
+        if wait.epoch == epoch {
+            self.ask_next(subject, context, out);
+        }
+    }
+
     fn wait_due(
         &mut self,
         subject: Subject,
@@ -583,6 +631,14 @@
     }
 }
 
+/// Delay scheduling in the manner of CAVA (Hwang et al.): the wait for the place that holds the
+/// data is proportional to what it saves.
+fn delay(discipline: scheduler::Discipline, demand: &scheduler::Demand) -> time::Duration {
+    let scheduler::Discipline::Delayed { share } = discipline else { return time::Duration::ZERO };
+    let saved_s = f64::from(demand.cached_tokens) / constants::PREFILL_INITIAL_TOKENS_PER_S;
+    time::Duration::from_secs_f64(saved_s * share)
+}
+
 fn registration(subject: Subject, hold: &Hold) -> message::Registration {
     message::Registration {
         ticket: hold.ticket,
--- a/tests/scheduler/fleet.rs
+++ b/tests/scheduler/fleet.rs
@@ -87,6 +87,7 @@
         age_ms: 0,
         slack_ms: 1_300,
         prefix: Vec::new(),
+        cached_tokens: 0,
     }
 }
 
