Grant decode places ahead while KV caches are on their way

Cause: a decode place is held while its prompt is prefilled, so on fast servers with short answers a third of the slots stood idle. Change: places beyond the slots, as many as fall free within 250 ms of the 800 ms that an exported KV cache lives; second prefill candidate by the answered wait; 120 ms of prefill work given ahead (60 before). Overlap by the learned idle share was tried and left: 90 % of prefill wasted.

--- a/src/core/placement/pool.rs
+++ b/src/core/placement/pool.rs
@@ -39,9 +39,9 @@
         (0..length).map(move |step| self.servers[(turn + step) % length]).collect()
     }
 
-    /// Returns all servers by a key, lowest first.
-    pub fn by_key<K: Ord>(&self, key: impl Fn(usize) -> K) -> Vec<usize> {
-        let mut servers = self.servers.clone();
+    /// Returns all servers by a key, lowest first; equal ones in turn.
+    pub fn by_key<K: Ord>(&mut self, key: impl Fn(usize) -> K) -> Vec<usize> {
+        let mut servers = self.in_turn();
         servers.sort_by_key(|server| key(*server));
         servers
     }
--- a/src/core/scheduler/client.rs
+++ b/src/core/scheduler/client.rs
@@ -352,9 +352,8 @@
             .filter(|server| context.in_service.contains(server))
             .take(constants::CANDIDATES)
             .collect();
-        if phase == scheduler::Phase::Decode {
-            servers.sort_by_key(|server| self.hinted_wait_ms(server, context.now));
-        }
+        let affine = usize::from(phase == scheduler::Phase::Prefill).min(servers.len());
+        servers[affine..].sort_by_key(|server| self.hinted_wait_ms(server, context.now));
         let idle = |server| Candidate { server, ticket: 0, stand: Stand::Idle };
         servers.into_iter().map(idle).collect()
     }
--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -12,10 +12,10 @@
 pub const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
 /// How often a queued request confirms that it still waits.
-pub const REASK_INTERVAL: time::Duration = time::Duration::from_millis(2_000);
+pub const REASK_INTERVAL: time::Duration = time::Duration::from_millis(5_000);
 
 /// How long a queued request is kept without a word from its client.
-pub const QUEUE_ENTRY_TTL: time::Duration = time::Duration::from_millis(7_000);
+pub const QUEUE_ENTRY_TTL: time::Duration = time::Duration::from_millis(16_000);
 
 /// How long a request waits for a place before it is refused.
 pub const WAIT_LIMIT: time::Duration = time::Duration::from_millis(30_000);
@@ -58,7 +58,7 @@
 pub const AGE_BOUND: time::Duration = time::Duration::from_millis(4_000);
 
 /// One of this many grants of a workspace goes to a request over the age bound.
-pub const AGED_TURN: u32 = 4;
+pub const AGED_TURN: u32 = 8;
 
 /// How many workspaces' heads are tried when the first does not fit the free memory.
 pub const BYPASS_FLOWS: usize = 4;
@@ -82,7 +82,7 @@
 pub const LIMIT_WINDOW: time::Duration = time::Duration::from_millis(1_000);
 
 /// Prefill work that a server is given ahead, in milliseconds of its learned speed.
-pub const PREFILL_WINDOW_MS: f64 = 60.0;
+pub const PREFILL_WINDOW_MS: f64 = 120.0;
 
 /// The prefill speed assumed before any is learned, in tokens a second.
 pub const PREFILL_INITIAL_TOKENS_PER_S: f64 = 8_000.0;
@@ -104,3 +104,11 @@
 
 /// How many processes that are no longer members are remembered.
 pub const FORMER_MEMBERS: usize = 1_024;
+
+/// The most places beyond its slots that a server is given, as a share of the slots, for requests
+/// whose KV cache is still on its way.
+pub const OVERLAP_LIMIT: f64 = 0.5;
+
+/// How long the KV cache of a request beyond the slots may wait for a slot, in milliseconds; a
+/// part of the life of an exported KV cache.
+pub const OVERLAP_WAIT_MS: f64 = 250.0;
--- a/src/core/scheduler/limit.rs
+++ b/src/core/scheduler/limit.rs
@@ -27,7 +27,7 @@
 /// The adaptive limit on concurrent decodes of one server.
 #[derive(Debug)]
 pub struct Limit {
-    slots: u32,
+    most: u32,
     limit: f64,
     mean_ms: f64,
     deviation_ms: f64,
@@ -41,7 +41,7 @@
     pub fn new(slots: u32, now: ids::Timestamp) -> Self {
         let limit = (f64::from(slots) * START_SHARE).max(1.0);
         Self {
-            slots,
+            most: slots.max(1),
             limit,
             mean_ms: 0.0,
             deviation_ms: 0.0,
@@ -53,13 +53,13 @@
 
     /// Returns how many decodes may run at once; at least 1.
     pub fn places(&self) -> u32 {
-        (self.limit as u32).clamp(1, self.slots.max(1))
+        (self.limit as u32).clamp(1, self.most)
     }
 
-    /// Sets the number of slots that the document states.
-    pub fn set_slots(&mut self, slots: u32) {
-        self.slots = slots;
-        self.limit = self.limit.min(f64::from(slots.max(1)));
+    /// Sets the most places that may ever be given.
+    pub fn set_most(&mut self, most: u32) {
+        self.most = most.max(1);
+        self.limit = self.limit.min(f64::from(self.most));
     }
 
     /// Takes a sample of the time between tokens; `in_use` places are taken or wanted now.
@@ -116,7 +116,7 @@
         if high_ms < target_ms * constants::LIMIT_GROWTH_BELOW && reached {
             let grown =
                 if self.shrunk { self.limit + 1.0 } else { (self.limit * START_GROWTH).ceil() };
-            self.limit = grown.min(f64::from(self.slots.max(1)));
+            self.limit = grown.min(f64::from(self.most));
             self.changed_at = now;
         }
     }
@@ -194,26 +194,44 @@
 /// The weight of a new sample of the hold time.
 const HOLD_GAIN: f64 = 0.1;
 
-/// How long decode places of one server are held.
+/// How long decode places of one server are held, and for which part of that time they decode.
 #[derive(Debug)]
 pub struct HoldTime {
-    mean_ms: f64,
+    held_ms: f64,
+    decoding_ms: f64,
 }
 
 impl Default for HoldTime {
     fn default() -> Self {
-        Self { mean_ms: constants::DECODE_INITIAL_HOLD_MS }
+        let held_ms = constants::DECODE_INITIAL_HOLD_MS;
+        Self { held_ms, decoding_ms: held_ms }
     }
 }
 
 impl HoldTime {
-    /// Takes a sample.
-    pub fn observe(&mut self, held: time::Duration) {
-        self.mean_ms += HOLD_GAIN * (held.as_secs_f64() * 1_000.0 - self.mean_ms);
+    /// Notes time in which requests decoded.
+    pub fn decoded(&mut self, elapsed_ms: u32) {
+        self.decoding_ms += HOLD_GAIN * f64::from(elapsed_ms);
+    }
+
+    /// Notes that a place was held for this long.
+    pub fn released(&mut self, held: time::Duration) {
+        self.held_ms += HOLD_GAIN * (held.as_secs_f64() * 1_000.0 - self.held_ms);
+        self.decoding_ms -= HOLD_GAIN * self.decoding_ms;
     }
 
-    /// Returns the mean, in milliseconds.
+    /// Returns the mean time for which a place is held, in milliseconds.
     pub fn mean_ms(&self) -> f64 {
-        self.mean_ms
+        self.held_ms
+    }
+
+    /// Returns how many places may be granted for this many slots.
+    ///
+    /// A place is held while the prompt is prefilled and its KV cache is moved. Further places
+    /// are granted as long as a KV cache that comes to a full server waits less than its life,
+    /// even if all come at once: slots fall free at the rate of `slots / decoding_ms`.
+    pub fn places(&self, slots: u32) -> u32 {
+        let freed = constants::OVERLAP_WAIT_MS / self.decoding_ms.max(1.0);
+        slots + (f64::from(slots) * freed.min(constants::OVERLAP_LIMIT)) as u32
     }
 }
--- a/src/core/scheduler/server.rs
+++ b/src/core/scheduler/server.rs
@@ -95,7 +95,7 @@
     /// Takes over the document's statement; refuses the queue if the server takes no new work.
     pub fn configure(&mut self, capacity: Capacity, out: &mut outbox::Outbox<'_>) {
         self.capacity = capacity;
-        self.limit.set_slots(capacity.slots);
+        self.limit.set_most(self.hold_time.places(capacity.slots));
         if !capacity.in_service {
             self.refuse_queue(message::Refusal::Leaving, out);
         }
@@ -168,7 +168,8 @@
             let (since, work_tokens) = (place.since, place.work_tokens);
             self.report(decode, report, now, out);
             if decode && report.failures == 0 {
-                self.hold_time.observe(now.saturating_sub(since));
+                self.hold_time.released(now.saturating_sub(since));
+                self.limit.set_most(self.hold_time.places(self.capacity.slots));
             }
             if !decode && report.failures == 0 {
                 self.speed.processed(work_tokens, now);
@@ -191,6 +192,7 @@
             if decode {
                 let wanted = self.decodes + self.decode.len() as u32;
                 self.limit.observe(report.tokens, report.elapsed_ms, wanted, now);
+                self.hold_time.decoded(report.elapsed_ms);
             }
         }
         if report.failures > 0 && self.health.failed(report.failures, now) {
@@ -298,7 +300,8 @@
 
     fn has_slot(&self) -> bool {
         let running = self.places.len() as u32;
-        let allowed = self.health.allowance().unwrap_or(u32::MAX).min(self.capacity.slots.max(1));
+        let most = self.hold_time.places(self.capacity.slots);
+        let allowed = self.health.allowance().unwrap_or(u32::MAX).min(most);
         running + self.reaper.foreign_requests() < allowed.max(1)
     }
 
