Add the open-loop load tool and the workloads of both users

Cause: the figures of a run must come from the callers and the stand-ins, not from the router. Change: standins load plans Poisson arrivals by seed, sends them as discovered callers, brings scheduled faults about, and judges goodput, waste, shares, refusals and violations from the ledgers. A run against real instances has not been made yet.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -217,6 +217,11 @@
         Ok((number, receiver))
     }
 
+    /// The settings of the engine.
+    pub fn config(&self) -> &config::Config {
+        &self.config
+    }
+
     /// A copy of the ledger.
     pub fn records(&self) -> ledger::Records {
         let mut records = self.state().records.clone();
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -213,3 +213,22 @@
     let bytes = read_body(response.into_body()).await?;
     Ok((status, serde_json::from_slice(&bytes).unwrap_or(serde_json::Value::Null)))
 }
+
+/// Reads a JSON value from a URL within `limit`.
+///
+/// # Errors
+///
+/// Fails if no answer comes in time, or if it is not a success.
+pub async fn fetch_json(
+    client: &Client,
+    url: &str,
+    limit: Duration,
+) -> Result<serde_json::Value, BoxError> {
+    let nothing = serde_json::Value::Null;
+    let call = call_json(client, hyper::Method::GET, url, &nothing);
+    let (status, value) = tokio::time::timeout(limit, call).await??;
+    if !status.is_success() {
+        return Err(format!("{url} answered {status}").into());
+    }
+    Ok(value)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod http;
 pub mod instances;
+pub mod load;
 pub mod log;
 pub mod network;
 pub mod plain;
--- /dev/null
+++ b/standins/src/load/fleet.rs
@@ -0,0 +1,431 @@
+//! A whole fleet on loopback: stand-ins in this process, instances as processes of their own.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::sync::Mutex;
+use tokio::time::{self, Instant};
+use toml::{Table, Value};
+
+use super::faults::Target;
+use super::judge;
+use super::workload::Workload;
+use crate::http::BoxError;
+use crate::{engine, http, instances, log, plain, settings};
+
+/// Key of the operator in a started fleet.
+const OPERATOR_KEY: &str = "operator-key-of-the-load-tool";
+
+/// Secret that the started instances share.
+const CREDENTIAL: &str = "credential-of-the-load-tool";
+
+/// Longest wait for an instance to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Interval at which a process is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Clock ticks in a second, as `/proc` counts them.
+const TICKS_PER_S: f64 = 100.0;
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    workload: Workload,
+    binary: PathBuf,
+    directory: PathBuf,
+    engines: Vec<engine::Handle>,
+    plains: Vec<plain::Handle>,
+    log: log::Handle,
+    list: instances::Handle,
+    instances: Vec<Instance>,
+    withdrawn: HashSet<usize>,
+}
+
+#[derive(Debug)]
+struct Instance {
+    id: String,
+    failure_domain: String,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// What the instances and the log cost.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Cost {
+    /// Largest share of a core that an instance used.
+    pub cpu_share_max: f64,
+    /// Mean share of a core that an instance used.
+    pub cpu_share_mean: f64,
+    /// Largest memory of an instance.
+    pub memory_max_bytes: u64,
+    /// Appends to the log in a second.
+    pub log_appends_per_s: f64,
+    /// Bytes appended to the log in a second.
+    pub log_bytes_per_s: f64,
+}
+
+/// The key of a workspace in a started fleet.
+pub fn key(workspace: &str) -> String {
+    format!("key-of-{workspace}-0123456789abcdef")
+}
+
+impl Fleet {
+    /// Starts everything and waits until all instances are ready.
+    pub async fn start(
+        workload: &Workload,
+        binary: &Path,
+        policy: &Table,
+    ) -> Result<Self, BoxError> {
+        let directory = std::env::temp_dir().join(format!("standins-{}", std::process::id()));
+        std::fs::create_dir_all(&directory)?;
+        let mut engines = Vec::new();
+        for group in &workload.fleet.engines {
+            for config in engine::config::group(group.clone())? {
+                engines.push(engine::spawn(config).await?);
+            }
+        }
+        let mut table = workload.fleet.plain.clone();
+        let count: Option<usize> = settings::take(&mut table, "count")?;
+        let config: plain::Config = table.try_into()?;
+        let mut plains = Vec::new();
+        for _ in 0..count.unwrap_or(1) {
+            plains.push(plain::spawn(config.clone()).await?);
+        }
+        let mut fleet = Self {
+            workload: workload.clone(),
+            binary: binary.to_owned(),
+            directory,
+            engines,
+            plains,
+            log: log::spawn(workload.fleet.log.clone().try_into()?).await?,
+            list: instances::spawn(instances::Config::default()).await?,
+            instances: Vec::new(),
+            withdrawn: HashSet::new(),
+        };
+        for index in 0..workload.fleet.instances {
+            let instance = fleet.prepare(index, policy).await?;
+            fleet.instances.push(instance);
+        }
+        fleet.publish();
+        for index in 0..fleet.instances.len() {
+            fleet.start_instance(index)?;
+        }
+        fleet.apply_document().await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Addresses of the instances for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|instance| instance.callers).collect()
+    }
+
+    /// Number of instances.
+    pub fn instances(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Starts the process of an instance.
+    pub fn start_instance(&mut self, index: usize) -> Result<(), BoxError> {
+        let instance = self.instances.get_mut(index).ok_or("no such instance")?;
+        let output = self.directory.join(format!("{}.log", instance.id));
+        let output = std::fs::File::options().create(true).append(true).open(output)?;
+        let child = Command::new(&self.binary)
+            .args(["serve", "--settings"])
+            .arg(&instance.settings)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .kill_on_drop(true)
+            .spawn()?;
+        instance.child = Some(child);
+        self.publish();
+        Ok(())
+    }
+
+    /// Kills the process of an instance and takes it off the list.
+    pub async fn kill(&mut self, index: usize) -> Result<SocketAddr, BoxError> {
+        let instance = self.instances.get_mut(index).ok_or("no such instance")?;
+        let address = instance.callers;
+        if let Some(mut child) = instance.child.take() {
+            child.kill().await?;
+        }
+        self.publish();
+        Ok(address)
+    }
+
+    /// Sends a signal to the process of an instance.
+    pub async fn signal(&mut self, index: usize, name: &str) -> Result<SocketAddr, BoxError> {
+        let instance = self.instances.get(index).ok_or("no such instance")?;
+        let process = instance.child.as_ref().and_then(Child::id).ok_or("it does not run")?;
+        let process = process.to_string();
+        Command::new("kill").args(["-s", name, &process]).status().await?;
+        Ok(instance.callers)
+    }
+
+    /// Waits until the process of an instance has ended.
+    pub async fn wait_for_exit(fleet: &Mutex<Self>, index: usize) -> Result<(), BoxError> {
+        loop {
+            let mut locked = fleet.lock().await;
+            let instance = locked.instances.get_mut(index).ok_or("no such instance")?;
+            let ended = match &mut instance.child {
+                Some(child) => child.try_wait()?.is_some(),
+                None => true,
+            };
+            drop(locked);
+            if ended {
+                return Ok(());
+            }
+            time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Gives a fault command to a stand-in.
+    pub fn command(&self, target: Target, index: usize, set: Table) -> Result<(), BoxError> {
+        match target {
+            Target::Engine => {
+                let handle = self.engines.get(index).ok_or("no such engine")?;
+                handle.engine.command(&set.try_into()?);
+            }
+            Target::Plain => {
+                let handle = self.plains.get(index).ok_or("no such plain server")?;
+                handle.plain.command(&set.try_into()?);
+            }
+            Target::Log => self.log.log.command(&set.try_into()?),
+        }
+        Ok(())
+    }
+
+    /// Withdraws the key of a workspace.
+    pub async fn withdraw_key(&mut self, workspace: usize) -> Result<(), BoxError> {
+        self.withdrawn.insert(workspace);
+        self.apply_document().await
+    }
+
+    /// The ledgers of all stand-ins.
+    pub fn ledgers(&self) -> judge::Ledgers {
+        judge::Ledgers {
+            engines: self.engines.iter().map(|handle| handle.engine.records()).collect(),
+            plains: self.plains.iter().map(|handle| handle.plain.records()).collect(),
+        }
+    }
+
+    /// What the running instances and the log have cost in `time`.
+    pub fn cost(&self, time: Duration) -> Cost {
+        let processes: Vec<u32> = self
+            .instances
+            .iter()
+            .filter_map(|instance| instance.child.as_ref().and_then(Child::id))
+            .collect();
+        let shares = processes.iter().filter_map(|process| cpu_s(*process));
+        let shares: Vec<f64> = shares.map(|used_s| used_s / time.as_secs_f64()).collect();
+        let records = self.log.log.records();
+        Cost {
+            cpu_share_max: shares.iter().copied().fold(0.0, f64::max),
+            cpu_share_mean: shares.iter().sum::<f64>() / shares.len().max(1) as f64,
+            memory_max_bytes: processes
+                .iter()
+                .filter_map(|id| memory_bytes(*id))
+                .max()
+                .unwrap_or(0),
+            log_appends_per_s: records.appended as f64 / time.as_secs_f64(),
+            log_bytes_per_s: records.appended_bytes as f64 / time.as_secs_f64(),
+        }
+    }
+
+    /// Ends all processes; their settings and logs are removed unless they are to be kept.
+    pub async fn stop(&mut self, keep: bool) -> Result<(), BoxError> {
+        for instance in &mut self.instances {
+            if let Some(mut child) = instance.child.take() {
+                child.kill().await?;
+            }
+        }
+        if !keep {
+            std::fs::remove_dir_all(&self.directory)?;
+        }
+        Ok(())
+    }
+
+    async fn prepare(&self, index: usize, policy: &Table) -> Result<Instance, BoxError> {
+        let id = format!("instance-{index}");
+        let instance = Instance {
+            settings: self.directory.join(format!("{id}.toml")),
+            id,
+            failure_domain: self.domain(index),
+            callers: free_address().await?,
+            peers: free_address().await?,
+            operators: free_address().await?,
+            child: None,
+        };
+        std::fs::write(&instance.settings, self.settings_of(&instance, policy).to_string())?;
+        Ok(instance)
+    }
+
+    fn settings_of(&self, instance: &Instance, policy: &Table) -> Value {
+        let tables = json!({
+            "instance": {
+                "id": instance.id,
+                "failure_domain": instance.failure_domain,
+                "environment": "trial",
+            },
+            "listen": {
+                "callers": instance.callers,
+                "peers": instance.peers,
+                "operators": instance.operators,
+            },
+            "platform": {
+                "log": self.log.server.address,
+                "instances": self.list.server.address,
+            },
+            "fleet": {"credential": CREDENTIAL, "operator_key_sha256": sha256(OPERATOR_KEY)},
+            "policy": policy,
+        });
+        Value::try_from(tables).unwrap_or(Value::Boolean(false))
+    }
+
+    fn domain(&self, index: usize) -> String {
+        let domains = &self.workload.fleet.failure_domains;
+        domains.get(index % domains.len().max(1)).cloned().unwrap_or_default()
+    }
+
+    /// Puts the running instances and all servers on the platform's list.
+    fn publish(&self) {
+        let running = self.instances.iter().filter(|instance| instance.child.is_some());
+        let instances = running.map(|instance| instances::Instance {
+            id: instance.id.clone(),
+            peer_address: instance.peers,
+            failure_domain: instance.failure_domain.clone(),
+            state: instances::Presence::Live,
+        });
+        let servers = self
+            .server_ids()
+            .into_iter()
+            .map(|id| instances::Server { id, state: instances::Presence::Live });
+        let listing =
+            instances::Listing { instances: instances.collect(), servers: servers.collect() };
+        self.list.instances.set(listing, Instant::now());
+    }
+
+    fn server_ids(&self) -> Vec<String> {
+        let engines = (0..self.engines.len()).map(|index| format!("engine-{index}"));
+        engines.chain((0..self.plains.len()).map(|index| format!("plain-{index}"))).collect()
+    }
+
+    /// The operator's document for this fleet.
+    fn document(&self) -> Value {
+        let workspaces = self.workload.workspaces.iter().enumerate().map(|(index, workspace)| {
+            let key = json!({"id": "first", "sha256": sha256(&key(&workspace.id))});
+            let keys = if self.withdrawn.contains(&index) { json!([]) } else { json!([key]) };
+            json!({"id": workspace.id, "rate_tokens_per_s": workspace.rate_tokens_per_s,
+                "burst_tokens": workspace.burst_tokens, "weight": workspace.weight, "keys": keys})
+        });
+        let engines = self.engines.iter().enumerate().map(|(index, handle)| {
+            let config = handle.engine.config();
+            json!({"id": format!("engine-{index}"), "kind": "engine", "role": config.role,
+                "failure_domain": self.domain(index), "models": [self.workload.language.model],
+                "slots": config.slots, "memory_pieces": config.pieces_total,
+                "checks_fencing": !config.ignore_fence,
+                "addresses": {"trial": handle.server.address}})
+        });
+        let plains = self.plains.iter().enumerate().map(|(index, handle)| {
+            json!({"id": format!("plain-{index}"), "kind": "plain",
+                "failure_domain": self.domain(index),
+                "addresses": {"trial": handle.server.address}})
+        });
+        let engine_ids: Vec<String> =
+            (0..self.engines.len()).map(|index| format!("engine-{index}")).collect();
+        let plain_ids: Vec<String> =
+            (0..self.plains.len()).map(|index| format!("plain-{index}")).collect();
+        let plain = &self.workload.plain;
+        let document = json!({
+            "workspaces": workspaces.collect::<Vec<_>>(),
+            "servers": engines.chain(plains).collect::<Vec<_>>(),
+            "language_routes": [{"id": "language", "model": self.workload.language.model,
+                "servers": engine_ids}],
+            "plain_routes": [
+                {"id": "orders", "path_prefix": plain.order_path, "servers": plain_ids},
+                {"id": "enquiries", "path_prefix": plain.enquiry_path, "servers": plain_ids},
+            ],
+        });
+        Value::try_from(document).unwrap_or(Value::Boolean(false))
+    }
+
+    /// Applies the document at the first running instance that takes it.
+    async fn apply_document(&self) -> Result<(), BoxError> {
+        let path = self.directory.join("document.toml");
+        std::fs::write(&path, self.document().to_string())?;
+        let deadline = Instant::now() + READY_LIMIT;
+        loop {
+            for instance in self.instances.iter().filter(|instance| instance.child.is_some()) {
+                let done = Command::new(&self.binary)
+                    .args(["config", "apply"])
+                    .arg(&path)
+                    .arg("--operators")
+                    .arg(instance.operators.to_string())
+                    .env("GALENAYARD_OPERATOR_KEY", OPERATOR_KEY)
+                    .output()
+                    .await?;
+                if done.status.success() {
+                    return Ok(());
+                }
+                if Instant::now() > deadline {
+                    let message = String::from_utf8_lossy(&done.stderr).into_owned();
+                    return Err(format!("the document was not applied: {message}").into());
+                }
+            }
+            time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), BoxError> {
+        let client = http::client(Duration::from_secs(1));
+        let deadline = Instant::now() + READY_LIMIT;
+        for instance in &self.instances {
+            let url = format!("http://{}/readyz", instance.callers);
+            while http::fetch_json(&client, &url, Duration::from_secs(1)).await.is_err() {
+                if Instant::now() > deadline {
+                    return Err(format!("{} is not ready; see its log", instance.id).into());
+                }
+                time::sleep(LOOK_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// An address that is free at this moment.
+async fn free_address() -> Result<SocketAddr, BoxError> {
+    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+}
+
+fn sha256(text: &str) -> String {
+    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Processor time that a process has used.
+fn cpu_s(process: u32) -> Option<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+    let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    Some(ticks / TICKS_PER_S)
+}
+
+/// Most memory that a process has used.
+fn memory_bytes(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    let size_kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(size_kib * 1_024)
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use standins::{engine, http, instances, log, plain, settings};
+use standins::{engine, http, instances, load, log, plain, settings};
 use toml::Table;
 
 const HELP: &str = "\
@@ -18,6 +18,9 @@
 standins plain --listen IP:PORT [--count N] [--work-ms N] [--latency-ms N]
 standins log --listen IP:PORT [--retention-ms N] [--appends-per-s N] [--latency-ms N]
 standins instances --listen IP:PORT [--lag-ms N] [--latency-ms N]
+standins load --workload FILE --seconds N [--seed N] [--scale N] [--json]
+    --galenayard FILE [--faults FILE] [--instances N] [--placement NAME] [--limits NAME] [--keep]
+    | --target IP:PORT,.. --keys KEY,.. [--engines IP:PORT,..] [--plains IP:PORT,..]
 
 Ports count up from PORT. GET /__records shows what a stand-in has done, POST /__faults makes it
 fail, PUT /__instances sets the instance list.
@@ -46,6 +49,7 @@
         match command.as_str() {
             "engines" => engines(table).await,
             "plain" => plain(table).await,
+            "load" => load(table).await,
             "log" => wait(vec![log::spawn(table.try_into()?).await?.server]).await,
             "instances" => wait(vec![instances::spawn(table.try_into()?).await?.server]).await,
             _ => Err(format!("name what to run\n{HELP}").into()),
@@ -72,6 +76,19 @@
     wait(servers).await
 }
 
+/// Runs a workload; fails if something happened that must not.
+async fn load(table: Table) -> Result<(), http::BoxError> {
+    let options: load::Options = table.try_into()?;
+    let report = load::run(&options).await?;
+    let text =
+        if options.json { serde_json::to_string_pretty(&report)? } else { report.to_string() };
+    show(&format!("{}\n", text.trim_end()))?;
+    if report.figures.violations != load::judge::Violations::default() {
+        return Err("something happened that must not; see the violations".into());
+    }
+    Ok(())
+}
+
 /// Names the addresses on standard output and waits for ever.
 async fn wait(mut servers: Vec<http::Server>) -> Result<(), http::BoxError> {
     for server in &servers {
