--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -127,7 +127,7 @@
     let latency = config.latency;
     let engine = Arc::new(Engine::new(config, address, Arc::clone(&network)));
     tokio::spawn(measure_load(Arc::downgrade(&engine), engine.config.load_lag));
-    let server = http::serve(listener, network, latency, Arc::<Engine>::clone(&engine))?;
+    let server = http::serve(listener, network, latency, Arc::clone(&engine))?;
     Ok(Handle { server, engine })
 }
 
@@ -229,11 +229,6 @@
         records
     }
 
-    /// Cancels a request and returns the pieces released.
-    pub fn cancel(&self, id: &str) -> u64 {
-        self.state().cancel(id, Instant::now())
-    }
-
     /// Carries out a fault command.
     pub fn command(&self, command: &faults::Command) {
         self.state().faults.apply(command);
@@ -246,6 +241,11 @@
         }
     }
 
+    /// Cancels a request and returns the pieces released.
+    pub fn cancel(&self, id: &str) -> u64 {
+        self.state().cancel(id, Instant::now())
+    }
+
     /// Marks an answer as read to its end, which releases its memory.
     pub fn read_out(&self, number: ledger::ExecutionNumber) {
         self.state().release(number, ledger::Outcome::Delivered);
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use futures_util::future;
 use http_body_util::{BodyExt, Full, Limited, combinators};
 use hyper::body::Incoming;
 use hyper::service;
@@ -15,6 +14,7 @@
 use hyper_util::client::legacy;
 use hyper_util::rt;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
@@ -32,10 +32,22 @@
 /// An answer, or an error that closes the connection without one.
 pub type Reply = Result<Response<Body>, BoxError>;
 
-/// Serves the requests of one stand-in.
-pub trait Handler: Send + Sync + 'static {
-    /// Answers one request.
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> future::BoxFuture<'static, Reply>;
+/// What a stand-in serves.
+pub trait Service: Send + Sync + Sized + 'static {
+    /// A command that makes it fail.
+    type Command: DeserializeOwned + Send;
+
+    /// What it has done.
+    type Records: Serialize;
+
+    /// A copy of what it has done.
+    fn records(&self) -> Self::Records;
+
+    /// Carries out a fault command.
+    fn command(&self, command: &Self::Command);
+
+    /// Answers one request of the protocol that it stands in for.
+    fn answer(self: Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Reply> + Send;
 }
 
 /// A stand-in that runs until it is dropped.
@@ -63,11 +75,15 @@
 }
 
 /// Serves `handler` on `listener`; each answer takes `latency` in each direction.
+///
+/// # Errors
+///
+/// Fails if the address of the listener is unknown.
 pub fn serve(
     listener: TcpListener,
     network: Arc<network::Network>,
     latency: Duration,
-    handler: Arc<dyn Handler>,
+    handler: Arc<impl Service>,
 ) -> io::Result<Server> {
     let address = listener.local_addr()?;
     let task = tokio::spawn(accept_all(listener, address, Arc::clone(&network), latency, handler));
@@ -79,7 +95,7 @@
     address: SocketAddr,
     network: Arc<network::Network>,
     latency: Duration,
-    handler: Arc<dyn Handler>,
+    handler: Arc<impl Service>,
 ) {
     let mut crashes = network.crashes();
     loop {
@@ -105,7 +121,7 @@
     link: network::Link,
     mut crashes: tokio::sync::watch::Receiver<network::Crash>,
     latency: Duration,
-    handler: Arc<dyn Handler>,
+    handler: Arc<impl Service>,
 ) {
     let _best_effort = stream.set_nodelay(true);
     let guarded = rt::TokioIo::new(network::GuardedStream { stream, link: link.clone() });
@@ -125,18 +141,39 @@
     mut request: Request<Incoming>,
     link: network::Link,
     latency: Duration,
-    handler: Arc<dyn Handler>,
+    handler: Arc<impl Service>,
 ) -> Reply {
     if request.headers().contains_key(header::AUTHORIZATION) {
         link.count_authorization();
     }
     request.extensions_mut().insert(link);
     pause(latency).await;
-    let reply = handler.handle(request).await;
+    let reply = route(handler, request).await;
     pause(latency).await;
     reply
 }
 
+async fn route(handler: Arc<impl Service>, request: Request<Incoming>) -> Reply {
+    match request.uri().path() {
+        "/__records" => json(StatusCode::OK, &handler.records()),
+        "/__faults" => match read_json(request).await {
+            Ok(command) => {
+                handler.command(&command);
+                json(StatusCode::OK, &serde_json::json!({}))
+            }
+            Err(reply) => reply,
+        },
+        _ => handler.answer(request).await,
+    }
+}
+
+/// Reads a JSON body, or gives the answer that refuses it.
+pub async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Reply> {
+    let bytes = read_body(request.into_body()).await.map_err(Err)?;
+    serde_json::from_slice(&bytes)
+        .map_err(|fault| error(StatusCode::BAD_REQUEST, "invalid_request", &fault.to_string()))
+}
+
 /// Sleeps unless the time is zero.
 pub async fn pause(time: Duration) {
     if !time.is_zero() {
