Answer operators: status, explain, metrics, log level

Cause: the operators' border had no implementation. Change: shell/operations, JSON-line logging with a level that changes while running, Prometheus histograms by workspace and route.

--- a/src/core/request/language.rs
+++ b/src/core/request/language.rs
@@ -218,7 +218,7 @@
         }
         let servers = candidates.clone();
         self.explain(request::Step::Candidates { phase, servers, cached_tokens }, effects);
-        let demand = self.demand(phase, now);
+        let demand = self.demand(phase, cached_tokens, now);
         effects.push(request::Effect::Scheduler(scheduler::Event::Place { demand, candidates }));
         request::Flow::Continue
     }
@@ -494,7 +494,12 @@
         });
     }
 
-    fn demand(&self, phase: scheduler::Phase, now: ids::Timestamp) -> scheduler::Demand {
+    fn demand(
+        &self,
+        phase: scheduler::Phase,
+        cached_tokens: u32,
+        now: ids::Timestamp,
+    ) -> scheduler::Demand {
         let age = now.saturating_sub(self.arrived_at);
         let total = self.prompt_tokens.saturating_add(self.call.output_limit_tokens);
         let (work_tokens, memory_tokens) = match phase {
@@ -512,6 +517,7 @@
             age_ms,
             slack_ms: i32::try_from(target_ms - i64::from(age_ms)).unwrap_or(i32::MIN),
             prefix: self.call.prefix.clone(),
+            cached_tokens,
         }
     }
 
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -54,6 +54,8 @@
     pub escrow: escrow::settings::Settings,
     /// How engines are chosen.
     pub placement: placement::Policy,
+    /// How places on engines are given.
+    pub scheduler: scheduler::Discipline,
 }
 
 /// An event on its way to one reducer.
@@ -73,7 +75,7 @@
 impl State {
     /// Creates the state of an instance whose process has just started.
     pub fn new(options: Options) -> Self {
-        let Options { own, environment, seed, membership, escrow, placement } = options;
+        let Options { own, environment, seed, membership, escrow, placement, scheduler } = options;
         let (id, incarnation) = (own.id.clone(), own.incarnation);
         Self {
             escrow: escrow::Escrow::with_settings(id.clone(), incarnation, escrow),
@@ -81,7 +83,7 @@
                 .with_options(configuration::Options { environment, ..Default::default() }),
             claims: claims::Claims::new(incarnation),
             placement: placement::Placement::with_policy(seed, placement),
-            scheduler: scheduler::Scheduler::new(id, incarnation),
+            scheduler: scheduler::Scheduler::with_discipline(id, incarnation, scheduler),
             requests: request::Requests::new(environment),
             peers: collections::Map::default(),
             servers: collections::Map::default(),
@@ -96,6 +98,16 @@
         &self.configuration
     }
 
+    /// Returns the limits reducer for queries.
+    pub fn escrow(&self) -> &escrow::Escrow {
+        &self.escrow
+    }
+
+    /// Returns the scheduler reducer for queries.
+    pub fn scheduler(&self) -> &scheduler::Scheduler {
+        &self.scheduler
+    }
+
     /// Returns the number of requests that have not ended.
     pub fn live_requests(&self) -> usize {
         self.requests.live()
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -5,5 +5,7 @@
 pub mod handle;
 pub mod journal;
 pub mod log_reader;
+pub mod logging;
+pub mod operations;
 pub mod runtime;
 pub mod watchers;
--- a/src/shell/explain.rs
+++ b/src/shell/explain.rs
@@ -8,6 +8,7 @@
 use crate::core::collections;
 use crate::core::ids;
 use crate::core::request;
+use crate::core::scheduler;
 
 /// Requests whose decisions are kept.
 const MAX_REQUESTS: usize = 4_096;
@@ -24,6 +25,71 @@
     pub step: request::Step,
 }
 
+impl Entry {
+    /// Describes the decision in words, with its time.
+    pub fn describe(&self) -> Description {
+        Description { at_ms: self.at_ms, text: describe(&self.step) }
+    }
+}
+
+/// A decision in words.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Description {
+    /// Milliseconds since the process started.
+    pub at_ms: u64,
+    /// The decision.
+    pub text: String,
+}
+
+fn describe(step: &request::Step) -> String {
+    match step {
+        request::Step::Arrived => "arrived".to_string(),
+        request::Step::Admitted { workspace, tokens } => {
+            format!("{tokens} tokens reserved for workspace {}", text(workspace))
+        }
+        request::Step::Candidates { phase, servers, cached_tokens } => {
+            let servers: Vec<_> = servers.iter().map(text).collect();
+            let servers = servers.join(", ");
+            format!(
+                "{} candidates: {servers}; {cached_tokens} tokens believed cached",
+                name(*phase)
+            )
+        }
+        request::Step::Placed { phase, server, waited_ms } => {
+            format!("{} place on {} after {waited_ms} ms", name(*phase), text(server))
+        }
+        request::Step::Attempted { attempt, server } => {
+            format!("attempt {attempt} at {}", text(server))
+        }
+        request::Step::Failed { attempt, failure } => {
+            format!("attempt {attempt} failed: {:?}; ran: {:?}", failure.fault, failure.ran)
+        }
+        request::Step::Started => "first token or answer head relayed".to_string(),
+        request::Step::Ended { usage } => format!(
+            "answered: {} prompt tokens, {} of them cached, {} generated",
+            usage.prompt_tokens, usage.cached_tokens, usage.completion_tokens
+        ),
+        request::Step::Refused(refusal) => format!(
+            "refused: {}; ran: {:?}; retry after {} ms",
+            refusal.reason.name(),
+            refusal.ran,
+            refusal.retry_after_ms.unwrap_or_default()
+        ),
+        request::Step::Gone => "the caller went away".to_string(),
+    }
+}
+
+fn name(phase: scheduler::Phase) -> &'static str {
+    match phase {
+        scheduler::Phase::Prefill => "prefill",
+        scheduler::Phase::Decode => "decode",
+    }
+}
+
+fn text(name: &bytes::Bytes) -> String {
+    String::from_utf8_lossy(name).into_owned()
+}
+
 #[derive(Debug, Default)]
 struct Buffer {
     entries: collections::Map<ids::RequestId, Vec<Entry>>,
--- a/src/shell/runtime.rs
+++ b/src/shell/runtime.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use bytes::Bytes;
+use metrics_exporter_prometheus as exporter;
 use tokio::signal::unix;
 use tokio::sync as tokio_sync;
 use tokio::time as tokio_time;
@@ -11,6 +12,7 @@
 use crate::borders::callers;
 use crate::borders::engines::openai;
 use crate::borders::http;
+use crate::borders::operators;
 use crate::borders::peers;
 use crate::borders::platform;
 use crate::borders::platform::http_instances;
@@ -22,12 +24,21 @@
 use crate::core::log;
 use crate::core::membership;
 use crate::core::placement;
+use crate::core::scheduler;
 use crate::core::state;
 use crate::settings;
 use crate::shell::driver;
 use crate::shell::explain;
 use crate::shell::handle;
 use crate::shell::log_reader;
+use crate::shell::logging;
+use crate::shell::operations;
+
+/// The upper bounds of the buckets of histograms in milliseconds.
+const BUCKETS_MS: [f64; 16] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 42.0, 60.0, 100.0, 250.0, 500.0, 1_300.0, 2_500.0, 5_000.0,
+    15_000.0, 60_000.0,
+];
 
 /// The time between two reads of the platform's instance list.
 const LIST_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -47,6 +58,15 @@
     /// The peers' side could not be opened.
     #[error(transparent)]
     Peers(#[from] peers::ServerError),
+    /// The operators' side could not be opened.
+    #[error(transparent)]
+    Operators(#[from] operators::ListenError),
+    /// Logs could not be set up.
+    #[error(transparent)]
+    Logging(#[from] logging::LoggingError),
+    /// Metrics could not be set up.
+    #[error("metrics cannot be set up: {0}; start one instance in a process")]
+    Metrics(#[from] exporter::BuildError),
     /// Signals cannot be received.
     #[error("cannot receive signals: {0}; run the instance where signals are allowed")]
     Signals(std::io::Error),
@@ -83,10 +103,13 @@
 }
 
 async fn start(settings: &settings::Settings) -> Result<Instance, ServeError> {
+    let logging = sync::Arc::new(logging::Logging::start(settings.log.level)?);
+    let recorder = prometheus()?;
     let started = time::Instant::now();
     let incarnation: ids::Incarnation = rand::random();
     let callers_server = callers::Server::bind(settings.listen.callers).await?;
     let peers_server = peers::Server::bind(settings.listen.peers).await?;
+    let operators_server = operators::Server::bind(settings.listen.operators).await?;
     let (inputs, receiver) = tokio_sync::mpsc::channel(handle::INPUT_QUEUE);
     let (published, watch) = tokio_sync::watch::channel(handle::Published::default());
     let explanations = sync::Arc::new(explain::Explanations::default());
@@ -127,11 +150,29 @@
     };
     let stop_callers = sync::Arc::new(tokio_sync::Notify::new());
     tokio::spawn(callers_server.run(sync::Arc::new(context), sync::Arc::clone(&stop_callers)));
+    let operations = operations::Operations::new(
+        handle.clone(),
+        settings.instance.id.clone(),
+        recorder,
+        logging,
+    );
+    tokio::spawn(operators_server.run(
+        sync::Arc::new(operations),
+        settings.fleet.operator_key_digest(),
+        sync::Arc::new(tokio_sync::Notify::new()),
+    ));
     tokio::spawn(serve_peers(peers_server, credential, handle.clone()));
     follow_platform(settings, log, client, &handle);
     Ok(Instance { handle, published, stop_callers })
 }
 
+/// Installs the metrics recorder of this process.
+fn prometheus() -> Result<exporter::PrometheusHandle, exporter::BuildError> {
+    exporter::PrometheusBuilder::new()
+        .set_buckets_for_metric(exporter::Matcher::Suffix("_ms".to_string()), &BUCKETS_MS)?
+        .install_recorder()
+}
+
 fn engine_timeouts(settings: &settings::Settings) -> openai::Timeouts {
     openai::Timeouts {
         prefill: settings.timeouts.prefill(),
@@ -161,6 +202,12 @@
             settings::Placement::RoundRobin => placement::Policy::RoundRobin,
             settings::Placement::LeastOutstanding => placement::Policy::LeastOutstanding,
         },
+        scheduler: match settings.policy.placement {
+            settings::Placement::Affinity => scheduler::Discipline::Fair,
+            settings::Placement::RoundRobin | settings::Placement::LeastOutstanding => {
+                scheduler::Discipline::Direct
+            }
+        },
     }
 }
 
--- a/tests/escrow/fleet.rs
+++ b/tests/escrow/fleet.rs
@@ -429,7 +429,8 @@
     /// Folds the log's records into the view of one instance.
     fn read(&mut self, index: usize) {
         let now = self.local(index);
-        let margin = time::Duration::from_millis(self.options.lease_ms * (100 + LEASE_MARGIN_PERCENT) / 100);
+        let margin =
+            time::Duration::from_millis(self.options.lease_ms * (100 + LEASE_MARGIN_PERCENT) / 100);
         let end = if self.nodes[index].log_cut { self.nodes[index].cursor } else { self.log.len() };
         let node = &mut self.nodes[index];
         node.read_us = self.now_us;
@@ -568,7 +569,8 @@
         let Some(joined) = self.latest_join(index) else { return };
         let node = &self.nodes[index];
         let since_us = self.now_us.saturating_sub(node.renewed_us);
-        let restarted = node.running && !self.postpone(index) && since_us < self.options.lease_ms * 1_000 / 8;
+        let restarted =
+            node.running && !self.postpone(index) && since_us < self.options.lease_ms * 1_000 / 8;
         let own = node.members.get(&index).is_some_and(|seen| seen.joined == joined);
         if restarted && !own {
             return;
--- a/tests/sessions/bench.rs
+++ b/tests/sessions/bench.rs
@@ -13,6 +13,7 @@
 use galenayard::core::membership;
 use galenayard::core::placement;
 use galenayard::core::request;
+use galenayard::core::scheduler;
 use galenayard::core::state;
 use galenayard::document;
 use sha2::Digest as _;
@@ -194,6 +195,7 @@
         membership: membership::settings::Settings::default(),
         escrow: escrow::settings::Settings::default(),
         placement: placement::Policy::Affinity,
+        scheduler: scheduler::Discipline::Fair,
     }
 }
 
