--- a/src/core/escrow/broker.rs
+++ b/src/core/escrow/broker.rs
@@ -547,11 +547,7 @@
 }
 
 /// Tells whether a queue entry stands for a question of another instance.
-fn is_from(
-    queued: &account::Queued,
-    from: &ids::InstanceId,
-    number: message::Number,
-) -> bool {
+fn is_from(queued: &account::Queued, from: &ids::InstanceId, number: message::Number) -> bool {
     matches!(&queued.origin, account::Origin::Peer(id, n) if id == from && *n == number)
 }
 
--- a/src/core/escrow/rights.rs
+++ b/src/core/escrow/rights.rs
@@ -173,15 +173,14 @@
         self.advance_claims(now, effects);
     }
 
-    /// Tells the heirs of shares that this instance leaves, until all shares are handed over.
+    /// Tells all members that this instance leaves, until others hold all its shares.
     pub(super) fn advance_leave(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let Some(since) = self.leaving_since else { return };
         if self.handed_over {
             return;
         }
-        let heirs = self.heirs();
         let timeout = time::Duration::from_millis(constants::HAND_OVER_TIMEOUT_MS);
-        if heirs.is_empty() || !self.may_act(now) || now >= since + timeout {
+        if !self.has_heirs() || !self.may_act(now) || now >= since + timeout {
             self.handed_over = true;
             effects.push(Effect::HandedOver);
             return;
@@ -190,24 +189,18 @@
             return;
         }
         self.departs_at = now + time::Duration::from_millis(constants::CLAIM_RETRY_MS);
-        for to in heirs {
+        for to in self.required() {
             effects.push(Effect::Send { to, message: message::Message::Depart });
         }
     }
 
-    fn heirs(&self) -> Vec<ids::InstanceId> {
-        let mut heirs = Vec::new();
-        for account in self.accounts.values() {
-            let pairs = account.shares.iter().zip(&account.holders);
-            for (share, holder) in pairs {
-                let held = matches!(share, account::Share::Held);
-                if held && *holder != self.own && !heirs.contains(holder) {
-                    heirs.push(holder.clone());
-                }
-            }
-        }
-        heirs.sort();
-        heirs
+    /// Tells whether another member is to take over a share that is held here.
+    fn has_heirs(&self) -> bool {
+        self.accounts.values().any(|account| {
+            let mut pairs = account.shares.iter().zip(&account.holders);
+            pairs
+                .any(|(share, holder)| matches!(share, account::Share::Held) && *holder != self.own)
+        })
     }
 
     fn required(&self) -> Vec<ids::InstanceId> {
--- a/tests/escrow/fleet.rs
+++ b/tests/escrow/fleet.rs
@@ -296,8 +296,9 @@
 
     /// Returns the index of the instance that holds a share.
     pub fn holder(&self, workspace: usize, share: u8) -> Option<usize> {
-        (0..self.nodes.len())
-            .find(|index| self.acts(*index) && self.nodes[*index].held.contains(&(workspace, share)))
+        (0..self.nodes.len()).find(|index| {
+            self.acts(*index) && self.nodes[*index].held.contains(&(workspace, share))
+        })
     }
 
     /// Returns all requests that have no answer.
@@ -428,7 +429,8 @@
     /// Folds the log's records into the view of one instance.
     fn read(&mut self, index: usize) {
         let now = self.local(index);
-        let margin = time::Duration::from_millis(self.options.lease_ms * (100 + LEASE_MARGIN_PERCENT) / 100);
+        let margin =
+            time::Duration::from_millis(self.options.lease_ms * (100 + LEASE_MARGIN_PERCENT) / 100);
         let end = if self.nodes[index].log_cut { self.nodes[index].cursor } else { self.log.len() };
         let node = &mut self.nodes[index];
         node.read_us = self.now_us;
@@ -512,7 +514,8 @@
     }
 
     fn latest_join(&self, index: usize) -> Option<u64> {
-        let is_join = |record: &Record| matches!(record, Record::Join { node, .. } if *node == index);
+        let is_join =
+            |record: &Record| matches!(record, Record::Join { node, .. } if *node == index);
         self.log.iter().rposition(is_join).map(|offset| offset as u64 + 1)
     }
 
@@ -566,7 +569,8 @@
         let Some(joined) = self.latest_join(index) else { return };
         let node = &self.nodes[index];
         let since_us = self.now_us.saturating_sub(node.renewed_us);
-        let restarted = node.running && !self.postpone(index) && since_us < self.options.lease_ms * 1_000 / 8;
+        let restarted =
+            node.running && !self.postpone(index) && since_us < self.options.lease_ms * 1_000 / 8;
         let own = node.members.get(&index).is_some_and(|seen| seen.joined == joined);
         if restarted && !own {
             return;
@@ -608,7 +612,8 @@
             rate_tokens_per_s: self.rate,
             burst_tokens: self.burst,
         });
-        let event = escrow::Event::Limited { version: self.limit_version, limits: limits.collect() };
+        let event =
+            escrow::Event::Limited { version: self.limit_version, limits: limits.collect() };
         self.apply(index, event);
     }
 
@@ -718,11 +723,8 @@
         let twice = self.chance(self.duplication) || mishap == Some(Mishap::Twice);
         let late_ms = if let Some(Mishap::Late(ms)) = mishap { ms } else { 0 };
         for _ in 0..1 + usize::from(twice) {
-            let jitter_us = if self.delay_ms == 0 {
-                0
-            } else {
-                self.rng.next_u64() % (self.delay_ms * 1_000)
-            };
+            let jitter_us =
+                if self.delay_ms == 0 { 0 } else { self.rng.next_u64() % (self.delay_ms * 1_000) };
             let at_us = self.now_us + self.options.latency_us + jitter_us + late_ms * 1_000;
             let incarnation = self.nodes[from].incarnation;
             let message = message.clone();
@@ -759,7 +761,8 @@
             if !self.acts(other) || !self.acts(index) {
                 continue;
             }
-            let both = self.nodes[index].held.iter().find(|one| self.nodes[other].held.contains(one));
+            let both =
+                self.nodes[index].held.iter().find(|one| self.nodes[other].held.contains(one));
             if let Some((workspace, share)) = both {
                 let text = format!(
                     "{:.3} ms: share {share} of w{workspace} held by i{index} and i{other}",
--- a/tests/escrow/properties.rs
+++ b/tests/escrow/properties.rs
@@ -4,7 +4,7 @@
 use std::thread;
 
 use galenayard::core::escrow;
-use proptest::prelude::{prop, prop_oneof, Just, Strategy};
+use proptest::prelude::{Just, Strategy, prop, prop_oneof};
 use proptest::test_runner;
 
 use crate::fleet;
@@ -60,9 +60,8 @@
 }
 
 fn load(nodes: usize) -> impl Strategy<Value = Load> {
-    (0..nodes, 0..WORKSPACES, prop_oneof![1..200_u64, 500..6_000_u64], 10..400_u64).prop_map(
-        |(at, workspace, tokens, every_ms)| Load { at, workspace, tokens, every_ms },
-    )
+    (0..nodes, 0..WORKSPACES, prop_oneof![1..200_u64, 500..6_000_u64], 10..400_u64)
+        .prop_map(|(at, workspace, tokens, every_ms)| Load { at, workspace, tokens, every_ms })
 }
 
 fn plan() -> impl Strategy<Value = Plan> {
@@ -77,14 +76,8 @@
             prop::collection::vec(actions, 0..14),
             prop::collection::vec(load(nodes), 1..6),
         )
-            .prop_map(|(nodes, domains, skews_ppm, seed, used_percent, actions, loads)| Plan {
-                nodes,
-                domains,
-                skews_ppm,
-                seed,
-                used_percent,
-                actions,
-                loads,
+            .prop_map(|(nodes, domains, skews_ppm, seed, used_percent, actions, loads)| {
+                Plan { nodes, domains, skews_ppm, seed, used_percent, actions, loads }
             })
     })
 }
