--- a/src/core/escrow/broker.rs
+++ b/src/core/escrow/broker.rs
@@ -73,8 +73,11 @@
         if asked <= self.total_tokens() || deadline <= now + urgent {
             return 0;
         }
-        let batch = self.rate_microtokens_per_s / 1_000 * constants::PULL_BATCH_MS;
-        batch / constants::MICROTOKENS_PER_TOKEN
+        self.refill_tokens(constants::PULL_BATCH_MS)
+    }
+
+    fn refill_tokens(&self, time_ms: u64) -> u64 {
+        self.rate_microtokens_per_s / 1_000 * time_ms / constants::MICROTOKENS_PER_TOKEN
     }
 
     /// Returns the time until so many more tokens have been refilled.
@@ -101,7 +104,6 @@
             self.deny(account, queued.origin, (1, Refusal::QueueFull), effects);
             return;
         }
-        account.demand.add(queued.tokens, now);
         let origin = queued.origin.clone();
         account.queue.push_back(queued);
         self.serve(account, now, effects);
@@ -294,6 +296,7 @@
         if own > account.bucket.level_tokens() || self.grants.len() >= constants::MAX_GRANTS {
             return false;
         }
+        account.demand.add(queued.tokens, now);
         match &queued.origin {
             account::Origin::Own(request) => {
                 account.bucket.spend(own, now);
@@ -574,8 +577,10 @@
     let ahead = account.demand.tokens_per_s(now) / constants::PREFETCH_FRACTION;
     let ready = supply.ready_tokens;
     let Some(first) = account.queue.front() else {
-        let enough = supply.is_asking() || ready >= ahead / 2;
-        return if enough { 0 } else { ahead - ready };
+        let worthwhile =
+            ahead.min(supply.idle_tokens()) >= supply.refill_tokens(constants::PULL_BATCH_MS);
+        let wanted = worthwhile && !supply.is_asking() && ready < ahead / 2;
+        return if wanted { ahead - ready } else { 0 };
     };
     let asked: u64 = account.queue.iter().map(|queued| queued.tokens).sum();
     let least = first.tokens + supply.batch_tokens(asked, first.deadline, now);
--- a/src/core/escrow/bucket.rs
+++ b/src/core/escrow/bucket.rs
@@ -1,7 +1,6 @@
 //! The token bucket for the shares that this instance holds of one workspace.
 
 use std::collections::VecDeque;
-use std::time;
 
 use crate::core::escrow::constants;
 use crate::core::ids;
@@ -140,13 +139,21 @@
         tokens - credited
     }
 
-    /// Adds what has become available since the last call.
+    /// Adds what has become available since the last call, and expires debits on the way.
     pub fn refill(&mut self, now: ids::Timestamp) {
-        let elapsed = now.saturating_sub(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
-        let gain = self.gain_in(elapsed).min(self.room());
-        self.level_microtokens += gain;
-        self.expire(now);
+        while let Some(debit) = self.debits.front() {
+            let expires_at = debit.expires_at;
+            let left_microtokens = debit.left_microtokens;
+            if left_microtokens > 0 && expires_at > now {
+                break;
+            }
+            if left_microtokens > 0 {
+                self.gain_until(expires_at);
+                self.outstanding_microtokens -= left_microtokens;
+            }
+            self.debits.pop_front();
+        }
+        self.gain_until(now);
     }
 
     /// Returns the whole tokens that can be taken.
@@ -196,10 +203,13 @@
         self.level_microtokens = self.level_microtokens.min(most);
     }
 
-    fn gain_in(&self, elapsed: time::Duration) -> u64 {
+    fn gain_until(&mut self, until: ids::Timestamp) {
+        let elapsed = until.saturating_sub(self.refilled_at);
+        self.refilled_at = self.refilled_at.max(until);
         let rate = u128::from(self.share_rate_microtokens_per_s()) * u128::from(self.shares);
         let gain = rate.saturating_mul(elapsed.as_micros()) / MICROS_PER_S;
-        u64::try_from(gain).unwrap_or(u64::MAX)
+        let gain = u64::try_from(gain).unwrap_or(u64::MAX);
+        self.level_microtokens += gain.min(self.room());
     }
 
     fn record(&mut self, amount_microtokens: u64, now: ids::Timestamp) -> DebitId {
@@ -210,16 +220,6 @@
         self.debits.push_back(Debit { id, left_microtokens: amount_microtokens, expires_at });
         id
     }
-
-    fn expire(&mut self, now: ids::Timestamp) {
-        while let Some(debit) = self.debits.front() {
-            if debit.left_microtokens > 0 && debit.expires_at > now {
-                return;
-            }
-            self.outstanding_microtokens -= debit.left_microtokens;
-            self.debits.pop_front();
-        }
-    }
 }
 
 /// Converts whole tokens to millionths of a token.
