Ignore a late renewal of a removed member also in readers that started after its join

Cause: a random schedule showed two folds of one offset: an eviction, then a renewal that its author had sent before reading of it; a reader that had not read the join took the renewal for an introduction. Change: tombstones keep the join's offset.

--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -296,8 +296,8 @@
         for witness in &witnesses {
             self.send(witness, Message::Heartbeat { sequence, record }, effects);
         }
-        for member in self.awaited() {
-            self.announce(&member, effects);
+        for member in self.awaited().iter().filter(|member| member.id != self.own.id) {
+            self.announce(member, effects);
         }
     }
 
--- a/src/core/membership/outlook.rs
+++ b/src/core/membership/outlook.rs
@@ -43,7 +43,10 @@
     }
 
     /// Keeps a removed member in the view until its permissions have run out.
-    pub fn depart(&mut self, member: membership::Member, until: ids::Timestamp) {
+    pub fn depart(&mut self, mut member: membership::Member, until: ids::Timestamp) {
+        let announced = self.announced(&member.id);
+        member.leaving |= announced
+            .is_some_and(|announced| announced.joined == member.joined && announced.leaving);
         self.departing.retain(|departing| departing.member.id != member.id);
         self.departing.push(Departing { member, until });
         self.is_stale = true;
--- a/src/core/membership/roster.rs
+++ b/src/core/membership/roster.rs
@@ -66,6 +66,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Tombstone {
     sequence: u64,
+    joined: ids::Offset,
     removed: ids::Offset,
     time_ms: u64,
 }
@@ -216,7 +217,7 @@
                 return;
             }
         }
-        if is_unread && self.sequence(&member.id, member.incarnation) < Some(own.sequence) {
+        if is_unread && !self.is_removed(member) {
             self.insert(own, record, changes);
         }
     }
@@ -253,8 +254,7 @@
         {
             self.remove(index, Cause::Left, changes);
         }
-        let tombstone = Tombstone { sequence, removed: self.next, time_ms: self.clock_ms };
-        self.tombstones.insert((id, incarnation), tombstone);
+        self.bury((id, incarnation), sequence, self.next);
     }
 
     fn accuse(&mut self, witness: &Witness, charges: &[record::Charge], changes: &mut Vec<Change>) {
@@ -279,6 +279,15 @@
         }
     }
 
+    /// Tells whether this membership or a later one of the same name has ended.
+    fn is_removed(&self, member: &membership::Member) -> bool {
+        self.tombstones.iter().any(|((id, _), tombstone)| {
+            *id == member.id
+                && tombstone.joined >= member.joined
+                && !self.is_past(tombstone.time_ms)
+        })
+    }
+
     /// Tells whether no process of this name was a member at `offset` or after it.
     fn is_absent_since(&self, id: &ids::InstanceId, offset: ids::Offset) -> bool {
         let mut removals = self.tombstones.iter().filter(|((name, _), _)| name == id);
@@ -288,12 +297,20 @@
     fn remove(&mut self, index: usize, cause: Cause, changes: &mut Vec<Change>) {
         let entry = self.entries.remove(index);
         let key = (entry.member.id.clone(), entry.member.incarnation);
-        let sequence = entry.sequence;
-        let tombstone = Tombstone { sequence, removed: self.next, time_ms: self.clock_ms };
-        self.tombstones.insert(key, tombstone);
+        self.bury(key, entry.sequence, entry.member.joined);
         changes.push(Change::Removed(entry, cause));
     }
 
+    fn bury(
+        &mut self,
+        process: (ids::InstanceId, ids::Incarnation),
+        sequence: u64,
+        joined: ids::Offset,
+    ) {
+        let (removed, time_ms) = (self.next, self.clock_ms);
+        self.tombstones.insert(process, Tombstone { sequence, joined, removed, time_ms });
+    }
+
     fn position(&self, id: &ids::InstanceId) -> Result<usize, usize> {
         self.entries.binary_search_by(|entry| entry.member.id.cmp(id))
     }
