Take the time before decode into account in deadlines

Cause: requests were counted as on time until their first token was due, so at overload those served first missed it by the time of their prefill. Reports that rode on a withdrawal were lost, and summed reports were taken for one long observation, so the decode limit followed late. A test that drives the limit down found both. Change: start by the due time less 0.6 of the learned time before decode; reports ride on asks and releases of places only and carry their count.

--- a/src/core/scheduler/client.rs
+++ b/src/core/scheduler/client.rs
@@ -150,13 +150,11 @@
     ) {
         match self.slots.remove(&subject) {
             None => {}
-            Some(Slot::Waiting(wait)) => {
-                let decode = subject.1 == scheduler::Phase::Decode;
-                self.withdraw(wait.candidates, decode, context, out);
-            }
+            Some(Slot::Waiting(wait)) => self.withdraw(wait.candidates, context, out),
             Some(Slot::Holding(hold)) => {
                 let decode = subject.1 == scheduler::Phase::Decode;
-                self.send_release(&hold.server, hold.ticket, decode, context, out);
+                let report = self.reports.remove(&(hold.server.clone(), decode));
+                self.send_release(&hold.server, hold.ticket, report, context, out);
             }
         }
     }
@@ -178,17 +176,18 @@
             return;
         }
         let Some(Slot::Waiting(wait)) = self.slots.remove(&subject) else { return };
+        let first = wait.candidates.first().is_some_and(|first| first.ticket == ticket);
         let hold = Hold {
             server: server.clone(),
             ticket,
-            work_tokens: wait.demand.work_tokens,
+            work_tokens: work_tokens(&wait.demand, first),
             memory_pieces: wait.demand.memory_pieces,
         };
         self.hints.remove(&server);
         self.slots.insert(subject, Slot::Holding(hold));
         let (request, phase) = subject;
         let others = wait.candidates.into_iter().filter(|other| other.ticket != ticket).collect();
-        self.withdraw(others, phase == scheduler::Phase::Decode, context, out);
+        self.withdraw(others, context, out);
         let waited_ms = millis(context.now.saturating_sub(wait.since));
         out.effects.push(scheduler::Effect::Placed { request, phase, server, waited_ms });
     }
@@ -288,6 +287,7 @@
             return;
         }
         report.failures = 0;
+        report.observations = report.observations.saturating_add(1);
         report.tokens = report.tokens.saturating_add(observation.tokens);
         report.elapsed_ms = report.elapsed_ms.saturating_add(observation.elapsed_ms);
         let slow_ms = f64::from(report.tokens) * constants::INTER_TOKEN_TARGET_MS;
@@ -414,14 +414,13 @@
         let report = self.reports.remove(&(candidate.server.clone(), decode));
         let waited_ms = millis(context.now.saturating_sub(wait.since));
         let demand = &wait.demand;
-        let cached_tokens = if index == 0 { demand.cached_tokens } else { 0 };
         let ask = message::Ask {
             ticket: candidate.ticket,
             sequence: demand.request as u64,
             server: candidate.server.clone(),
             decode,
             workspace: demand.workspace.clone(),
-            work_tokens: demand.work_tokens.saturating_sub(cached_tokens).max(1),
+            work_tokens: work_tokens(demand, index == 0),
             memory_pieces: demand.memory_pieces,
             age_ms: demand.age_ms.saturating_add(waited_ms),
             slack_ms: demand.slack_ms.saturating_sub(waited_ms as i32),
@@ -529,8 +528,7 @@
         let Some(candidate) = candidate else { return };
         candidate.stand = Stand::Refused(message::Refusal::Leaving);
         let ticket = candidate.ticket;
-        let decode = subject.1 == scheduler::Phase::Decode;
-        self.send_release(server, ticket, decode, context, out);
+        self.send_release(server, ticket, None, context, out);
         self.ask_next(subject, context, out);
         self.fail_if_refused(subject, out);
     }
@@ -538,7 +536,6 @@
     fn withdraw(
         &mut self,
         candidates: Vec<Candidate>,
-        decode: bool,
         context: &Context<'_>,
         out: &mut outbox::Outbox<'_>,
     ) {
@@ -546,7 +543,7 @@
             match candidate.stand {
                 Stand::Idle => {}
                 Stand::Asked | Stand::Queued | Stand::Deferred => {
-                    self.send_release(&candidate.server, candidate.ticket, decode, context, out);
+                    self.send_release(&candidate.server, candidate.ticket, None, context, out);
                 }
                 Stand::Refused(_) => self.forget_ticket(&candidate.server, candidate.ticket),
             }
@@ -557,13 +554,12 @@
         &mut self,
         server: &ids::ServerId,
         ticket: message::Ticket,
-        decode: bool,
+        report: Option<message::Report>,
         context: &Context<'_>,
         out: &mut outbox::Outbox<'_>,
     ) {
         self.forget_ticket(server, ticket);
         let Some(owner) = context.assignment.owner(server) else { return };
-        let report = self.reports.remove(&(server.clone(), decode));
         let server = server.clone();
         out.send(owner, message::Message::Release { server, ticket, report });
     }
@@ -638,6 +634,12 @@
     time::Duration::from_secs_f64(saved_s * share)
 }
 
+/// Returns the work at a candidate; the first one is believed to hold the cached part.
+fn work_tokens(demand: &scheduler::Demand, first: bool) -> u32 {
+    let cached_tokens = if first { demand.cached_tokens } else { 0 };
+    demand.work_tokens.saturating_sub(cached_tokens).max(1)
+}
+
 fn registration(subject: Subject, hold: &Hold) -> message::Registration {
     message::Registration {
         ticket: hold.ticket,
--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -112,3 +112,7 @@
 /// How long the KV cache of a request beyond the slots may wait for a slot, in milliseconds; a
 /// part of the life of an exported KV cache.
 pub const OVERLAP_WAIT_MS: f64 = 250.0;
+
+/// The factor on the expected time from a grant to the first token within which a request is taken
+/// to meet its target.
+pub const LEAD_MARGIN: f64 = 0.6;
--- a/src/core/scheduler/limit.rs
+++ b/src/core/scheduler/limit.rs
@@ -5,6 +5,7 @@
 
 use crate::core::ids;
 use crate::core::scheduler::constants;
+use crate::core::scheduler::message;
 
 /// The weight of a new sample in the moving mean.
 const MEAN_GAIN: f64 = 0.15;
@@ -65,15 +66,16 @@
     /// Takes a sample of the time between tokens; `in_use` places are taken or wanted now.
     ///
     /// Samples that began before the last change say nothing about the present limit.
-    pub fn observe(&mut self, tokens: u32, elapsed_ms: u32, in_use: u32, now: ids::Timestamp) {
-        if tokens < SAMPLE_TOKENS {
+    pub fn observe(&mut self, report: &message::Report, in_use: u32, now: ids::Timestamp) {
+        if report.tokens < SAMPLE_TOKENS {
             return;
         }
+        let elapsed_ms = report.elapsed_ms / report.observations.max(1);
         let elapsed = time::Duration::from_millis(u64::from(elapsed_ms));
         if now.saturating_sub(self.changed_at) < elapsed / 2 {
             return;
         }
-        self.update_estimate(f64::from(elapsed_ms) / f64::from(tokens));
+        self.update_estimate(f64::from(report.elapsed_ms) / f64::from(report.tokens));
         if now < self.changed_at + constants::LIMIT_WINDOW {
             return;
         }
@@ -225,6 +227,11 @@
         self.held_ms
     }
 
+    /// Returns how long a place is held before its request decodes, in milliseconds.
+    pub fn lead_ms(&self) -> f64 {
+        (self.held_ms - self.decoding_ms).max(0.0)
+    }
+
     /// Returns how many places may be granted for this many slots.
     ///
     /// A place is held while the prompt is prefilled and its KV cache is moved. Further places
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -12,8 +12,10 @@
 pub struct Report {
     /// Tokens that were processed.
     pub tokens: u32,
-    /// The time they took, in milliseconds.
+    /// The time they took, in milliseconds, summed over the observations.
     pub elapsed_ms: u32,
+    /// Successful observations.
+    pub observations: u32,
     /// Failed attempts since the last successful one.
     pub failures: u32,
 }
--- a/src/core/scheduler/server.rs
+++ b/src/core/scheduler/server.rs
@@ -186,12 +186,12 @@
         now: ids::Timestamp,
         out: &mut outbox::Outbox<'_>,
     ) {
-        if report.tokens > 0 {
+        if report.observations > 0 {
             let enough = if decode { self.limit.places() } else { self.capacity.slots };
             self.health.succeeded(now, enough);
             if decode {
                 let wanted = self.decodes + self.decode.len() as u32;
-                self.limit.observe(report.tokens, report.elapsed_ms, wanted, now);
+                self.limit.observe(&report, wanted, now);
                 self.hold_time.decoded(report.elapsed_ms);
             }
         }
@@ -328,9 +328,8 @@
         weight: u32,
         now: ids::Timestamp,
     ) {
-        let own_ms = if ask.decode { 0.0 } else { self.speed.time_ms(ask.work_tokens.into()) };
         let slack = time::Duration::from_millis(ask.slack_ms.max(0) as u64);
-        let own = time::Duration::from_secs_f64(own_ms / 1_000.0);
+        let lead = time::Duration::from_secs_f64(self.lead_ms(&ask) / 1_000.0);
         let entry = queue::Entry {
             key,
             client: from.clone(),
@@ -340,13 +339,24 @@
             work_tokens: ask.work_tokens,
             memory_pieces: ask.memory_pieces.min(self.capacity.memory_pieces),
             arrived: now.saturating_sub(time::Duration::from_millis(ask.age_ms.into())),
-            start_by: (now + slack).saturating_sub(own),
+            start_by: (now + slack).saturating_sub(lead),
             heard: now,
         };
         let queue = if ask.decode { &mut self.decode } else { &mut self.prefill };
         queue.push(entry);
     }
 
+    /// Returns the time from the grant to the first token that a request must be given, in
+    /// milliseconds.
+    fn lead_ms(&self, ask: &message::Ask) -> f64 {
+        let learned_ms = if ask.decode {
+            self.hold_time.lead_ms()
+        } else {
+            self.speed.time_ms(ask.work_tokens.into())
+        };
+        learned_ms * constants::LEAD_MARGIN
+    }
+
     fn place(
         &mut self,
         entry: queue::Entry,
