Propose the load tool's document through the operators' interface

Cause: the load tool relied on a command line that does not exist yet, and judged a fleet whose buckets were still filling. Change: the document goes to POST /v1/config on the version in force; requests are sent once the longest burst is saved up.

--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -265,7 +265,7 @@
     let call = call_json(client, hyper::Method::GET, url, &nothing);
     let (status, value) = tokio::time::timeout(limit, call).await??;
     if !status.is_success() {
-        return Err(format!("{url} answered {status}").into());
+        return Err(format!("{url} answered {status}: {value}").into());
     }
     Ok(value)
 }
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -6,6 +6,9 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, header};
 use serde::Serialize;
 use serde_json::json;
 use sha2::{Digest, Sha256};
@@ -13,7 +16,7 @@
 use tokio::process::{Child, Command};
 use tokio::sync::Mutex;
 use tokio::time::{self, Instant};
-use toml::{Table, Value};
+use toml::Table;
 
 use super::faults::Target;
 use super::judge;
@@ -30,6 +33,12 @@
 /// Longest wait for an instance to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// Longest wait for the answer to a proposal.
+const PROPOSAL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time that a fleet gets to settle before it is judged.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Interval at which a process is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -124,6 +133,7 @@
         }
         fleet.apply_document().await?;
         fleet.wait_until_ready().await?;
+        time::sleep(fill_time(workload)).await;
         Ok(fleet)
     }
 
@@ -269,11 +279,11 @@
             operators: free_address().await?,
             child: None,
         };
-        std::fs::write(&instance.settings, self.settings_of(&instance, policy).to_string())?;
+        std::fs::write(&instance.settings, self.settings_of(&instance, policy)?)?;
         Ok(instance)
     }
 
-    fn settings_of(&self, instance: &Instance, policy: &Table) -> Value {
+    fn settings_of(&self, instance: &Instance, policy: &Table) -> Result<String, BoxError> {
         let tables = json!({
             "instance": {
                 "id": instance.id,
@@ -292,7 +302,7 @@
             "fleet": {"credential": CREDENTIAL, "operator_key_sha256": sha256(OPERATOR_KEY)},
             "policy": policy,
         });
-        Value::try_from(tables).unwrap_or(Value::Boolean(false))
+        Ok(toml::to_string(&tables)?)
     }
 
     fn domain(&self, index: usize) -> String {
@@ -324,7 +334,7 @@
     }
 
     /// The operator's document for this fleet.
-    fn document(&self) -> Value {
+    fn document(&self) -> Result<String, BoxError> {
         let workspaces = self.workload.workspaces.iter().enumerate().map(|(index, workspace)| {
             let key = json!({"id": "first", "sha256": sha256(&key(&workspace.id))});
             let keys = if self.withdrawn.contains(&index) { json!([]) } else { json!([key]) };
@@ -359,34 +369,27 @@
                 {"id": "enquiries", "path_prefix": plain.enquiry_path, "servers": plain_ids},
             ],
         });
-        Value::try_from(document).unwrap_or(Value::Boolean(false))
+        Ok(toml::to_string(&document)?)
     }
 
-    /// Applies the document at the first running instance that takes it.
+    /// Proposes the document to one running instance after the other until one accepts it.
     async fn apply_document(&self) -> Result<(), BoxError> {
-        let path = self.directory.join("document.toml");
-        std::fs::write(&path, self.document().to_string())?;
+        let document = self.document()?;
+        let client = http::client(Duration::from_secs(1));
         let deadline = Instant::now() + READY_LIMIT;
-        loop {
+        let mut problem = String::from("no instance runs");
+        while Instant::now() < deadline {
             for instance in self.instances.iter().filter(|instance| instance.child.is_some()) {
-                let done = Command::new(&self.binary)
-                    .args(["config", "apply"])
-                    .arg(&path)
-                    .arg("--operators")
-                    .arg(instance.operators.to_string())
-                    .env("GALENAYARD_OPERATOR_KEY", OPERATOR_KEY)
-                    .output()
-                    .await?;
-                if done.status.success() {
-                    return Ok(());
-                }
-                if Instant::now() > deadline {
-                    let message = String::from_utf8_lossy(&done.stderr).into_owned();
-                    return Err(format!("the document was not applied: {message}").into());
+                let proposed = propose(&client, instance.operators, &document);
+                match time::timeout(PROPOSAL_LIMIT, proposed).await {
+                    Ok(Ok(())) => return Ok(()),
+                    Ok(Err(error)) => problem = error.to_string(),
+                    Err(error) => problem = error.to_string(),
                 }
             }
             time::sleep(LOOK_INTERVAL).await;
         }
+        Err(format!("the document was not applied: {problem}").into())
     }
 
     async fn wait_until_ready(&self) -> Result<(), BoxError> {
@@ -394,9 +397,9 @@
         let deadline = Instant::now() + READY_LIMIT;
         for instance in &self.instances {
             let url = format!("http://{}/readyz", instance.callers);
-            while http::fetch_json(&client, &url, Duration::from_secs(1)).await.is_err() {
+            while let Err(error) = http::fetch_json(&client, &url, Duration::from_secs(1)).await {
                 if Instant::now() > deadline {
-                    return Err(format!("{} is not ready; see its log", instance.id).into());
+                    return Err(format!("{} is not ready: {error}", instance.id).into());
                 }
                 time::sleep(LOOK_INTERVAL).await;
             }
@@ -405,6 +408,43 @@
     }
 }
 
+/// Time after which the burst of each workspace is saved up.
+fn fill_time(workload: &Workload) -> Duration {
+    let fill_s = workload
+        .workspaces
+        .iter()
+        .map(|workspace| workspace.burst_tokens.div_ceil(workspace.rate_tokens_per_s.max(1)));
+    Duration::from_secs(fill_s.max().unwrap_or(0)) + SETTLE_TIME
+}
+
+/// Proposes a document on the version in force.
+async fn propose(
+    client: &http::Client,
+    operators: SocketAddr,
+    document: &str,
+) -> Result<(), BoxError> {
+    let request = || {
+        Request::builder()
+            .uri(format!("http://{operators}/v1/config"))
+            .header(header::AUTHORIZATION, format!("Bearer {OPERATOR_KEY}"))
+    };
+    let current = client.request(request().body(Full::default())?).await?;
+    let base = current.headers().get("x-version").and_then(|value| value.to_str().ok());
+    let proposal = request()
+        .method(Method::POST)
+        .header("x-base-version", base.unwrap_or("0"))
+        .header("x-proposal-id", format!("{:032x}", rand::random::<u128>()))
+        .header("x-author", "load")
+        .body(Full::new(Bytes::from(document.to_owned())))?;
+    let answer = client.request(proposal).await?;
+    let status = answer.status();
+    let body = http::read_body(answer.into_body()).await?;
+    if !status.is_success() {
+        return Err(format!("{status}: {}", String::from_utf8_lossy(&body)).into());
+    }
+    Ok(())
+}
+
 /// An address that is free at this moment.
 async fn free_address() -> Result<SocketAddr, BoxError> {
     Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
--- a/standins/src/load/judge.rs
+++ b/standins/src/load/judge.rs
@@ -129,8 +129,8 @@
     pub cut_by_loss: usize,
     /// Requests of which the system says that they may have run.
     pub unknown: usize,
-    /// The workspace with the least share, and that share.
-    pub worst_served: (String, f64),
+    /// The workspace with the least share.
+    pub worst_served: Share,
     /// Refusals by type.
     pub refusals: BTreeMap<String, usize>,
     /// Each workspace.
@@ -195,8 +195,7 @@
         *figures.refusals.entry(name).or_default() += 1;
     }
     let worst = shares.iter().min_by(|one, other| one.share.total_cmp(&other.share));
-    figures.worst_served =
-        worst.map(|share| (share.workspace.clone(), share.share)).unwrap_or_default();
+    figures.worst_served = worst.cloned().unwrap_or_default();
     figures.violations.over_admitted_tokens =
         shares.iter().map(|share| share.over_admitted_tokens).sum();
     figures.workspaces = shares;
--- a/standins/tests/judge.rs
+++ b/standins/tests/judge.rs
@@ -190,7 +190,8 @@
     assert_eq!(late.goodput, 0.5);
     let slow = broken(|run| run.samples[0].last = Some(seconds(6.3)));
     assert_eq!(slow.goodput, 0.5);
-    assert_eq!(slow.worst_served, ("ceylon-pearls".to_owned(), 0.5));
+    let worst = slow.worst_served;
+    assert_eq!((worst.workspace.as_str(), worst.share), ("ceylon-pearls", 0.5));
 }
 
 #[test]
