--- a/src/shell/driver.rs
+++ b/src/shell/driver.rs
@@ -19,6 +19,7 @@
 use crate::core::log;
 use crate::core::request;
 use crate::core::state;
+use crate::shell::explain;
 use crate::shell::handle;
 use crate::shell::journal;
 use crate::shell::watchers;
@@ -146,6 +147,10 @@
                 }
             }
             effect::Effect::Explain { request, step } => {
+                if ::log::log_enabled!(::log::Level::Debug) {
+                    let text = explain::describe(&step);
+                    ::log::debug!(request = ids::request_text(request); "{text}");
+                }
                 self.handle.explanations().push(request, step, now);
             }
             effect::Effect::Closed { request, summary } => {
--- a/src/shell/explain.rs
+++ b/src/shell/explain.rs
@@ -41,7 +41,8 @@
     pub text: String,
 }
 
-fn describe(step: &request::Step) -> String {
+/// Describes a decision in words.
+pub fn describe(step: &request::Step) -> String {
     match step {
         request::Step::Arrived => "arrived".to_string(),
         request::Step::Admitted { workspace, tokens } => {
