Ask the instances of the list while there is no view

Cause: an instance that starts while the log is down has no view, and its questions had no address; the log's retention was not passed on. Change: the state hands the list to the configuration reducer and keeps its addresses; the log's retention comes from the settings; one module sets up logging.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -12,7 +12,6 @@
 pub mod help;
 pub mod inspect;
 pub mod key;
-pub mod logging;
 pub mod output;
 pub mod serve;
 
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -3,7 +3,7 @@
 use std::path;
 use std::str;
 
-use crate::cli::{config, exit, logging};
+use crate::cli::{config, exit};
 use crate::schema;
 use crate::settings;
 use crate::shell::runtime;
@@ -11,8 +11,6 @@
 /// Runs an instance until it is told to stop.
 pub fn serve(file: &path::Path) -> Result<exit::Exit, exit::Failure> {
     let settings = read(file)?;
-    // A logger that exists already keeps its own form and level.
-    let _ = logging::start(settings.log.level);
     let tokio = tokio::runtime::Runtime::new()
         .map_err(|source| exit::Failure::File { path: file.to_path_buf(), source })?;
     tokio.block_on(runtime::serve(settings))?;
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -31,6 +31,8 @@
     scheduler: scheduler::Scheduler,
     requests: request::Requests,
     peers: collections::Map<ids::InstanceId, net::SocketAddr>,
+    /// Addresses of the platform's list, for instances that the view does not include.
+    listed: collections::Map<ids::InstanceId, net::SocketAddr>,
     environment: document::Environment,
     ticked_at: ids::Timestamp,
     servers: collections::Map<ids::ServerId, net::SocketAddr>,
@@ -46,6 +48,8 @@
     pub own: membership::Member,
     /// The environment whose server addresses count.
     pub environment: document::Environment,
+    /// How long the log keeps records.
+    pub log_retention: time::Duration,
     /// The seed of all pseudo-random choices.
     pub seed: u64,
     /// Settings of the membership protocol.
@@ -75,17 +79,27 @@
 impl State {
     /// Creates the state of an instance whose process has just started.
     pub fn new(options: Options) -> Self {
-        let Options { own, environment, seed, membership, escrow, placement, scheduler } = options;
+        let Options {
+            own,
+            environment,
+            log_retention,
+            seed,
+            membership,
+            escrow,
+            placement,
+            scheduler,
+        } = options;
         let (id, incarnation) = (own.id.clone(), own.incarnation);
         Self {
             escrow: escrow::Escrow::with_settings(id.clone(), incarnation, escrow),
             configuration: configuration::Configuration::new(id.clone(), seed)
-                .with_options(configuration::Options { environment, ..Default::default() }),
+                .with_options(configuration::Options { environment, log_retention }),
             claims: claims::Claims::new(incarnation),
             placement: placement::Placement::with_policy(seed, placement),
             scheduler: scheduler::Scheduler::with_discipline(id, incarnation, scheduler),
             requests: request::Requests::new(environment),
             peers: collections::Map::default(),
+            listed: collections::Map::default(),
             servers: collections::Map::default(),
             membership: membership::Membership::new(own, membership),
             environment,
@@ -130,6 +144,10 @@
     /// Applies one event and all that follows from it.
     fn run(&mut self, event: event::Event, now: ids::Timestamp, out: &mut Vec<effect::Effect>) {
         let mut queue = Queue::new();
+        if let event::Event::Listed(listed) = &event {
+            let addresses = listed.iter().map(|entry| (entry.id.clone(), entry.peer_address));
+            self.listed = addresses.collect();
+        }
         enqueue(event, &mut queue);
         while let Some(internal) = queue.pop_front() {
             self.step(internal, now, &mut queue, out);
@@ -368,7 +386,7 @@
     }
 
     fn send(&self, to: ids::InstanceId, message: message::Message, out: &mut Vec<effect::Effect>) {
-        if let Some(&address) = self.peers.get(&to) {
+        if let Some(&address) = self.peers.get(&to).or_else(|| self.listed.get(&to)) {
             out.push(effect::Effect::Send { to, address, message });
         }
     }
@@ -403,6 +421,8 @@
             log::Stream::Claims => Internal::Claims(claims::Event::Appended { token, outcome }),
         }),
         event::Event::Listed(listed) => {
+            let ids = listed.iter().map(|entry| entry.id.clone()).collect();
+            queue.push_back(Internal::Configuration(configuration::Event::Hinted(ids)));
             queue.push_back(Internal::Membership(membership::Event::Listed(listed)));
         }
         event::Event::Proposed(proposal) => {
--- a/src/shell/runtime.rs
+++ b/src/shell/runtime.rs
@@ -194,6 +194,7 @@
     state::Options {
         own: own_member(settings, incarnation),
         environment: settings.instance.environment,
+        log_retention: settings.platform.log_retention(),
         seed: incarnation,
         membership,
         escrow: escrow::settings::Settings { policy, ..escrow::settings::Settings::default() },
--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -319,7 +319,7 @@
     }
 }
 
-fn member(name: &str) -> membership::Member {
+pub fn member(name: &str) -> membership::Member {
     membership::Member {
         id: Bytes::from(name.to_string()),
         incarnation: 1,
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -3,3 +3,4 @@
 mod fleet;
 mod properties;
 mod sessions;
+mod wiring;
--- a/tests/sessions/bench.rs
+++ b/tests/sessions/bench.rs
@@ -191,6 +191,7 @@
             joined: 0,
         },
         environment: document::Environment::Trial,
+        log_retention: time::Duration::from_secs(3_600),
         seed: 1,
         membership: membership::settings::Settings::default(),
         escrow: escrow::settings::Settings::default(),
