Describe settings, document and command line

Cause: operators need a reference of each field, command and exit code. Change: docs/SETTINGS.md, docs/DOCUMENT.md, docs/CLI.md and tests that compare them with the shapes, defaults, help topics and exit codes. Conclusion: a field or default that the pages do not name fails a test.

--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -3,4 +3,5 @@
 mod arguments;
 mod commands;
 mod http;
+mod pages;
 mod site;
