--- a/src/core/configuration.rs
+++ b/src/core/configuration.rs
@@ -294,6 +294,11 @@
         self.replica.head().map(|head| (&head.entry, &head.body))
     }
 
+    /// Returns what is in force, for a peer that has a version already.
+    pub fn checkpoint(&self, known: ids::Offset) -> record::Checkpoint {
+        self.replica.checkpoint(known)
+    }
+
     /// Returns the versions that were in force, oldest first, as far as they are kept.
     pub fn history(&self) -> impl Iterator<Item = &Entry> {
         self.replica.history()
--- a/tests/configuration/fleet.rs
+++ b/tests/configuration/fleet.rs
@@ -49,13 +49,20 @@
     pub log_is_up: bool,
     pub fault: Fault,
     pub verdicts: Vec<(String, u128, configuration::Verdict)>,
+    log_retention: Duration,
     messages: VecDeque<(String, String, Message)>,
     pub trace: String,
 }
 
 impl Fleet {
     pub fn new(names: &[&str]) -> Self {
+        Self::with_retention(names, Duration::from_secs(80))
+    }
+
+    /// Creates a fleet that is told that the log keeps records for this time.
+    pub fn with_retention(names: &[&str], log_retention: Duration) -> Self {
         let mut fleet = Self {
+            log_retention,
             now: Duration::from_secs(1),
             nodes: BTreeMap::new(),
             records: Vec::new(),
@@ -84,7 +91,7 @@
         self.note(&format!("start {name}"));
         let seed = name.bytes().map(u64::from).sum();
         let options = configuration::Options {
-            log_retention: Duration::from_secs(80),
+            log_retention: self.log_retention,
             ..configuration::Options::default()
         };
         let reducer = configuration::Configuration::new(Bytes::from(name.to_string()), seed)
--- a/tests/configuration/properties.rs
+++ b/tests/configuration/properties.rs
@@ -1,6 +1,7 @@
 //! Properties over several reducers under an adversarial schedule.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use galenayard::core::configuration::{self, Verdict, record};
@@ -15,6 +16,9 @@
 
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 const STEPS_TO_AGREE: usize = 60;
+
+/// Short, so that snapshots are appended within a schedule and older records can expire.
+const LOG_RETENTION: Duration = Duration::from_secs(4);
 const SEED: [u8; 32] = *b"configuration of galenayard 0001";
 
 /// One thing that happens between two steps.
@@ -74,7 +78,7 @@
 
 impl Trial {
     fn new() -> Self {
-        let mut fleet = Fleet::new(&NAMES);
+        let mut fleet = Fleet::with_retention(&NAMES, LOG_RETENTION);
         fleet.step();
         let highest = BTreeMap::new();
         Self { fleet, next_id: 1, last: None, highest, digests: BTreeMap::new() }
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -432,3 +432,46 @@
     fleet.steps(51);
     insta::assert_snapshot!(fleet.lines("Decided"));
 }
+
+#[test]
+fn messages_are_small_unless_a_document_is_due() {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.step();
+    let filler = "# filler\n".repeat(10_000);
+    fleet.propose("a", 1, 0, "ada", &format!("{}{filler}", document(100, &[1, 2])));
+    fleet.step();
+    fleet.propose("a", 2, 1, "ada", &format!("{}{filler}", document(100, &[2])));
+    fleet.step();
+    let mut sizes = String::new();
+    for known in [2, 1, 0] {
+        let state = Box::new(fleet.nodes["a"].reducer.checkpoint(known));
+        let answer = Message::Answer { sequence: u64::MAX, state };
+        let size_bytes = rmp_serde::to_vec(&answer).unwrap().len();
+        sizes.push_str(&format!("answer to an instance at {known}: {size_bytes} bytes\n"));
+    }
+    for message in [
+        Message::Announce { version: u64::MAX },
+        Message::Pull { sequence: u64::MAX, version: u64::MAX },
+    ] {
+        let size_bytes = rmp_serde::to_vec(&message).unwrap().len();
+        sizes.push_str(&format!("{message:?}: {size_bytes} bytes\n"));
+    }
+    insta::assert_snapshot!(sizes);
+}
+
+#[test]
+fn reader_that_is_far_behind_starts_from_the_newest_snapshot() {
+    let mut fleet = running();
+    for id in 2..=70 {
+        let base = fleet.nodes["a"].reducer.current().unwrap().version;
+        fleet.propose("a", id, base, "ada", &document(100 + id as u64, &[1]));
+        fleet.step();
+    }
+    insta::assert_snapshot!(fleet.lines("snapshot"));
+    fleet.start("d");
+    fleet.nodes.get_mut("d").unwrap().hears_peers = false;
+    fleet.step();
+    insta::assert_snapshot!(format!("{:?}", fleet.nodes["d"].versions));
+    let entry = |name: &str| fleet.nodes[name].reducer.current_body().unwrap().0.clone();
+    assert_eq!(entry("d"), entry("a"));
+}
