--- a/tests/configuration/properties.rs
+++ b/tests/configuration/properties.rs
@@ -139,12 +139,12 @@
         }
     }
 
-    /// Ends all faults and lets the instances agree.
-    fn heal(&mut self) {
+    /// Ends all faults, or all but those between peers, and lets the instances agree.
+    fn heal(&mut self, peers: bool) {
         self.fleet.log_is_up = true;
         for node in self.fleet.nodes.values_mut() {
             node.reads_log = true;
-            node.hears_peers = true;
+            node.hears_peers = peers;
         }
         self.fleet.steps(STEPS_TO_AGREE);
     }
@@ -183,14 +183,14 @@
 
 #[test]
 fn versions_never_fall_and_all_instances_agree_in_the_end() {
-    let acts = prop::collection::vec(act(), 1..120);
-    let outcome = runner(400).run(&acts, |acts| {
+    let acts = (prop::collection::vec(act(), 1..120), any::<bool>());
+    let outcome = runner(400).run(&acts, |(acts, peers)| {
         let mut trial = Trial::new();
         for act in &acts {
             trial.act(act);
             trial.check();
         }
-        trial.heal();
+        trial.heal(peers);
         trial.check();
         trial.check_end();
         Ok(())
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -475,3 +475,23 @@
     let entry = |name: &str| fleet.nodes[name].reducer.current_body().unwrap().0.clone();
     assert_eq!(entry("d"), entry("a"));
 }
+
+#[test]
+fn edit_of_a_version_that_was_left_is_not_reported() {
+    let mut fleet = running();
+    let old = fleet.nodes["b"].reducer.current_body().unwrap().1.clone();
+    fleet.propose("a", 2, 1, "ada", &document(200, &[1]));
+    fleet.step();
+    fleet.trace.clear();
+    let mut state = fleet.nodes["b"].reducer.checkpoint(1);
+    let body = Bytes::from(document(300, &[1]));
+    let entry = &mut state.document.as_mut().unwrap().entry;
+    (entry.version, entry.base, entry.proposal) = (3, 2, 3);
+    entry.digest = content::digest(&body);
+    state.document.as_mut().unwrap().content = content::Content::between(&old, &body);
+    (state.version, state.next) = (3, 4);
+    let message = Message::Answer { sequence: 1, state: Box::new(state) };
+    fleet.event("a", Event::Received { from: Bytes::from_static(b"b"), message });
+    assert_eq!(fleet.trace, "");
+    assert_eq!(fleet.nodes["a"].versions, [1, 2]);
+}
