--- a/tests/configuration/properties.rs
+++ b/tests/configuration/properties.rs
@@ -1,6 +1,7 @@
 //! Properties over several reducers under an adversarial schedule.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use galenayard::core::configuration::{self, Verdict, record};
@@ -15,6 +16,9 @@
 
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 const STEPS_TO_AGREE: usize = 60;
+
+/// Short, so that snapshots are appended within a schedule and older records can expire.
+const LOG_RETENTION: Duration = Duration::from_secs(4);
 const SEED: [u8; 32] = *b"configuration of galenayard 0001";
 
 /// One thing that happens between two steps.
@@ -74,7 +78,7 @@
 
 impl Trial {
     fn new() -> Self {
-        let mut fleet = Fleet::new(&NAMES);
+        let mut fleet = Fleet::with_retention(&NAMES, LOG_RETENTION);
         fleet.step();
         let highest = BTreeMap::new();
         Self { fleet, next_id: 1, last: None, highest, digests: BTreeMap::new() }
@@ -135,12 +139,12 @@
         }
     }
 
-    /// Ends all faults and lets the instances agree.
-    fn heal(&mut self) {
+    /// Ends all faults, or all but those between peers, and lets the instances agree.
+    fn heal(&mut self, peers: bool) {
         self.fleet.log_is_up = true;
         for node in self.fleet.nodes.values_mut() {
             node.reads_log = true;
-            node.hears_peers = true;
+            node.hears_peers = peers;
         }
         self.fleet.steps(STEPS_TO_AGREE);
     }
@@ -179,14 +183,14 @@
 
 #[test]
 fn versions_never_fall_and_all_instances_agree_in_the_end() {
-    let acts = prop::collection::vec(act(), 1..120);
-    let outcome = runner(400).run(&acts, |acts| {
+    let acts = (prop::collection::vec(act(), 1..120), any::<bool>());
+    let outcome = runner(400).run(&acts, |(acts, peers)| {
         let mut trial = Trial::new();
         for act in &acts {
             trial.act(act);
             trial.check();
         }
-        trial.heal();
+        trial.heal(peers);
         trial.check();
         trial.check_end();
         Ok(())
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -432,3 +432,66 @@
     fleet.steps(51);
     insta::assert_snapshot!(fleet.lines("Decided"));
 }
+
+#[test]
+fn messages_are_small_unless_a_document_is_due() {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.step();
+    let filler = "# filler\n".repeat(10_000);
+    fleet.propose("a", 1, 0, "ada", &format!("{}{filler}", document(100, &[1, 2])));
+    fleet.step();
+    fleet.propose("a", 2, 1, "ada", &format!("{}{filler}", document(100, &[2])));
+    fleet.step();
+    let mut sizes = String::new();
+    for known in [2, 1, 0] {
+        let state = Box::new(fleet.nodes["a"].reducer.checkpoint(known));
+        let answer = Message::Answer { sequence: u64::MAX, state };
+        let size_bytes = rmp_serde::to_vec(&answer).unwrap().len();
+        sizes.push_str(&format!("answer to an instance at {known}: {size_bytes} bytes\n"));
+    }
+    for message in [
+        Message::Announce { version: u64::MAX },
+        Message::Pull { sequence: u64::MAX, version: u64::MAX },
+    ] {
+        let size_bytes = rmp_serde::to_vec(&message).unwrap().len();
+        sizes.push_str(&format!("{message:?}: {size_bytes} bytes\n"));
+    }
+    insta::assert_snapshot!(sizes);
+}
+
+#[test]
+fn reader_that_is_far_behind_starts_from_the_newest_snapshot() {
+    let mut fleet = running();
+    for id in 2..=70 {
+        let base = fleet.nodes["a"].reducer.current().unwrap().version;
+        fleet.propose("a", id, base, "ada", &document(100 + id as u64, &[1]));
+        fleet.step();
+    }
+    insta::assert_snapshot!(fleet.lines("snapshot"));
+    fleet.start("d");
+    fleet.nodes.get_mut("d").unwrap().hears_peers = false;
+    fleet.step();
+    insta::assert_snapshot!(format!("{:?}", fleet.nodes["d"].versions));
+    let entry = |name: &str| fleet.nodes[name].reducer.current_body().unwrap().0.clone();
+    assert_eq!(entry("d"), entry("a"));
+}
+
+#[test]
+fn edit_of_a_version_that_was_left_is_not_reported() {
+    let mut fleet = running();
+    let old = fleet.nodes["b"].reducer.current_body().unwrap().1.clone();
+    fleet.propose("a", 2, 1, "ada", &document(200, &[1]));
+    fleet.step();
+    fleet.trace.clear();
+    let mut state = fleet.nodes["b"].reducer.checkpoint(1);
+    let body = Bytes::from(document(300, &[1]));
+    let entry = &mut state.document.as_mut().unwrap().entry;
+    (entry.version, entry.base, entry.proposal) = (3, 2, 3);
+    entry.digest = content::digest(&body);
+    state.document.as_mut().unwrap().content = content::Content::between(&old, &body);
+    (state.version, state.next) = (3, 4);
+    let message = Message::Answer { sequence: 1, state: Box::new(state) };
+    fleet.event("a", Event::Received { from: Bytes::from_static(b"b"), message });
+    assert_eq!(fleet.trace, "");
+    assert_eq!(fleet.nodes["a"].versions, [1, 2]);
+}
