--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -4,7 +4,6 @@
 //! `cargo run --release --example limits` prints one table for each measurement. The fleets run
 //! in this process, on simulated time.
 
-use std::collections::BTreeSet;
 use std::io::{self, Write};
 
 use galenayard::core::escrow;
@@ -41,7 +40,10 @@
         out,
         "6 instances, 3 failure domains, 5 workspaces of {RATE} tokens/s, burst {BURST}"
     )?;
-    writeln!(out, "load  callers  event   policy      within  wrongful  admitted/rate  over")?;
+    writeln!(
+        out,
+        "load  callers  event   policy      offered  refused  wrongful  admitted/rate  over"
+    )?;
     for load_percent in [60, 80, 95, 300] {
         for skewed in [false, true] {
             for killed in [false, true] {
@@ -92,18 +94,16 @@
         fleet.at(WARM_MS + KILL_MS - 1, fleet::Action::Crash(victim));
     }
     fleet.run(WARM_MS + RUN_MS + 2_000);
-    let admitted = fleet.answers.iter().filter(|answer| answer.admitted);
-    let admitted: BTreeSet<_> = admitted.map(|answer| answer.sequence).collect();
-    let within = ideal(&requests, workspaces);
-    let wrongful = within.iter().filter(|sequence| !admitted.contains(sequence)).count();
+    let wrongful = wrongful(&fleet.answers, workspaces);
+    let refused = fleet.answers.iter().filter(|answer| !answer.admitted).count();
     let tokens: u64 = fleet.ledgers.iter().map(|ledger| ledger.admitted_tokens).sum();
     let rate = tokens as f64 / (workspaces as u64 * RATE * RUN_MS / 1_000) as f64;
     let callers = if skewed { "one" } else { "even" };
     let event = if killed { "killed" } else { "steady" };
-    let (within, over) = (within.len(), fleet.faults.len());
+    let (offered, over) = (requests.len(), fleet.faults.len());
     writeln!(
         out,
-        "{load_percent:>3}%  {callers:<7}  {event:<6}  {:<10}  {within:>6}  {wrongful:>8}  {rate:>13.3}  {over:>4}",
+        "{load_percent:>3}%  {callers:<7}  {event:<6}  {:<10}  {offered:>7}  {refused:>7}  {wrongful:>8}  {rate:>13.3}  {over:>4}",
         format!("{policy:?}"),
     )
 }
@@ -131,21 +131,23 @@
     -unit.ln()
 }
 
-/// Returns the numbers of the requests that one bucket for the whole fleet would admit at once.
-fn ideal(requests: &[Request], workspaces: usize) -> Vec<u64> {
+/// Counts refusals at a moment at which one bucket for the whole fleet, charged with all that was
+/// admitted, had the tokens.
+fn wrongful(answers: &[fleet::Answer], workspaces: usize) -> usize {
     let mut levels = vec![(BURST as f64, 0); workspaces];
-    let mut within = Vec::new();
-    for (request, sequence) in requests.iter().zip(1..) {
-        let (level, at_ms) = &mut levels[request.workspace];
-        *level += (request.at_ms - *at_ms) as f64 * RATE as f64 / 1_000.0;
+    let mut wrongful = 0;
+    for answer in answers {
+        let (level, at_us) = &mut levels[answer.workspace];
+        *level += (answer.at_us - *at_us) as f64 * RATE as f64 / 1e6;
         *level = level.min(BURST as f64);
-        *at_ms = request.at_ms;
-        if *level >= request.tokens as f64 {
-            *level -= request.tokens as f64;
-            within.push(sequence);
+        *at_us = answer.at_us;
+        if answer.admitted {
+            *level -= answer.tokens as f64;
+        } else if *level >= answer.tokens as f64 {
+            wrongful += 1;
         }
     }
-    within
+    wrongful
 }
 
 fn traffic(out: &mut impl Write) -> io::Result<()> {
--- a/src/core/escrow/broker.rs
+++ b/src/core/escrow/broker.rs
@@ -417,11 +417,12 @@
         lot.settled.spent_tokens += spent;
         lot.free_tokens += returned;
         let lot = lot.clone();
-        if spent > 0 {
-            self.report(&lot.holder, lot.settled, now);
-        }
         if !lot.is_open() {
             account.lots.remove(index);
+            self.report(&lot.holder, lot.settled, now);
+        } else if spent > 0 {
+            let delay_ms = constants::OPEN_LOT_REPORT_DELAY_MS;
+            self.report_within(delay_ms, &lot.holder, lot.settled, now);
         }
     }
 
--- a/src/core/escrow/constants.rs
+++ b/src/core/escrow/constants.rs
@@ -35,6 +35,9 @@
 /// Time for which reports of spent tokens are gathered into one message.
 pub const REPORT_DELAY_MS: u64 = 50;
 
+/// Time for which reports on a lot are gathered while a part of it is still free.
+pub const OPEN_LOT_REPORT_DELAY_MS: u64 = 300;
+
 /// Time within which a leaving instance hands its shares over before it gives up.
 pub const HAND_OVER_TIMEOUT_MS: u64 = 5_000;
 
--- a/src/core/escrow/reports.rs
+++ b/src/core/escrow/reports.rs
@@ -54,13 +54,24 @@
         to: &ids::InstanceId,
         settled: message::Settled,
         now: ids::Timestamp,
+    ) {
+        self.report_within(constants::REPORT_DELAY_MS, to, settled, now);
+    }
+
+    /// Notes the outcome of a grant for a report to its giver within some milliseconds.
+    pub(super) fn report_within(
+        &mut self,
+        delay_ms: u64,
+        to: &ids::InstanceId,
+        settled: message::Settled,
+        now: ids::Timestamp,
     ) {
         let peer = self.peers.entry(to.clone()).or_default();
         if peer.settled.len() >= constants::MAX_REPORTS {
             return;
         }
         peer.settled.insert(settled.number, settled);
-        peer.schedule(now);
+        peer.schedule(delay_ms, now);
     }
 
     /// Notes unused tokens for the next report to a quota holder.
@@ -71,7 +82,7 @@
         now: ids::Timestamp,
     ) {
         let peer = self.peers.entry(to.clone()).or_default();
-        peer.schedule(now);
+        peer.schedule(constants::REPORT_DELAY_MS, now);
         let same =
             |one: &message::Refund| (&one.workspace, one.hops) == (&refund.workspace, refund.hops);
         if let Some(known) = peer.refunds.iter_mut().find(|one| same(one)) {
@@ -145,8 +156,8 @@
 }
 
 impl Peer {
-    fn schedule(&mut self, now: ids::Timestamp) {
-        let delay = time::Duration::from_millis(constants::REPORT_DELAY_MS);
-        self.report_at.get_or_insert(now + delay);
+    fn schedule(&mut self, delay_ms: u64, now: ids::Timestamp) {
+        let at = now + time::Duration::from_millis(delay_ms);
+        self.report_at = Some(self.report_at.map_or(at, |known| known.min(at)));
     }
 }
--- a/tests/escrow/fleet.rs
+++ b/tests/escrow/fleet.rs
@@ -171,10 +171,12 @@
     at_us: u64,
 }
 
-/// The answer to a request, by the number of the request.
+/// The answer to a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Answer {
-    pub sequence: u64,
+    pub at_us: u64,
+    pub workspace: usize,
+    pub tokens: u64,
     pub admitted: bool,
 }
 
@@ -702,7 +704,7 @@
             escrow::Effect::Admitted { request } => self.admitted(index, request),
             escrow::Effect::Refused { request, reason, .. } => {
                 let Some(entry) = self.nodes[index].requests.remove(&request) else { return };
-                self.answers.push(Answer { sequence: request as u64, admitted: false });
+                self.answered(&entry, false);
                 let ledger = &mut self.ledgers[entry.workspace];
                 ledger.refused += 1;
                 *ledger.refusals.entry(format!("{reason:?}")).or_default() += 1;
@@ -717,12 +719,17 @@
         }
     }
 
+    fn answered(&mut self, entry: &Request, admitted: bool) {
+        let (workspace, tokens) = (entry.workspace, entry.tokens);
+        self.answers.push(Answer { at_us: self.now_us, workspace, tokens, admitted });
+    }
+
     fn admitted(&mut self, index: usize, request: ids::RequestId) {
         let Some(entry) = self.nodes[index].requests.remove(&request) else {
             self.faults.push(format!("request {request} admitted twice"));
             return;
         };
-        self.answers.push(Answer { sequence: request as u64, admitted: true });
+        self.answered(&entry, true);
         let (rate, burst) = (self.rate, self.burst);
         let ledger = &mut self.ledgers[entry.workspace];
         ledger.admitted += 1;
