--- a/src/core/escrow.rs
+++ b/src/core/escrow.rs
@@ -14,6 +14,10 @@
 mod reports;
 mod requester;
 mod rights;
+mod supply;
+
+#[cfg(test)]
+mod tests;
 
 use std::collections::VecDeque;
 use std::time;
@@ -294,6 +298,7 @@
             }
             Message::Depart => self.departing(from, incarnation, now, effects),
             Message::Ask { number, workspace, tokens, wait_ms } => {
+                let wait_ms = wait_ms.min(self.settings.reserve_wait_ms);
                 let deadline = now + time::Duration::from_millis(wait_ms);
                 let origin = account::Origin::Peer(from, number);
                 let queued = account::Queued { origin, tokens, deadline };
@@ -307,9 +312,14 @@
                 self.denied(&from, number, (retry_after_ms, reason), now, effects);
             }
             Message::Pull { number, workspace, tokens } => {
-                self.with_account(&workspace, |escrow, account| {
+                let to = from.clone();
+                let known = self.with_account(&workspace, |escrow, account| {
                     escrow.pulled_from(account, from, (number, tokens), now, effects);
                 });
+                if known.is_none() {
+                    let message = Message::Pulled { number, tokens: 0, left_tokens: 0 };
+                    effects.push(Effect::Send { to, message });
+                }
             }
             Message::Pulled { number, tokens, left_tokens } => {
                 self.pull_answered(&from, (number, tokens, left_tokens), now, effects);
--- a/src/core/escrow/broker.rs
+++ b/src/core/escrow/broker.rs
@@ -3,7 +3,6 @@
 use std::cmp;
 use std::time;
 
-use crate::core::collections;
 use crate::core::escrow::account;
 use crate::core::escrow::bucket;
 use crate::core::escrow::constants;
@@ -12,8 +11,6 @@
 use crate::core::escrow::{Effect, Escrow, Refusal};
 use crate::core::ids;
 
-const MICROTOKEN_MS_PER_TOKEN_S: u128 = 1_000 * constants::MICROTOKENS_PER_TOKEN as u128;
-
 /// Tokens that were granted to another instance, and where they came from.
 #[derive(Debug, Clone)]
 pub(super) struct Grant {
@@ -39,58 +36,6 @@
     Lot(message::Number),
 }
 
-/// What could be had for a workspace, from this instance's point of view.
-struct Supply {
-    holders: Vec<Holder>,
-    ready_tokens: u64,
-    rate_microtokens_per_s: u64,
-}
-
-/// Another quota holder.
-struct Holder {
-    id: ids::InstanceId,
-    tokens: u64,
-    asked: bool,
-}
-
-impl Supply {
-    fn total_tokens(&self) -> u64 {
-        self.ready_tokens + self.holders.iter().map(|holder| holder.tokens).sum::<u64>()
-    }
-
-    fn idle_tokens(&self) -> u64 {
-        self.holders.iter().filter(|holder| !holder.asked).map(|holder| holder.tokens).sum()
-    }
-
-    fn is_asking(&self) -> bool {
-        self.holders.iter().any(|holder| holder.asked)
-    }
-
-    /// Returns the tokens to wait for beyond the first request's need, so that a workspace over
-    /// its rate does not cause a round of messages for each of its requests.
-    fn batch_tokens(&self, asked: u64, deadline: ids::Timestamp, now: ids::Timestamp) -> u64 {
-        let urgent = time::Duration::from_millis(constants::ASK_TIMEOUT_MS);
-        if asked <= self.total_tokens() || deadline <= now + urgent {
-            return 0;
-        }
-        self.refill_tokens(constants::PULL_BATCH_MS)
-    }
-
-    fn refill_tokens(&self, time_ms: u64) -> u64 {
-        self.rate_microtokens_per_s / 1_000 * time_ms / constants::MICROTOKENS_PER_TOKEN
-    }
-
-    /// Returns the time until so many more tokens have been refilled.
-    fn time_to_refill(&self, tokens: u64) -> Option<time::Duration> {
-        let rate = u128::from(self.rate_microtokens_per_s);
-        if rate == 0 {
-            return None;
-        }
-        let wait_ms = (u128::from(tokens) * MICROTOKEN_MS_PER_TOKEN_S).div_ceil(rate);
-        Some(time::Duration::from_millis(u64::try_from(wait_ms).unwrap_or(u64::MAX)))
-    }
-}
-
 impl Escrow {
     /// Puts a request for tokens into the queue of this broker.
     pub(super) fn enqueue(
@@ -101,7 +46,8 @@
         effects: &mut Vec<Effect>,
     ) {
         if account.queue.len() >= constants::MAX_QUEUED {
-            self.deny(account, queued.origin, (1, Refusal::QueueFull), effects);
+            let refusal = (constants::RESERVE_WAIT_MS, Refusal::QueueFull);
+            self.deny(account, queued.origin, refusal, effects);
             return;
         }
         let origin = queued.origin.clone();
@@ -127,13 +73,16 @@
         if !self.may_act(now) || granted || queued.tokens == 0 {
             return;
         }
-        let known = self.with_account(workspace, |escrow, account| {
+        let refused = self.with_account(workspace, |escrow, account| {
+            if queued.tokens > account.most_tokens() {
+                return Some(Refusal::OverBurst);
+            }
             if !account.queue.iter().any(|queued| is_from(queued, &from, number)) {
                 escrow.enqueue(account, queued, now, effects);
             }
+            None
         });
-        if known.is_none() {
-            let reason = Refusal::Unlimited;
+        if let Some(reason) = refused.unwrap_or(Some(Refusal::Unlimited)) {
             let message = message::Message::Deny { number, retry_after_ms: 0, reason };
             effects.push(Effect::Send { to: from, message });
         }
@@ -196,7 +145,7 @@
         let spare_tokens = account.bucket.level_tokens().saturating_sub(waiting);
         let tokens = tokens.min(spare_tokens);
         if tokens > 0 {
-            if self.grants.len() >= constants::MAX_GRANTS {
+            if self.grant_order.len() >= constants::MAX_GRANTS {
                 return;
             }
             let Some(debit) = account.bucket.debit(tokens, now) else { return };
@@ -293,7 +242,7 @@
     ) -> bool {
         let pooled = account.pooled_tokens(now).min(queued.tokens);
         let own = queued.tokens - pooled;
-        if own > account.bucket.level_tokens() || self.grants.len() >= constants::MAX_GRANTS {
+        if own > account.bucket.level_tokens() || self.grant_order.len() >= constants::MAX_GRANTS {
             return false;
         }
         account.demand.add(queued.tokens, now);
@@ -426,31 +375,6 @@
         }
     }
 
-    fn supply(&self, account: &account::Account, now: ids::Timestamp) -> Supply {
-        let mut shares: collections::Map<&ids::InstanceId, u64> = collections::Map::default();
-        for holder in account.holders.iter().filter(|holder| **holder != self.own) {
-            *shares.entry(holder).or_default() += 1;
-        }
-        let mut rate = account.bucket.shares();
-        let mut holders = Vec::new();
-        for id in account.brokers() {
-            let Some(count) = shares.get(&id).copied() else { continue };
-            if self.is_suspect(&id, now) {
-                continue;
-            }
-            rate += count;
-            let tokens = expected_tokens(account, &id, count, now);
-            let mut pulls = account.pulls.values();
-            let asked = pulls.any(|pull| pull.holder == id && !pull.overdue);
-            holders.push(Holder { id, tokens, asked });
-        }
-        Supply {
-            holders,
-            ready_tokens: account.pooled_tokens(now) + account.bucket.level_tokens(),
-            rate_microtokens_per_s: rate * account.bucket.share_rate_microtokens_per_s(),
-        }
-    }
-
     fn deny_hopeless(
         &mut self,
         account: &mut account::Account,
@@ -511,7 +435,7 @@
             return;
         }
         let mut supply = self.supply(account, now);
-        let mut wanted = wanted_tokens(account, &supply, now);
+        let mut wanted = supply.wanted_tokens(account, now);
         supply.holders.retain(|holder| !holder.asked && holder.tokens > 0);
         supply.holders.sort_by_key(|holder| cmp::Reverse(holder.tokens));
         for holder in supply.holders {
@@ -554,39 +478,3 @@
 fn is_from(queued: &account::Queued, from: &ids::InstanceId, number: message::Number) -> bool {
     matches!(&queued.origin, account::Origin::Peer(id, n) if id == from && *n == number)
 }
-
-/// Returns what a quota holder is likely to have, refilled since its last answer.
-fn expected_tokens(
-    account: &account::Account,
-    holder: &ids::InstanceId,
-    shares: u64,
-    now: ids::Timestamp,
-) -> u64 {
-    let capacity = account.bucket.share_capacity_microtokens() * shares;
-    let capacity_tokens = capacity / constants::MICROTOKENS_PER_TOKEN;
-    let Some(estimate) = account.estimates.get(holder) else { return capacity_tokens };
-    let elapsed_ms = now.saturating_sub(estimate.at).as_millis();
-    let rate = u128::from(account.bucket.share_rate_microtokens_per_s() * shares);
-    let refilled = rate * elapsed_ms / MICROTOKEN_MS_PER_TOKEN_S;
-    let refilled_tokens = u64::try_from(refilled).unwrap_or(u64::MAX);
-    estimate.left_tokens.saturating_add(refilled_tokens).min(capacity_tokens)
-}
-
-/// Returns how many tokens to pull: for those who wait, if the first of them can be served, and
-/// for the demand of the next moments.
-fn wanted_tokens(account: &account::Account, supply: &Supply, now: ids::Timestamp) -> u64 {
-    let ahead = account.demand.tokens_per_s(now) / constants::PREFETCH_FRACTION;
-    let ready = supply.ready_tokens;
-    let Some(first) = account.queue.front() else {
-        let worthwhile =
-            ahead.min(supply.idle_tokens()) >= supply.refill_tokens(constants::PULL_BATCH_MS);
-        let wanted = worthwhile && !supply.is_asking() && ready < ahead / 2;
-        return if wanted { ahead - ready } else { 0 };
-    };
-    let asked: u64 = account.queue.iter().map(|queued| queued.tokens).sum();
-    let least = first.tokens + supply.batch_tokens(asked, first.deadline, now);
-    if least > ready + supply.idle_tokens() {
-        return 0;
-    }
-    (asked + ahead).saturating_sub(ready)
-}
--- a/src/core/escrow/constants.rs
+++ b/src/core/escrow/constants.rs
@@ -47,6 +47,9 @@
 /// Share of a second of demand that a broker pulls in advance.
 pub const PREFETCH_FRACTION: u64 = 4;
 
+/// Share of a bucket by which a broker's level may fall below another quota holder's.
+pub const UNEVEN_FRACTION: u64 = 4;
+
 /// Time over which a broker averages the demand for a workspace.
 pub const DEMAND_WINDOW_MS: u64 = 1_000;
 
@@ -59,6 +62,9 @@
 /// Grants whose outcome an instance keeps track of.
 pub const MAX_GRANTS: usize = 65_536;
 
+/// Questions to brokers whose answers an instance awaits.
+pub const MAX_QUESTIONS: usize = 65_536;
+
 /// Admitted requests whose reservation an instance remembers.
 pub const MAX_RESERVATIONS: usize = 65_536;
 
--- a/src/core/escrow/reports.rs
+++ b/src/core/escrow/reports.rs
@@ -123,9 +123,11 @@
         for settled in settled {
             self.settled(from, settled, now);
         }
-        let member = self.view.members.iter().any(|one| one.id == *from);
+        if !self.view.members.iter().any(|one| one.id == *from) {
+            return;
+        }
         let peer = self.peers.entry(from.clone()).or_default();
-        if !member || !peer.seen.insert(incarnation, number) {
+        if !peer.seen.insert(incarnation, number) {
             return;
         }
         for refund in refunds {
--- a/src/core/escrow/requester.rs
+++ b/src/core/escrow/requester.rs
@@ -241,7 +241,8 @@
             effects.push(Effect::Refused { request, retry_after_ms: 0, reason });
             return;
         }
-        if account.waiting.len() >= self.settings.max_waiting {
+        let full = self.question_order.len() >= constants::MAX_QUESTIONS;
+        if full || account.waiting.len() >= self.settings.max_waiting {
             let retry_after_ms = self.settings.reserve_wait_ms;
             let reason = Refusal::QueueFull;
             effects.push(Effect::Refused { request, retry_after_ms, reason });
