--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -11,6 +11,7 @@
 use crate::core::reducer;
 
 pub mod attempt;
+pub mod backlog;
 pub mod constants;
 pub mod journal;
 pub mod lease;
@@ -169,11 +170,15 @@
     watch: watch::Watch,
     journal: journal::Journal,
     accusation: Option<Accusation>,
+    snapshot: Option<attempt::Attempt>,
+    snapshot_due: Option<ids::Timestamp>,
     witnesses: Vec<ids::InstanceId>,
     listed: collections::Map<ids::InstanceId, net::SocketAddr>,
     /// The members whose views include this instance's join.
     welcomed: collections::Map<ids::InstanceId, ids::Incarnation>,
     is_admitted: bool,
+    /// Own joins before this offset do not count.
+    known_from: ids::Offset,
     token: ids::AppendToken,
     read_at: ids::Timestamp,
     applied_at: ids::Timestamp,
@@ -201,10 +206,13 @@
             watch: watch::Watch::new(settings.guard()),
             journal: journal::Journal::default(),
             accusation: None,
+            snapshot: None,
+            snapshot_due: None,
             witnesses: Vec::new(),
             listed: collections::Map::default(),
             welcomed: collections::Map::default(),
             is_admitted: false,
+            known_from: 0,
             token: 0,
             read_at: ids::Timestamp::ZERO,
             applied_at: ids::Timestamp::ZERO,
@@ -237,14 +245,26 @@
         View { version: self.roster.next().saturating_sub(1), members }
     }
 
+    /// Tells whether enough records were read to know the members.
+    pub fn knows_members(&self) -> bool {
+        self.roster.is_known()
+    }
+
     /// Tells whether this instance may act on its rights now.
     pub fn is_valid(&self, now: ids::Timestamp) -> bool {
         self.is_admitted && self.leave_by.is_none() && now < self.valid_until(now)
     }
 
+    /// Returns the entry that makes this process a member.
+    ///
+    /// A process that has missed records does not know which records of its own may still be on
+    /// their way, and joins anew.
     fn entry(&self) -> Option<&roster::Entry> {
         let entry = self.roster.entry(&self.own.id);
-        entry.filter(|entry| entry.member.incarnation == self.own.incarnation)
+        entry.filter(|entry| {
+            let member = &entry.member;
+            member.incarnation == self.own.incarnation && member.joined >= self.known_from
+        })
     }
 
     fn valid_until(&self, now: ids::Timestamp) -> ids::Timestamp {
@@ -278,6 +298,7 @@
 
     fn tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         self.maintain_record(now, effects);
+        self.maintain_snapshot(now, effects);
         self.accuse(now, effects);
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + self.settings.heartbeat_interval;
@@ -327,12 +348,14 @@
     fn maintain_record(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let reading = attempt::Reading { next: self.roster.next(), requested_at: self.read_at };
         if self.journal.is_pending() {
+            if self.leave_by.is_none() && !self.roster.is_known() {
+                return;
+            }
             let token = self.next_token();
             effects.extend(self.journal.retry(reading, token, now, &self.settings));
             return;
         }
-        let has_read = self.read_at + self.settings.lease > now && self.roster.next() > 0;
-        if !has_read || self.leave_by.is_some() {
+        if !self.has_read(now) || !self.roster.is_known() || self.leave_by.is_some() {
             return;
         }
         let Some(entry) = self.entry() else {
@@ -346,6 +369,46 @@
         }
     }
 
+    fn has_read(&self, now: ids::Timestamp) -> bool {
+        self.read_at + self.settings.lease > now && self.roster.next() > 0
+    }
+
+    /// Keeps a recent snapshot in the log.
+    ///
+    /// The members take the duty in the order of their ids, a lease after one another. A reader
+    /// that finds neither the first record, nor a snapshot, nor the record of a member starts an
+    /// empty fleet.
+    fn maintain_snapshot(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let reading = attempt::Reading { next: self.roster.next(), requested_at: self.read_at };
+        if let Some(attempt) = &mut self.snapshot {
+            if !attempt.is_over(reading, now, &self.settings) {
+                return;
+            }
+            self.snapshot = None;
+        }
+        if !self.has_read(now) || !self.is_snapshot_due() {
+            self.snapshot_due = None;
+            return;
+        }
+        let entries = self.roster.entries().iter();
+        let rank = entries.take_while(|entry| entry.member.id < self.own.id).count();
+        let wait = self.settings.lease * u32::try_from(rank).unwrap_or(u32::MAX);
+        if now >= *self.snapshot_due.get_or_insert(now) + wait {
+            let token = self.next_token();
+            let body = record::encode(&record::Record::Snapshot(self.roster.snapshot()));
+            self.snapshot = Some(attempt::Attempt::new(token, now));
+            effects.push(Effect::Append { token, body });
+        }
+    }
+
+    fn is_snapshot_due(&self) -> bool {
+        if self.roster.is_known() {
+            return self.entry().is_some()
+                && self.roster.is_snapshot_due(self.settings.renew_interval);
+        }
+        self.roster.is_orphaned()
+    }
+
     fn is_record_due(&self, entry: &roster::Entry, now: ids::Timestamp) -> bool {
         let since = self.journal.standing_since();
         let is_old = now >= since + self.settings.renew_interval;
@@ -365,10 +428,9 @@
     ) {
         let mut member = self.own.clone();
         member.joined = self.entry().map_or(0, |entry| entry.member.joined);
-        let renewed_ms = self.entry().map_or(0, |entry| entry.time_ms);
         let sequence = self.journal.next_sequence();
         let witnesses = self.witnesses.clone();
-        let record = kind(record::Own { member, sequence, renewed_ms, witnesses });
+        let record = kind(record::Own { member, sequence, witnesses });
         let token = self.next_token();
         effects.push(self.journal.propose(record, token, now));
     }
@@ -473,6 +535,9 @@
     fn read(&mut self, batch: &log::Batch, now: ids::Timestamp) {
         let mut changes = Vec::new();
         let next = self.roster.next();
+        if next < batch.first {
+            self.known_from = batch.next;
+        }
         let is_at_tail = self.roster.read(batch, &mut changes);
         if self.roster.next() != next {
             self.outlook.invalidate();
@@ -545,6 +610,9 @@
         now: ids::Timestamp,
     ) {
         self.journal.answer(token, outcome, now);
+        if let Some(attempt) = self.snapshot.as_mut().filter(|known| known.token() == token) {
+            attempt.answer(outcome, now);
+        }
         let accusation = self.accusation.as_mut();
         let accusation = accusation.filter(|accusation| accusation.attempt.token() == token);
         let Some(accusation) = accusation else { return };
--- a/src/core/membership/constants.rs
+++ b/src/core/membership/constants.rs
@@ -37,3 +37,6 @@
 
 /// The most doublings of the wait before an evicted instance joins again.
 pub const MAX_REJOIN_DOUBLINGS: u32 = 5;
+
+/// The most records that a reader keeps while it looks for a snapshot.
+pub const MAX_BACKLOG_RECORDS: usize = 65_536;
--- a/src/core/membership/record.rs
+++ b/src/core/membership/record.rs
@@ -5,6 +5,7 @@
 
 use crate::core::ids;
 use crate::core::membership;
+use crate::core::membership::roster;
 
 /// A record of the membership stream.
 ///
@@ -36,6 +37,8 @@
         /// The accusations.
         charges: Vec<Charge>,
     },
+    /// Lets readers start after older records were dropped from the log.
+    Snapshot(Snapshot),
 }
 
 /// An instance's description of itself.
@@ -45,12 +48,23 @@
     pub member: membership::Member,
     /// The number of the record among those of the process.
     pub sequence: u64,
-    /// When the log took the record that this one renews; 0 in a join record.
-    pub renewed_ms: u64,
     /// The members that may accuse it.
     pub witnesses: Vec<ids::InstanceId>,
 }
 
+/// All that decides how records after `version` are taken in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The offset of the last record that is included.
+    pub version: ids::Offset,
+    /// The log's clock at that offset, in milliseconds since the Unix epoch.
+    pub clock_ms: u64,
+    /// The members.
+    pub entries: Vec<roster::Entry>,
+    /// The processes that were removed lately.
+    pub tombstones: Vec<(roster::Process, roster::Tombstone)>,
+}
+
 /// An accusation against one member.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Charge {
--- a/src/core/membership/roster.rs
+++ b/src/core/membership/roster.rs
@@ -1,19 +1,26 @@
 //! Folds the records of the membership stream to the members at an offset.
 //!
-//! All readers of the same records hold the same roster; no clock but the log's own is used.
+//! All readers that know the members hold the same roster at the same offset; no clock but the
+//! log's own is used.
 
 use std::time;
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::collections;
 use crate::core::ids;
 use crate::core::log;
 use crate::core::membership;
+use crate::core::membership::backlog;
 use crate::core::membership::constants;
 use crate::core::membership::record;
 use crate::core::membership::witnesses;
 
+/// A process: the name of its instance and its incarnation.
+pub type Process = (ids::InstanceId, ids::Incarnation);
+
 /// A member as the records describe it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The instance.
     pub member: membership::Member,
@@ -30,6 +37,18 @@
 }
 
 impl Entry {
+    fn new(mut own: record::Own, record: &log::Record) -> Self {
+        own.witnesses.truncate(u32::BITS as usize);
+        Self {
+            member: own.member,
+            sequence: own.sequence,
+            record: record.offset,
+            time_ms: record.time_ms,
+            witnesses: own.witnesses,
+            accused: 0,
+        }
+    }
+
     /// Returns the bits of those witnesses that `predicate` selects.
     pub fn bits(&self, predicate: impl Fn(&ids::InstanceId) -> bool) -> u32 {
         let witnesses = self.witnesses.iter().enumerate();
@@ -41,6 +60,17 @@
     }
 }
 
+/// What is kept of a process that is not a member any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tombstone {
+    /// The highest number of its records.
+    pub sequence: u64,
+    /// The offset of the record that removed it.
+    pub removed: ids::Offset,
+    /// When the log took that record.
+    pub time_ms: u64,
+}
+
 /// Why a member was removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
@@ -52,6 +82,8 @@
     Expired,
     /// Another process of the same name joined.
     Superseded,
+    /// The reader has missed records and does not know.
+    Forgotten,
 }
 
 /// A change of the roster.
@@ -63,14 +95,6 @@
     Removed(Entry, Cause),
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Tombstone {
-    sequence: u64,
-    joined: ids::Offset,
-    removed: ids::Offset,
-    time_ms: u64,
-}
-
 struct Witness {
     id: ids::InstanceId,
     joined: ids::Offset,
@@ -81,11 +105,13 @@
 #[derive(Debug)]
 pub struct Roster {
     expiry_ms: u64,
-    start: ids::Offset,
     next: ids::Offset,
     clock_ms: u64,
+    snapshot_ms: u64,
     entries: Vec<Entry>,
-    tombstones: collections::Map<(ids::InstanceId, ids::Incarnation), Tombstone>,
+    tombstones: collections::Map<Process, Tombstone>,
+    /// The records read so far while the members at their start are not known.
+    backlog: Option<backlog::Backlog>,
 }
 
 impl Roster {
@@ -93,11 +119,12 @@
     pub fn new(expiry: time::Duration) -> Self {
         Self {
             expiry_ms: u64::try_from(expiry.as_millis()).unwrap_or(u64::MAX),
-            start: 0,
             next: 0,
             clock_ms: 0,
+            snapshot_ms: 0,
             entries: Vec::new(),
             tombstones: collections::Map::default(),
+            backlog: None,
         }
     }
 
@@ -106,6 +133,35 @@
         self.next
     }
 
+    /// Tells whether the members are known, not just some of the records that made them.
+    pub fn is_known(&self) -> bool {
+        self.next > 0 && self.backlog.is_none()
+    }
+
+    /// Tells whether the members are not known and nobody is valid who knows them.
+    pub fn is_orphaned(&self) -> bool {
+        self.backlog.as_ref().is_some_and(backlog::Backlog::is_orphaned)
+    }
+
+    /// Tells whether the last snapshot is older, by the log's clock, than `interval`.
+    pub fn is_snapshot_due(&self, interval: time::Duration) -> bool {
+        u128::from(self.clock_ms.saturating_sub(self.snapshot_ms)) >= interval.as_millis()
+    }
+
+    /// Returns the members and what else decides how later records are taken in.
+    ///
+    /// A reader that knows nothing returns the snapshot of an empty fleet.
+    pub fn snapshot(&self) -> record::Snapshot {
+        let tombstones = self.tombstones.iter();
+        let recent = tombstones.filter(|(_, tombstone)| !self.is_past(tombstone.time_ms));
+        record::Snapshot {
+            version: self.next.saturating_sub(1),
+            clock_ms: self.clock_ms,
+            entries: self.entries.clone(),
+            tombstones: recent.map(|(process, tombstone)| (process.clone(), *tombstone)).collect(),
+        }
+    }
+
     /// Returns the members in the order of their ids.
     pub fn entries(&self) -> &[Entry] {
         &self.entries
@@ -132,13 +188,13 @@
         if self.next < batch.first {
             self.restart(batch.first, changes);
         }
+        if let Some(backlog) = &mut self.backlog {
+            backlog.start_at(batch.first);
+        }
         for record in &batch.records {
-            if record.offset > self.next {
-                break;
-            }
             if record.offset == self.next {
-                self.apply(record, changes);
                 self.next += 1;
+                self.take(record, changes);
             }
         }
         self.next >= batch.next
@@ -147,25 +203,53 @@
     /// Forgets everything, since records were dropped from the log before they were read.
     fn restart(&mut self, first: ids::Offset, changes: &mut Vec<Change>) {
         let forgotten = self.entries.drain(..);
-        changes.extend(forgotten.map(|entry| Change::Removed(entry, Cause::Expired)));
+        changes.extend(forgotten.map(|entry| Change::Removed(entry, Cause::Forgotten)));
         self.tombstones.clear();
-        self.start = first;
         self.next = first;
+        self.backlog = (first > 1).then(backlog::Backlog::default);
+    }
+
+    fn take(&mut self, record: &log::Record, changes: &mut Vec<Change>) {
+        let Some(backlog) = &mut self.backlog else {
+            self.apply(record, changes);
+            return;
+        };
+        let Some(snapshot) = backlog.push(record) else { return };
+        let later = backlog.after(snapshot.version);
+        self.restore(snapshot, changes);
+        for record in &later {
+            self.apply(record, changes);
+        }
+    }
+
+    fn restore(&mut self, snapshot: record::Snapshot, changes: &mut Vec<Change>) {
+        self.backlog = None;
+        self.clock_ms = snapshot.clock_ms;
+        self.tombstones = snapshot.tombstones.into_iter().collect();
+        self.entries = snapshot.entries;
+        let restored = self.entries.iter();
+        changes.extend(restored.map(|entry| Change::Updated(entry.member.id.clone())));
     }
 
     fn apply(&mut self, record: &log::Record, changes: &mut Vec<Change>) {
         self.clock_ms = self.clock_ms.max(record.time_ms);
-        self.expire(changes);
+        if self.snapshot_ms == 0 {
+            self.snapshot_ms = record.time_ms;
+        }
+        self.expire(record, changes);
         match record::decode(&record.body) {
             Some(record::Record::Join(own)) => self.join(own, record, changes),
             Some(record::Record::Renew(own)) => self.renew(own, record, changes),
             Some(record::Record::Leave { id, incarnation, sequence }) => {
-                self.leave(id, incarnation, sequence, changes);
+                self.leave((id, incarnation), sequence, record, changes);
             }
             Some(record::Record::Accuse { witness, joined, read, charges }) => {
                 let witness = Witness { id: witness, joined, read };
-                self.accuse(&witness, &charges, changes);
+                for charge in &charges {
+                    self.accuse(&witness, charge, record, changes);
+                }
             }
+            Some(record::Record::Snapshot(_)) => self.snapshot_ms = record.time_ms,
             None => {}
         }
     }
@@ -174,11 +258,11 @@
         time_ms.saturating_add(self.expiry_ms) < self.clock_ms
     }
 
-    fn expire(&mut self, changes: &mut Vec<Change>) {
+    fn expire(&mut self, record: &log::Record, changes: &mut Vec<Change>) {
         let mut index = 0;
         while index < self.entries.len() {
             if self.is_past(self.entries[index].time_ms) {
-                self.remove(index, Cause::Expired, changes);
+                self.remove(index, Cause::Expired, record, changes);
             } else {
                 index += 1;
             }
@@ -190,42 +274,13 @@
     }
 
     fn join(&mut self, mut own: record::Own, record: &log::Record, changes: &mut Vec<Change>) {
-        if self.sequence(&own.member.id, own.member.incarnation) >= Some(own.sequence) {
+        let id = own.member.id.clone();
+        if self.sequence(&id, own.member.incarnation) >= Some(own.sequence) {
             return;
         }
         own.member.joined = record.offset;
-        self.insert(own, record, changes);
-    }
-
-    fn renew(&mut self, own: record::Own, record: &log::Record, changes: &mut Vec<Change>) {
-        if self.is_past(own.renewed_ms) {
-            return;
-        }
-        let member = &own.member;
-        // The join record was dropped from the log before this reader started.
-        let is_unread = member.joined < self.start;
-        if let Ok(index) = self.position(&member.id) {
-            let entry = &mut self.entries[index];
-            if entry.member.joined == member.joined {
-                if entry.sequence < own.sequence {
-                    changes.push(Change::Updated(member.id.clone()));
-                    *entry = new_entry(own, record);
-                }
-                return;
-            }
-            if entry.member.joined > member.joined {
-                return;
-            }
-        }
-        if is_unread && !self.is_removed(member) {
-            self.insert(own, record, changes);
-        }
-    }
-
-    fn insert(&mut self, own: record::Own, record: &log::Record, changes: &mut Vec<Change>) {
-        let id = own.member.id.clone();
         if let Ok(index) = self.position(&id) {
-            self.remove(index, Cause::Superseded, changes);
+            self.remove(index, Cause::Superseded, record, changes);
         }
         let Err(index) = self.position(&id) else { return };
         if self.entries.len() >= constants::MAX_MEMBERS {
@@ -235,95 +290,93 @@
         for entry in &mut self.entries {
             entry.accused &= !entry.bits(|witness| *witness == id);
         }
-        self.entries.insert(index, new_entry(own, record));
+        self.entries.insert(index, Entry::new(own, record));
         changes.push(Change::Updated(id));
     }
 
+    fn renew(&mut self, own: record::Own, record: &log::Record, changes: &mut Vec<Change>) {
+        let Ok(index) = self.position(&own.member.id) else { return };
+        let entry = &mut self.entries[index];
+        if entry.member.joined != own.member.joined || entry.sequence >= own.sequence {
+            return;
+        }
+        changes.push(Change::Updated(own.member.id.clone()));
+        *entry = Entry::new(own, record);
+    }
+
     fn leave(
         &mut self,
-        id: ids::InstanceId,
-        incarnation: ids::Incarnation,
+        process: Process,
         sequence: u64,
+        record: &log::Record,
         changes: &mut Vec<Change>,
     ) {
-        if self.sequence(&id, incarnation) >= Some(sequence) {
+        if self.sequence(&process.0, process.1) >= Some(sequence) {
             return;
         }
-        if let Ok(index) = self.position(&id)
-            && self.entries[index].member.incarnation == incarnation
+        if let Ok(index) = self.position(&process.0)
+            && self.entries[index].member.incarnation == process.1
         {
-            self.remove(index, Cause::Left, changes);
+            self.remove(index, Cause::Left, record, changes);
         }
-        self.bury((id, incarnation), sequence, self.next);
+        self.bury(process, sequence, record);
     }
 
-    fn accuse(&mut self, witness: &Witness, charges: &[record::Charge], changes: &mut Vec<Change>) {
-        for charge in charges {
-            if self.entry(&witness.id).is_none_or(|entry| entry.member.joined != witness.joined) {
-                return;
-            }
-            let Ok(index) = self.position(&charge.member) else { continue };
-            let entry = &self.entries[index];
-            if entry.record != charge.record || !entry.witnesses.contains(&witness.id) {
-                continue;
-            }
-            let absent = |id: &ids::InstanceId| {
-                charge.absent.contains(id) && self.is_absent_since(id, witness.read)
-            };
-            let bits = entry.bits(|id| *id == witness.id || absent(id));
-            let entry = &mut self.entries[index];
-            entry.accused |= bits;
-            if entry.is_evicted() {
-                self.remove(index, Cause::Evicted, changes);
-            }
+    fn accuse(
+        &mut self,
+        witness: &Witness,
+        charge: &record::Charge,
+        record: &log::Record,
+        changes: &mut Vec<Change>,
+    ) {
+        if self.entry(&witness.id).is_none_or(|entry| entry.member.joined != witness.joined) {
+            return;
+        }
+        let Ok(index) = self.position(&charge.member) else { return };
+        let entry = &self.entries[index];
+        if entry.record != charge.record || !entry.witnesses.contains(&witness.id) {
+            return;
+        }
+        let absent = |id: &ids::InstanceId| {
+            charge.absent.contains(id) && self.is_absent_since(id, witness.read)
+        };
+        let bits = entry.bits(|id| *id == witness.id || absent(id));
+        let entry = &mut self.entries[index];
+        entry.accused |= bits;
+        if entry.is_evicted() {
+            self.remove(index, Cause::Evicted, record, changes);
         }
-    }
-
-    /// Tells whether this membership or a later one of the same name has ended.
-    fn is_removed(&self, member: &membership::Member) -> bool {
-        self.tombstones.iter().any(|((id, _), tombstone)| {
-            *id == member.id
-                && tombstone.joined >= member.joined
-                && !self.is_past(tombstone.time_ms)
-        })
     }
 
     /// Tells whether no process of this name was a member at `offset` or after it.
     fn is_absent_since(&self, id: &ids::InstanceId, offset: ids::Offset) -> bool {
-        let mut removals = self.tombstones.iter().filter(|((name, _), _)| name == id);
-        self.entry(id).is_none() && removals.all(|(_, tombstone)| tombstone.removed < offset)
+        let removals = self.tombstones.iter().filter(|((name, _), _)| name == id);
+        let mut recent = removals.filter(|(_, tombstone)| !self.is_past(tombstone.time_ms));
+        self.entry(id).is_none() && recent.all(|(_, tombstone)| tombstone.removed < offset)
     }
 
-    fn remove(&mut self, index: usize, cause: Cause, changes: &mut Vec<Change>) {
+    fn remove(
+        &mut self,
+        index: usize,
+        cause: Cause,
+        record: &log::Record,
+        changes: &mut Vec<Change>,
+    ) {
         let entry = self.entries.remove(index);
-        let key = (entry.member.id.clone(), entry.member.incarnation);
-        self.bury(key, entry.sequence, entry.member.joined);
+        // An expired member leaves no trace, so that whoever starts without it agrees.
+        if cause != Cause::Expired {
+            let process = (entry.member.id.clone(), entry.member.incarnation);
+            self.bury(process, entry.sequence, record);
+        }
         changes.push(Change::Removed(entry, cause));
     }
 
-    fn bury(
-        &mut self,
-        process: (ids::InstanceId, ids::Incarnation),
-        sequence: u64,
-        joined: ids::Offset,
-    ) {
-        let (removed, time_ms) = (self.next, self.clock_ms);
-        self.tombstones.insert(process, Tombstone { sequence, joined, removed, time_ms });
+    fn bury(&mut self, process: Process, sequence: u64, record: &log::Record) {
+        let (removed, time_ms) = (record.offset, self.clock_ms);
+        self.tombstones.insert(process, Tombstone { sequence, removed, time_ms });
     }
 
     fn position(&self, id: &ids::InstanceId) -> Result<usize, usize> {
         self.entries.binary_search_by(|entry| entry.member.id.cmp(id))
     }
 }
-
-fn new_entry(mut own: record::Own, record: &log::Record) -> Entry {
-    own.witnesses.truncate(u32::BITS as usize);
-    Entry {
-        member: own.member,
-        sequence: own.sequence,
-        record: record.offset,
-        time_ms: record.time_ms,
-        witnesses: own.witnesses,
-        accused: 0,
-    }
-}
