--- a/tests/scheduler/main.rs
+++ b/tests/scheduler/main.rs
@@ -2,3 +2,4 @@
 
 mod fleet;
 mod golden;
+mod properties;
