Grant at once where nothing waits, and forget idle workspaces

Change: a request is granted directly when its queue is empty; the flows are forgotten when the queue runs empty.

--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -513,8 +513,9 @@
         let (key, decode) = ((incarnation, ask.ticket), ask.decode);
         let workspace = ask.workspace.clone();
         let weight = self.weights.get(&workspace).copied().unwrap_or(1);
+        let terms = server::Terms { weight, may_grant: self.valid };
         let known = self.server(&id, now, effects, |server, _, out| {
-            server.ask(ask, from, incarnation, weight, now, out);
+            server.ask(ask, from, incarnation, terms, now, out);
         });
         let mut out = outbox::Outbox { own: &self.own, local: &mut self.local, effects };
         let Some(owned) = self.owned.get(&id).filter(|_| known) else {
--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -51,9 +51,6 @@
 /// A workspace may hold this many times the free part of a queue.
 pub const QUEUE_SHARE_OF_FREE: usize = 2;
 
-/// The most workspaces whose service a queue remembers.
-pub const QUEUE_FLOWS: usize = 1_024;
-
 /// How long a request may be late before it takes turns with requests that are on time.
 pub const AGE_BOUND: time::Duration = time::Duration::from_millis(4_000);
 
--- a/src/core/scheduler/queue.rs
+++ b/src/core/scheduler/queue.rs
@@ -138,7 +138,6 @@
 
     /// Adds a request that [`Queue::admits`].
     pub fn push(&mut self, entry: Entry) {
-        self.forget_idle_flows();
         self.order += 1;
         let flow = self.flows.entry(entry.workspace.clone()).or_default();
         if flow.len() == 0 {
@@ -181,6 +180,7 @@
         self.work_tokens -= u64::from(entry.work_tokens);
         if flow.len() == 0 {
             self.backlog.remove(&(flow.tag, index.workspace));
+            self.end_busy_period();
         }
         Some(entry)
     }
@@ -190,7 +190,7 @@
         let key = self.next(now, fits)?;
         let workspace = self.index.get(&key)?.workspace.clone();
         let entry = self.remove(key)?;
-        let flow = self.flows.get_mut(&workspace)?;
+        let Some(flow) = self.flows.get_mut(&workspace) else { return Some(entry) };
         self.backlog.remove(&(flow.tag, workspace.clone()));
         self.virtual_time = self.virtual_time.max(flow.tag);
         flow.turns = flow.turns.wrapping_add(1);
@@ -208,6 +208,15 @@
         keys.into_iter().filter_map(|key| self.remove(key)).collect()
     }
 
+    /// Forgets what the workspaces were given once nothing waits: none is owed anything then.
+    fn end_busy_period(&mut self) {
+        if self.index.is_empty() {
+            self.flows.clear();
+            self.backlog.clear();
+            self.virtual_time = 0;
+        }
+    }
+
     fn next(&mut self, now: ids::Timestamp, fits: impl Fn(&Entry) -> bool) -> Option<Key> {
         for (_, workspace) in self.backlog.iter().take(constants::BYPASS_FLOWS) {
             let flow = self.flows.get_mut(workspace)?;
@@ -222,14 +231,6 @@
         }
         None
     }
-
-    fn forget_idle_flows(&mut self) {
-        if self.flows.len() < constants::QUEUE_FLOWS {
-            return;
-        }
-        let virtual_time = self.virtual_time;
-        self.flows.retain(|_, flow| flow.len() > 0 || flow.tag > virtual_time);
-    }
 }
 
 fn virtual_units(work_tokens: u32, weight: u32) -> u64 {
--- a/src/core/scheduler/server.rs
+++ b/src/core/scheduler/server.rs
@@ -25,6 +25,15 @@
     pub in_service: bool,
 }
 
+/// What the scheduler knows of an ask beyond what it says.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// The workspace's weight.
+    pub weight: u32,
+    /// Whether this instance may grant places.
+    pub may_grant: bool,
+}
+
 /// A granted or registered place.
 #[derive(Debug, Clone)]
 struct Place {
@@ -101,13 +110,13 @@
         }
     }
 
-    /// Queues a request, or repeats what was said to it.
+    /// Grants or queues a request, or repeats what was said to it.
     pub fn ask(
         &mut self,
         ask: message::Ask,
         from: &ids::InstanceId,
         incarnation: ids::Incarnation,
-        weight: u32,
+        terms: Terms,
         now: ids::Timestamp,
         out: &mut outbox::Outbox<'_>,
     ) {
@@ -128,7 +137,14 @@
             out.send(from, self.refuse_message(key, refusal));
             return;
         }
-        self.enqueue(ask, from, key, weight, now);
+        let decode = ask.decode;
+        let entry = self.entry(ask, from, key, terms.weight, now);
+        if terms.may_grant && self.is_free(&entry, decode, now) {
+            self.place(entry, decode, now, out);
+            return;
+        }
+        let queue = if decode { &mut self.decode } else { &mut self.prefill };
+        queue.push(entry);
     }
 
     /// Tells the client of a queued request how long it is expected to wait.
@@ -264,7 +280,7 @@
 
     /// Grants as many places as there are free ones.
     pub fn grant(&mut self, now: ids::Timestamp, out: &mut outbox::Outbox<'_>) {
-        if !self.capacity.in_service || now < self.ready_at || self.health.is_ejected(now) {
+        if !self.is_open(now) {
             return;
         }
         while let Some(entry) = self.next_decode(now) {
@@ -280,8 +296,22 @@
         self.ready_at
     }
 
+    fn is_open(&self, now: ids::Timestamp) -> bool {
+        self.capacity.in_service && now >= self.ready_at && !self.health.is_ejected(now)
+    }
+
+    /// Returns whether a request can have a place without passing another one by.
+    fn is_free(&self, entry: &queue::Entry, decode: bool, now: ids::Timestamp) -> bool {
+        let (queue, free) = if decode {
+            (&self.decode, self.has_decode_place())
+        } else {
+            (&self.prefill, self.has_prefill_place())
+        };
+        self.is_open(now) && free && queue.is_empty() && entry.memory_pieces <= self.free_pieces()
+    }
+
     fn next_decode(&mut self, now: ids::Timestamp) -> Option<queue::Entry> {
-        if self.decode.is_empty() || !self.has_slot() || self.decodes >= self.limit.places() {
+        if self.decode.is_empty() || !self.has_decode_place() {
             return None;
         }
         let free = self.free_pieces();
@@ -289,15 +319,23 @@
     }
 
     fn next_prefill(&mut self, now: ids::Timestamp) -> Option<queue::Entry> {
-        let ahead_ms = self.speed.time_ms(self.prefill_work_tokens);
-        let full = self.prefill_work_tokens > 0 && ahead_ms > constants::PREFILL_WINDOW_MS;
-        if self.prefill.is_empty() || !self.has_slot() || full {
+        if self.prefill.is_empty() || !self.has_prefill_place() {
             return None;
         }
         let free = self.free_pieces();
         self.prefill.pop(now, |entry| entry.memory_pieces <= free)
     }
 
+    fn has_decode_place(&self) -> bool {
+        self.decodes < self.limit.places() && self.has_slot()
+    }
+
+    fn has_prefill_place(&self) -> bool {
+        let ahead_ms = self.speed.time_ms(self.prefill_work_tokens);
+        let full = self.prefill_work_tokens > 0 && ahead_ms > constants::PREFILL_WINDOW_MS;
+        !full && self.has_slot()
+    }
+
     fn has_slot(&self) -> bool {
         let running = self.places.len() as u32;
         let most = self.hold_time.places(self.capacity.slots);
@@ -320,17 +358,17 @@
         (!queue.admits(&ask.workspace)).then_some(message::Refusal::Full)
     }
 
-    fn enqueue(
-        &mut self,
+    fn entry(
+        &self,
         ask: message::Ask,
         from: &ids::InstanceId,
         key: queue::Key,
         weight: u32,
         now: ids::Timestamp,
-    ) {
+    ) -> queue::Entry {
         let slack = time::Duration::from_millis(ask.slack_ms.max(0) as u64);
         let lead = time::Duration::from_secs_f64(self.lead_ms(&ask) / 1_000.0);
-        let entry = queue::Entry {
+        queue::Entry {
             key,
             client: from.clone(),
             sequence: ask.sequence,
@@ -341,9 +379,7 @@
             arrived: now.saturating_sub(time::Duration::from_millis(ask.age_ms.into())),
             start_by: (now + slack).saturating_sub(lead),
             heard: now,
-        };
-        let queue = if ask.decode { &mut self.decode } else { &mut self.prefill };
-        queue.push(entry);
+        }
     }
 
     /// Returns the time from the grant to the first token that a request must be given, in
