Remember a few workspaces in an empty queue

Cause: a queue that ran empty for a moment forgave the workspace that sends most what it had been given. Change: up to 64 workspaces are remembered.

--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -51,6 +51,9 @@
 /// A workspace may hold this many times the free part of a queue.
 pub const QUEUE_SHARE_OF_FREE: usize = 2;
 
+/// How many workspaces an empty queue remembers.
+pub const QUEUE_IDLE_FLOWS: usize = 64;
+
 /// How long a request may be late before it takes turns with requests that are on time.
 pub const AGE_BOUND: time::Duration = time::Duration::from_millis(4_000);
 
--- a/src/core/scheduler/queue.rs
+++ b/src/core/scheduler/queue.rs
@@ -208,11 +208,11 @@
         keys.into_iter().filter_map(|key| self.remove(key)).collect()
     }
 
-    /// Forgets what the workspaces were given once nothing waits: none is owed anything then.
+    /// Forgets what many workspaces were given once nothing waits. Few are remembered, so that a
+    /// queue that runs empty for a moment does not forgive what one was given before.
     fn end_busy_period(&mut self) {
-        if self.index.is_empty() {
+        if self.index.is_empty() && self.flows.len() > constants::QUEUE_IDLE_FLOWS {
             self.flows.clear();
-            self.backlog.clear();
             self.virtual_time = 0;
         }
     }
