--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -301,6 +301,7 @@
             },
             "fleet": {"credential": CREDENTIAL, "operator_key_sha256": sha256(OPERATOR_KEY)},
             "policy": policy,
+            "log": {"level": std::env::var("LOAD_LOG").unwrap_or("info".into())},
         });
         Ok(toml::to_string(&tables)?)
     }
