--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -63,7 +63,7 @@
     pub placement: Option<String>,
     /// Limit policy of the instances.
     pub limits: Option<String>,
-    /// Whether the settings and logs of the instances are kept.
+    /// Whether the settings, logs and records of the run are kept.
     #[serde(default)]
     pub keep: bool,
     /// Whether the result is printed as JSON.
@@ -94,10 +94,11 @@
     };
     match &options.galenayard {
         Some(binary) => {
-            let fleet = fleet::Fleet::start(&workload, binary, &policy(options)).await?;
+            let policy = policy(options);
+            let fleet = fleet::Fleet::start(&workload, binary, &policy, options.keep).await?;
             let fleet = Arc::new(Mutex::new(fleet));
             let result = run_fleet(options, &workload, plan, length, &fleet).await;
-            fleet.lock().await.stop(options.keep).await?;
+            fleet.lock().await.stop().await?;
             let (figures, cost) = result?;
             report.figures = figures;
             report.cost = Some(cost);
@@ -127,7 +128,9 @@
     let events = faults.await??;
     time::sleep(ORPHAN_DELAY).await;
     let fleet = fleet.lock().await;
-    let figures = judge::judge(workload, length, &samples, &fleet.ledgers(), &events);
+    let ledgers = fleet.ledgers();
+    fleet.keep("records.json", &(&events, &samples, &ledgers))?;
+    let figures = judge::judge(workload, length, &samples, &ledgers, &events);
     Ok((figures, fleet.cost(started.elapsed())))
 }
 
--- a/standins/src/load/caller.rs
+++ b/standins/src/load/caller.rs
@@ -151,6 +151,7 @@
             workspace: planned.workspace,
             kind,
             id,
+            request_id: String::new(),
             target: None,
             outcome: Outcome::Missing,
             status: 0,
@@ -170,6 +171,8 @@
             sample.outcome = Outcome::Missing;
             return;
         };
+        let request_id = response.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+        sample.request_id = request_id.unwrap_or_default().to_owned();
         sample.status = response.status().as_u16();
         if response.status() != StatusCode::OK {
             return self.read_refusal(response, sample).await;
@@ -258,6 +261,7 @@
             }
         }
         sample.outcome = stream.outcome(expected);
+        sample.reason = stream.error;
     }
 
     async fn read_plain(&self, response: Response<Incoming>, sample: &mut Sample) {
@@ -328,6 +332,7 @@
     pending: Vec<u8>,
     text: String,
     is_done: bool,
+    error: String,
 }
 
 impl StreamText {
@@ -349,6 +354,9 @@
             return 0;
         }
         let chunk: Value = serde_json::from_slice(data).unwrap_or(Value::Null);
+        if let Some(error) = chunk["error"]["type"].as_str() {
+            error.clone_into(&mut self.error);
+        }
         let text = chunk["choices"][0]["text"].as_str().unwrap_or_default();
         self.text.push_str(text);
         u64::from(!text.is_empty())
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -39,6 +39,9 @@
 /// Time that a fleet gets to settle before it is judged.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Lines shown of what an instance has printed.
+const TAIL_LINES: usize = 5;
+
 /// Interval at which a process is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -51,6 +54,7 @@
     workload: Workload,
     binary: PathBuf,
     directory: PathBuf,
+    keep: bool,
     engines: Vec<engine::Handle>,
     plains: Vec<plain::Handle>,
     log: log::Handle,
@@ -70,6 +74,14 @@
     child: Option<Child>,
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _gone = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
 /// What the instances and the log cost.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Cost {
@@ -96,6 +108,7 @@
         workload: &Workload,
         binary: &Path,
         policy: &Table,
+        keep: bool,
     ) -> Result<Self, BoxError> {
         let directory = std::env::temp_dir().join(format!("standins-{}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
@@ -116,6 +129,7 @@
             workload: workload.clone(),
             binary: binary.to_owned(),
             directory,
+            keep,
             engines,
             plains,
             log: log::spawn(workload.fleet.log.clone().try_into()?).await?,
@@ -131,8 +145,11 @@
         for index in 0..fleet.instances.len() {
             fleet.start_instance(index)?;
         }
-        fleet.apply_document().await?;
-        fleet.wait_until_ready().await?;
+        let started = async {
+            fleet.apply_document().await?;
+            fleet.wait_until_ready().await
+        };
+        started.await.map_err(|error| format!("{error}\n{}", fleet.output_tail()))?;
         time::sleep(fill_time(workload)).await;
         Ok(fleet)
     }
@@ -255,19 +272,32 @@
         }
     }
 
-    /// Ends all processes; their settings and logs are removed unless they are to be kept.
-    pub async fn stop(&mut self, keep: bool) -> Result<(), BoxError> {
+    /// Ends all processes.
+    pub async fn stop(&mut self) -> Result<(), BoxError> {
         for instance in &mut self.instances {
             if let Some(mut child) = instance.child.take() {
                 child.kill().await?;
             }
         }
-        if !keep {
-            std::fs::remove_dir_all(&self.directory)?;
+        Ok(())
+    }
+
+    /// Writes a file beside the logs of the instances if these are kept.
+    pub fn keep(&self, name: &str, value: &impl Serialize) -> Result<(), BoxError> {
+        if self.keep {
+            std::fs::write(self.directory.join(name), serde_json::to_vec(value)?)?;
         }
         Ok(())
     }
 
+    /// The end of what the first instance has printed.
+    fn output_tail(&self) -> String {
+        let path = self.directory.join("instance-0.log");
+        let output = std::fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<&str> = output.lines().collect();
+        lines[lines.len().saturating_sub(TAIL_LINES)..].join("\n")
+    }
+
     async fn prepare(&self, index: usize, policy: &Table) -> Result<Instance, BoxError> {
         let id = format!("instance-{index}");
         let instance = Instance {
--- a/standins/src/load/judge.rs
+++ b/standins/src/load/judge.rs
@@ -22,7 +22,7 @@
 const LONGEST_TIME_US: u64 = 600_000_000;
 
 /// What the stand-ins have recorded.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Ledgers {
     /// Of each engine.
     pub engines: Vec<ledger::Records>,
@@ -31,7 +31,7 @@
 }
 
 /// What was done to the system during a run. Times count from its start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Events {
     /// Instances that were killed or paused, by their address for callers.
     pub lost: Vec<(Duration, SocketAddr)>,
--- a/standins/src/load/sample.rs
+++ b/standins/src/load/sample.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Serialize;
+
 /// Kind of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A language request.
     Language,
@@ -15,7 +18,8 @@
 }
 
 /// How a request ended for its caller.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The whole right answer came.
     Answered,
@@ -32,7 +36,7 @@
 }
 
 /// What a caller has seen of one request. Times count from the start of the run.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Sample {
     /// Index of the workspace.
     pub workspace: usize,
@@ -40,6 +44,8 @@
     pub kind: Kind,
     /// Digest of the prompt in decimal, or id of the call, as in the ledgers.
     pub id: String,
+    /// Value of `x-request-id` in the answer.
+    pub request_id: String,
     /// Instance that was asked.
     pub target: Option<SocketAddr>,
     /// How it ended.
--- a/standins/tests/judge.rs
+++ b/standins/tests/judge.rs
@@ -21,6 +21,7 @@
         workspace: 0,
         kind: sample::Kind::Language,
         id: id.to_owned(),
+        request_id: String::new(),
         target: Some("127.0.0.1:1".parse().unwrap()),
         outcome: sample::Outcome::Answered,
         status: 200,
