Hold a decode place before queueing for prefill

Cause: a prefill place was held while its request waited for a decode place; prefill servers stood idle for up to 2 s each (debug lines of the slowest requests: prefill place after 151 ms, decode place 2058 ms later), and others waited 9 s. Change: the decode place first; the engine's count of cached tokens reaches the learned speeds; stray events are dropped and counted, and an answer whose count does not match is not passed off as whole.

--- a/src/borders/callers/language.rs
+++ b/src/borders/callers/language.rs
@@ -234,8 +234,11 @@
 
     async fn finish(&mut self, attempt: ids::Attempt) -> Turn {
         if !self.relay.is_complete() {
-            let failure =
-                request::Failure { fault: request::Fault::Closed, ran: request::Ran::Unknown };
+            let fault = match self.relay.is_finished() {
+                true => request::Fault::Malformed,
+                false => request::Fault::Closed,
+            };
+            let failure = request::Failure { fault, ran: request::Ran::Unknown };
             return self.fail(attempt, failure).await;
         }
         if self.relay.finish(&mut self.reply).await.is_err() {
--- a/src/borders/callers/relay.rs
+++ b/src/borders/callers/relay.rs
@@ -60,10 +60,17 @@
     }
 
     /// Returns whether the last token has been relayed.
-    pub fn is_complete(&self) -> bool {
+    pub fn is_finished(&self) -> bool {
         self.finish.is_some()
     }
 
+    /// Returns whether the last token has been relayed, and as many as the engine counted.
+    pub fn is_complete(&self) -> bool {
+        let is_counted =
+            self.usage.is_none_or(|usage| usage.completion_tokens == self.relayed_tokens);
+        self.finish.is_some() && is_counted
+    }
+
     /// Prepares for an attempt; one that starts from the prompt repeats tokens that are skipped.
     pub fn begin_attempt(&mut self, start: request::Start) {
         self.skip_tokens = match start {
--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -28,6 +28,9 @@
 /// How long an engine may take to answer a question about itself.
 const QUESTION_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Events of other requests that are dropped from one stream before it is given up.
+const MAX_STRAYS: u32 = 1_024;
+
 /// How long a long poll for cache events waits, in milliseconds.
 const CACHE_POLL_WAIT_MS: u64 = 1_000;
 
@@ -92,6 +95,7 @@
             events: sse_stream::SseStream::new(response.into_body()),
             timeout: limit,
             gap: self.timeouts.gap,
+            strays: 0,
         }))
     }
 
@@ -258,9 +262,16 @@
     events: sse_stream::SseStream<http::Body>,
     timeout: time::Duration,
     gap: time::Duration,
+    strays: u32,
 }
 
 impl EventStream {
+    /// Drops an event that belongs to another request.
+    fn drop_stray(&mut self) {
+        self.strays += 1;
+        metrics::counter!("galenayard_stray_events_total").increment(1);
+    }
+
     async fn next_chunk(&mut self) -> Result<Option<engines::Chunk>, request::Failure> {
         loop {
             let event = match tokio_time::timeout(self.timeout, self.events.next()).await {
@@ -273,7 +284,11 @@
             if data == "[DONE]" {
                 return Ok(None);
             }
-            return wire::parse_chunk(data, self.request).map(Some).map_err(maybe_run);
+            match wire::parse_chunk(data, self.request) {
+                Ok(chunk) => return Ok(Some(chunk)),
+                Err(request::Fault::Crossed) if self.strays < MAX_STRAYS => self.drop_stray(),
+                Err(fault) => return Err(maybe_run(fault)),
+            }
         }
     }
 }
--- a/src/core/request/language.rs
+++ b/src/core/request/language.rs
@@ -1,4 +1,4 @@
-//! The life of one language request: admission, a prefill place, a decode place, prefill, decode.
+//! The life of one language request: admission, a decode place, a prefill place, prefill, decode.
 //!
 //! A decode place is held before a prefill starts, since a KV cache lives for less than a second
 //! once it is exported.
@@ -176,7 +176,7 @@
             },
             effects,
         );
-        self.choose(scheduler::Phase::Prefill, effects);
+        self.choose(scheduler::Phase::Decode, effects);
         request::Flow::Continue
     }
 
@@ -260,12 +260,12 @@
     /// Takes the next step once a place was granted.
     fn advance(&mut self, now: ids::Timestamp, effects: &mut Effects) -> request::Flow {
         let kv_is_fresh = self.kv_is_fresh(now);
-        if self.prefill.is_none() && !kv_is_fresh {
-            self.choose(scheduler::Phase::Prefill, effects);
-        } else if self.decode.is_none() {
+        if self.decode.is_none() {
             self.choose(scheduler::Phase::Decode, effects);
         } else if kv_is_fresh {
             self.start_decode(request::Start::Import, now, effects);
+        } else if self.prefill.is_none() {
+            self.choose(scheduler::Phase::Prefill, effects);
         } else {
             self.start_prefill(now, effects);
         }
@@ -407,7 +407,8 @@
         self.cancel(scheduler::Phase::Decode, effects);
         self.avoid_place(scheduler::Phase::Decode, failure.fault);
         self.release_phase(scheduler::Phase::Decode, effects);
-        let repeatable = self.relayed_tokens == 0 || self.call.deterministic;
+        let output_is_known = failure.fault != request::Fault::Malformed;
+        let repeatable = self.relayed_tokens == 0 || (self.call.deterministic && output_is_known);
         if self.attempts >= constants::MAX_ATTEMPTS || !repeatable {
             return self.end_refused(request::Reason::Failed(failure.fault), now, effects);
         }
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -333,6 +333,8 @@
         let text: String = (0..tokens).map(|index| output::token(self.digest, index)).collect();
         let mut answer = self.shape.whole(&text, self.finish_reason, self.prompt_tokens, tokens);
         if self.exported {
+            let cached_tokens = self.engine.state().records.cached_tokens(self.number);
+            answer["usage"]["prompt_tokens_details"] = json!({"cached_tokens": cached_tokens});
             answer["kv_transfer_params"] = json!({
                 "remote_engine_id": self.engine.state().records.engine_id,
                 "remote_block_ids": [self.number],
--- a/standins/src/engine/ledger.rs
+++ b/standins/src/engine/ledger.rs
@@ -98,6 +98,12 @@
         number
     }
 
+    /// Returns the prompt tokens that an execution found in the cache.
+    pub fn cached_tokens(&self, number: ExecutionNumber) -> u64 {
+        let index = usize::try_from(number).unwrap_or(usize::MAX);
+        self.executions.get(index).map_or(0, |execution| execution.cached_tokens)
+    }
+
     /// Changes an execution that is kept.
     pub fn update(&mut self, number: ExecutionNumber, change: impl FnOnce(&mut Execution)) {
         let index = usize::try_from(number).unwrap_or(usize::MAX);
