--- a/src/core/configuration/constants.rs
+++ b/src/core/configuration/constants.rs
@@ -38,11 +38,11 @@
 /// How long keys stay in use without news from the log or from a peer.
 pub const KEYS_STALE: time::Duration = time::Duration::from_secs(3);
 
-/// The age of the last read at which the log counts as unreachable.
-pub const LOG_LAPSE: time::Duration = time::Duration::from_millis(2_000);
+/// The age of the last read at which the log counts as unreachable; longer than two long polls.
+pub const LOG_LAPSE: time::Duration = time::Duration::from_millis(2_500);
 
 /// How often one peer is asked while the log can be read.
-pub const PULL_INTERVAL: time::Duration = time::Duration::from_secs(5);
+pub const PULL_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
 /// How often peers are asked while the log cannot be read.
 pub const URGENT_PULL_INTERVAL: time::Duration = time::Duration::from_millis(500);
--- a/src/core/configuration/retention.rs
+++ b/src/core/configuration/retention.rs
@@ -22,6 +22,8 @@
     rank: Option<u32>,
     kept_from: Option<ids::Offset>,
     due_at: Option<ids::Timestamp>,
+    observed_at: Option<ids::Timestamp>,
+    up_since: ids::Timestamp,
     changes: u32,
     in_flight: Option<InFlight>,
 }
@@ -35,6 +37,8 @@
             rank: None,
             kept_from: None,
             due_at: None,
+            observed_at: None,
+            up_since: ids::Timestamp::ZERO,
             changes: 0,
             in_flight: None,
         }
@@ -74,6 +78,11 @@
 
     /// Compares the start of the log with what a new reader needs of it.
     pub fn observe(&mut self, batch: &log::Batch, now: ids::Timestamp) {
+        let lapse = |at| now.saturating_sub(at) >= constants::LOG_LAPSE;
+        if self.observed_at.is_none_or(lapse) {
+            self.up_since = now;
+        }
+        self.observed_at = Some(now);
         match self.kept_from {
             None if batch.first <= 1 => self.kept(1, now),
             Some(kept_from) if batch.first <= kept_from => {}
@@ -91,7 +100,9 @@
         let waits = self
             .in_flight
             .is_some_and(|sent| now.saturating_sub(sent.sent_at) < constants::SNAPSHOT_RETRY);
-        !waits && now >= due_at + constants::SNAPSHOT_STAGGER * rank
+        // The members take turns from the end of an outage as well.
+        let first_at = due_at.max(self.up_since);
+        !waits && now >= first_at + constants::SNAPSHOT_STAGGER * rank
     }
 
     /// Notes that a snapshot is being appended.
--- a/tests/configuration/sessions.rs
+++ b/tests/configuration/sessions.rs
@@ -495,3 +495,17 @@
     assert_eq!(fleet.trace, "");
     assert_eq!(fleet.nodes["a"].versions, [1, 2]);
 }
+
+#[test]
+fn one_member_appends_the_snapshot_that_is_due_after_an_outage() {
+    let mut fleet = running();
+    fleet.log_is_up = false;
+    fleet.steps(400);
+    fleet.trace.clear();
+    fleet.log_is_up = true;
+    fleet.fault = Fault::Lost;
+    fleet.steps(20);
+    fleet.fault = Fault::None;
+    fleet.steps(80);
+    insta::assert_snapshot!(fleet.lines("append"));
+}
