Ask fewer peers during an outage and more at the start

Cause: at 360 instances three questions each 500 ms are 24 messages a second for each instance. Change: two questions a second while the log is down; a new instance asks three peers each 500 ms until they have answered.

--- a/src/core/configuration/constants.rs
+++ b/src/core/configuration/constants.rs
@@ -45,10 +45,10 @@
 pub const PULL_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
 /// How often peers are asked while the log cannot be read.
-pub const URGENT_PULL_INTERVAL: time::Duration = time::Duration::from_millis(500);
+pub const URGENT_PULL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Peers asked at once while the log cannot be read.
-pub const URGENT_PULL_PEERS: usize = 3;
+pub const URGENT_PULL_PEERS: usize = 2;
 
 /// Pulls whose answers are awaited.
 pub const MAX_OPEN_PULLS: usize = 32;
@@ -59,6 +59,9 @@
 /// Peers that must have answered before a new instance relies on their document alone.
 pub const FIRST_ANSWERS: usize = 3;
 
+/// How often a new instance asks peers until that many have answered.
+pub const FIRST_PULL_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// How long a new instance waits for more than one peer's answer.
 pub const FIRST_ANSWERS_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
--- a/src/core/configuration/gossip.rs
+++ b/src/core/configuration/gossip.rs
@@ -150,6 +150,8 @@
     ) {
         let (interval, count) = if self.log_is_up(now) {
             (constants::PULL_INTERVAL, 1)
+        } else if !self.has_asked_enough(now) {
+            (constants::FIRST_PULL_INTERVAL, constants::FIRST_ANSWERS)
         } else {
             (constants::URGENT_PULL_INTERVAL, constants::URGENT_PULL_PEERS)
         };
