Repeat an unknown proposal by applying the same document

Cause: repeating key withdraw fails, since the key is gone from the file. Change: key withdraw takes no proposal id, the message names the way; deeply nested texts have a test.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -260,7 +260,7 @@
             id: self.text("--id")?,
             file: self.path("--file")?,
             to,
-            proposal: self.proposing()?,
+            proposal: self.first_attempt()?,
         })
     }
 
@@ -273,17 +273,22 @@
     }
 
     fn proposing(&mut self) -> Result<Proposing, exit::Failure> {
-        let base = self.optional("--base", |text| text.parse().map_err(|_| "not a version"))?;
         let id = self.optional("--proposal", |text| {
             ids::parse_request(text).ok_or("not 32 hexadecimal digits")
         })?;
-        if id.is_some() && base.is_none() {
+        let proposing = Proposing { id, ..self.first_attempt()? };
+        if id.is_some() && proposing.base.is_none() {
             return Err(self.usage("--proposal repeats an attempt and needs its --base"));
         }
-        let author = self.optional("--author", |text| Ok::<_, &str>(text.to_string()))?;
+        Ok(proposing)
+    }
+
+    fn first_attempt(&mut self) -> Result<Proposing, exit::Failure> {
+        let base = self.optional("--base", |text| text.parse().map_err(|_| "not a version"))?;
+        let author = self.optional("--author", |text| Ok(text.to_string()))?;
         let author = author.or_else(|| std::env::var("USER").ok()).unwrap_or_default();
         let author = if author.is_empty() { "operator".to_string() } else { author };
-        Ok(Proposing { base, id, author })
+        Ok(Proposing { base, id: None, author })
     }
 
     fn from(&mut self) -> Result<Remote, exit::Failure> {
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -91,8 +91,8 @@
     },
     /// The end of a proposal is not known.
     #[error(
-        "the proposal may have taken effect; send it again with `--proposal {proposal:032x} \
-         --base {base}`"
+        "the proposal may have taken effect; apply the same document again with \
+         `--proposal {proposal:032x} --base {base}`"
     )]
     Unknown {
         /// The proposal's number.
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -180,7 +180,6 @@
   --key-file FILE  The file with the operator key
   --base VERSION   The version that it replaces; the one in force if not named
   --author NAME    Who proposes it; $USER if not named
-  --proposal ID    The number of an earlier attempt whose end is unknown; needs its --base
 ",
     },
     Topic {
--- a/tests/bad_input_files.rs
+++ b/tests/bad_input_files.rs
@@ -180,3 +180,25 @@
     let last = faults.lines().pop().unwrap();
     insta::assert_snapshot!(last, @"more than 200 faults; correct those above first");
 }
+
+/// Texts whose nesting would exhaust the stack of a parser that does not bound it.
+fn deep_texts() -> Vec<String> {
+    let depth = 100_000;
+    vec![
+        format!("a = {}", "[".repeat(depth)),
+        format!("a = {}{}", "[".repeat(depth), "]".repeat(depth)),
+        format!("a = {}", "{a=".repeat(depth)),
+        format!("a{} = 1", ".a".repeat(depth)),
+        format!("[a{}]", ".a".repeat(depth)),
+        format!("[[a{}]]", ".a".repeat(depth)),
+        format!("servers = [{{ a{} = 1 }}]", ".a".repeat(depth)),
+    ]
+}
+
+#[test]
+fn deeply_nested_texts_are_refused() {
+    for text in deep_texts() {
+        assert!(parse_document(&text).is_err(), "{}", &text[..20]);
+        assert!(parse_settings(&text).is_err(), "{}", &text[..20]);
+    }
+}
--- a/tests/cli/arguments.rs
+++ b/tests/cli/arguments.rs
@@ -45,6 +45,7 @@
         "key withdraw --workspace w --id i",
         "key withdraw --workspace w --id i --file f --to 127.0.0.1:1",
         "key withdraw --workspace w --id i --file f --key-file k",
+        "key withdraw --workspace w --id i --file f --to 127.0.0.1:1 --key-file k --base 1 --proposal 000000000000000a000000000000000b",
         "key list",
         "key list --file a --from 127.0.0.1:1 --key-file k",
         "instances --from 127.0.0.1",
