--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -5,6 +5,7 @@
 //! in this process, on simulated time.
 
 use std::io::{self, Write};
+use std::time;
 
 use galenayard::core::escrow;
 use rand_chacha::rand_core::{Rng, SeedableRng};
@@ -203,7 +204,9 @@
         let (workspace, tokens) = (request.workspace, request.tokens);
         fleet.at(WARM_MS + request.at_ms, fleet::Action::Reserve { at, workspace, tokens });
     }
+    let start = time::Instant::now();
     fleet.run(WARM_MS + run_ms + 2_000);
+    let elapsed_s = start.elapsed().as_secs_f64();
     let messages = fleet.traffic.iter().map(|traffic| traffic.messages).sum::<u64>() - before;
     let bytes = fleet.traffic.iter().map(|traffic| traffic.bytes).sum::<u64>() - before_bytes;
     let bytes = bytes + messages * FRAMING_BYTES;
@@ -219,6 +222,8 @@
         bytes as f64 / requests.len() as f64,
     )?;
     if nodes == 360 {
+        let percent = elapsed_s / (run_ms as f64 / 1_000.0 + 2.0) / nodes as f64 * 100.0;
+        writeln!(out, "  {percent:.2}% of a core by instance, with the queue and the encoding")?;
         for (kind, traffic) in &fleet.kinds {
             let (old, old_bytes) =
                 kinds.get(kind).map_or((0, 0), |traffic| (traffic.messages, traffic.bytes));
--- a/tests/escrow/golden.rs
+++ b/tests/escrow/golden.rs
@@ -249,3 +249,16 @@
     assert_eq!(fleet.ledgers[0].refused, 0);
     assert_eq!(fleet.ledgers[0].admitted, 2_000);
 }
+
+#[test]
+fn requests_of_a_workspace_are_admitted_in_the_order_of_their_arrival() {
+    let mut fleet = warm(fleet::Options::default());
+    let (_, other) = broker_and_other(&fleet);
+    let load = fleet::Load { at: other, workspace: 0, tokens: 300, every_ms: 20 };
+    fleet.load(load, WARM_MS, WARM_MS + 6_000);
+    fleet.run_traced(WARM_MS + 7_000);
+    let admitted = fleet.trace.lines().filter_map(|line| line.split_once("=> Admitted r"));
+    let admitted: Vec<u64> = admitted.map(|(_, number)| number.parse().unwrap()).collect();
+    assert!(admitted.len() > 100 && admitted.is_sorted(), "{admitted:?}");
+    assert!(fleet.ledgers[0].refused > 20);
+}
--- a/tests/escrow/properties.rs
+++ b/tests/escrow/properties.rs
@@ -47,6 +47,7 @@
             fleet::Action::Noise { loss, duplication, delay_ms }
         }),
         1 => node.prop_map(fleet::Action::Leave),
+        1 => (500..=RATE, 500..=BURST).prop_map(|(rate, burst)| fleet::Action::Limit { rate, burst }),
     ]
 }
 
@@ -95,6 +96,7 @@
         fleet.load(*load, FAULTS_FROM_MS, HEAL_AT_MS);
     }
     fleet.at(HEAL_AT_MS, fleet::Action::Heal);
+    fleet.at(HEAL_AT_MS, fleet::Action::Limit { rate: RATE, burst: BURST });
     let repaired_ms = HEAL_AT_MS + REPAIR_MS;
     fleet.run(repaired_ms);
     let remaining = (0..plan.nodes).find(|node| fleet.is_member(*node));
