--- a/tests/escrow/golden.rs
+++ b/tests/escrow/golden.rs
@@ -262,3 +262,34 @@
     assert!(admitted.len() > 100 && admitted.is_sorted(), "{admitted:?}");
     assert!(fleet.ledgers[0].refused > 20);
 }
+
+#[test]
+fn clocks_that_run_fast_do_not_raise_the_rate() {
+    let skews_ppm = vec![10_000; 3];
+    let mut fleet = warm(fleet::Options { skews_ppm, ..fleet::Options::default() });
+    for at in 0..3 {
+        let load = fleet::Load { at, workspace: 0, tokens: 100, every_ms: 20 };
+        fleet.load(load, WARM_MS, WARM_MS + 60_000);
+    }
+    fleet.run(WARM_MS + 61_000);
+    assert_eq!(fleet.faults, Vec::<String>::new());
+    assert!(fleet.ledgers[0].admitted_tokens > 60 * 8_000 * 97 / 100);
+}
+
+#[test]
+fn pulled_tokens_that_come_later_than_their_lifetime_are_lost() {
+    let mut fleet = warm(fleet::Options::default());
+    let (broker, other) = broker_and_other(&fleet);
+    for late_ms in [1_950, 2_050] {
+        let start_ms = fleet.now_us / 1_000;
+        fleet.at(start_ms, fleet::Action::Next(fleet::Mishap::Late(late_ms), "Pulled"));
+        reserve(&mut fleet, start_ms + 10, other, 7_000);
+        fleet.run(start_ms + 11 + late_ms);
+        let before = fleet.status(broker)[0].pooled_tokens;
+        fleet.run(start_ms + 15 + late_ms);
+        let pooled = fleet.status(broker)[0].pooled_tokens;
+        assert_eq!(pooled > before, late_ms < 2_000, "{before} and {pooled} after {late_ms} ms");
+        fleet.run(start_ms + 8_000);
+    }
+    assert_eq!(fleet.faults, Vec::<String>::new());
+}
