--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,11 @@
 //! The `galenayard` command.
 
-fn main() {}
+use std::io;
+use std::process;
+
+use galenayard::cli;
+
+fn main() -> process::ExitCode {
+    let arguments = std::env::args_os().skip(1).collect();
+    cli::run(arguments, &mut io::stdout(), &mut io::stderr()).into()
+}
