--- a/src/core/membership.rs
+++ b/src/core/membership.rs
@@ -21,6 +21,8 @@
 pub mod record;
 pub mod roster;
 pub mod settings;
+#[cfg(test)]
+mod tests;
 mod upkeep;
 pub mod watch;
 pub mod witnesses;
--- /dev/null
+++ b/src/core/membership/tests.rs
@@ -0,0 +1,276 @@
+//! The rules of the fold, of witnesses and of leases, one at a time.
+
+use std::time;
+
+use bytes::Bytes;
+
+use crate::core::ids;
+use crate::core::log;
+use crate::core::membership;
+use crate::core::membership::backlog;
+use crate::core::membership::lease;
+use crate::core::membership::record;
+use crate::core::membership::roster;
+use crate::core::membership::watch;
+use crate::core::membership::witnesses;
+
+const EXPIRY: time::Duration = time::Duration::from_secs(60);
+const GUARD: time::Duration = time::Duration::from_secs(1);
+
+fn id(name: &str) -> ids::InstanceId {
+    Bytes::copy_from_slice(name.as_bytes())
+}
+
+fn member(name: &str, incarnation: ids::Incarnation, joined: ids::Offset) -> membership::Member {
+    membership::Member {
+        id: id(name),
+        incarnation,
+        failure_domain: id("domain-0"),
+        weight: 1,
+        peer_address: ([127, 0, 0, 1], 7_000).into(),
+        caller_address: ([127, 0, 0, 1], 8_000).into(),
+        leaving: false,
+        joined,
+    }
+}
+
+fn own(name: &str, joined: ids::Offset, sequence: u64, witnesses: &[&str]) -> record::Own {
+    let witnesses = witnesses.iter().map(|name| id(name)).collect();
+    record::Own { member: member(name, 1, joined), sequence, witnesses }
+}
+
+fn join(name: &str, sequence: u64, witnesses: &[&str]) -> record::Record {
+    record::Record::Join(own(name, 0, sequence, witnesses))
+}
+
+fn renew(name: &str, joined: ids::Offset, sequence: u64, witnesses: &[&str]) -> record::Record {
+    record::Record::Renew(own(name, joined, sequence, witnesses))
+}
+
+fn leave(name: &str, sequence: u64) -> record::Record {
+    record::Record::Leave { id: id(name), incarnation: 1, sequence }
+}
+
+fn accuse(
+    (witness, joined): (&str, ids::Offset),
+    read: ids::Offset,
+    (accused, record): (&str, ids::Offset),
+    absent: &[&str],
+) -> record::Record {
+    let absent = absent.iter().map(|name| id(name)).collect();
+    let charges = vec![record::Charge { member: id(accused), record, absent }];
+    record::Record::Accuse { witness: id(witness), joined, read, charges }
+}
+
+/// Numbers records from `first` on, a second apart.
+fn batch(first: ids::Offset, records: &[record::Record]) -> log::Batch {
+    let stored = records.iter().zip(first..).map(|(record, offset)| log::Record {
+        offset,
+        time_ms: offset * 1_000,
+        body: record::encode(record),
+    });
+    log::Batch {
+        requested_at: ids::Timestamp::ZERO,
+        first,
+        next: first + records.len() as u64,
+        records: stored.collect(),
+    }
+}
+
+fn fold(records: &[record::Record]) -> roster::Roster {
+    let mut roster = roster::Roster::new(EXPIRY);
+    assert!(roster.read(&batch(1, records), &mut Vec::new()));
+    roster
+}
+
+fn members(records: &[record::Record]) -> String {
+    let roster = fold(records);
+    let entries = roster.entries().iter().map(|entry| {
+        let name = String::from_utf8_lossy(&entry.member.id).into_owned();
+        format!("{name}@{} accused {:b}", entry.member.joined, entry.accused)
+    });
+    entries.collect::<Vec<_>>().join(", ")
+}
+
+/// Offsets 1 to 4: `a` with the witnesses `b`, `c` and `d`, which joined at 2 to 4.
+fn four() -> Vec<record::Record> {
+    let witnesses = &["b", "c", "d"];
+    vec![join("a", 1, witnesses), join("b", 1, &[]), join("c", 1, &[]), join("d", 1, &[])]
+}
+
+fn after_four(records: &[record::Record]) -> String {
+    let mut all = four();
+    all.extend_from_slice(records);
+    members(&all)
+}
+
+#[test]
+fn majority_of_witnesses_evicts() {
+    let accusations = [accuse(("b", 2), 5, ("a", 1), &[]), accuse(("c", 3), 5, ("a", 1), &[])];
+    insta::assert_snapshot!(after_four(&accusations[..1]), @"a@1 accused 1, b@2 accused 0, c@3 accused 0, d@4 accused 0");
+    insta::assert_snapshot!(after_four(&accusations), @"b@2 accused 0, c@3 accused 0, d@4 accused 0");
+}
+
+#[test]
+fn renewal_voids_accusations_against_the_older_record() {
+    let records = [
+        accuse(("b", 2), 5, ("a", 1), &[]),
+        renew("a", 1, 2, &["b", "c", "d"]),
+        accuse(("c", 3), 5, ("a", 1), &[]),
+        accuse(("d", 4), 5, ("a", 1), &[]),
+    ];
+    insta::assert_snapshot!(after_four(&records), @"a@1 accused 0, b@2 accused 0, c@3 accused 0, d@4 accused 0");
+}
+
+#[test]
+fn accusation_of_an_earlier_process_is_void() {
+    let records = [
+        accuse(("b", 2), 5, ("a", 1), &[]),
+        join("b", 2, &[]),
+        accuse(("b", 2), 5, ("a", 1), &[]),
+        accuse(("c", 3), 5, ("a", 1), &[]),
+    ];
+    insta::assert_snapshot!(after_four(&records), @"a@1 accused 10, b@6 accused 0, c@3 accused 0, d@4 accused 0");
+}
+
+#[test]
+fn absent_witness_counts_unless_it_came_back() {
+    let gone = [leave("b", 2), accuse(("c", 3), 6, ("a", 1), &["b"])];
+    insta::assert_snapshot!(after_four(&gone), @"c@3 accused 0, d@4 accused 0");
+    let back = [leave("b", 2), join("b", 3, &[]), accuse(("c", 3), 6, ("a", 1), &["b"])];
+    insta::assert_snapshot!(after_four(&back), @"a@1 accused 10, b@6 accused 0, c@3 accused 0, d@4 accused 0");
+    let back_and_gone =
+        [leave("b", 2), join("b", 3, &[]), leave("b", 4), accuse(("c", 3), 6, ("a", 1), &["b"])];
+    insta::assert_snapshot!(after_four(&back_and_gone), @"a@1 accused 10, c@3 accused 0, d@4 accused 0");
+}
+
+#[test]
+fn late_records_of_a_removed_process_are_void() {
+    let records = [leave("a", 3), join("a", 1, &["b"]), renew("a", 1, 2, &["b"])];
+    insta::assert_snapshot!(after_four(&records), @"b@2 accused 0, c@3 accused 0, d@4 accused 0");
+}
+
+#[test]
+fn reader_of_a_truncated_stream_starts_from_a_snapshot() {
+    let mut records = four();
+    records.push(accuse(("b", 2), 5, ("a", 1), &[]));
+    let snapshot = fold(&records).snapshot();
+    records.push(accuse(("c", 3), 5, ("a", 1), &[]));
+    records.push(renew("a", 1, 2, &["b"]));
+    records.push(record::Record::Snapshot(snapshot));
+    let mut late = roster::Roster::new(EXPIRY);
+    late.read(&batch(6, &records[5..7]), &mut Vec::new());
+    assert!(!late.is_known() && !late.is_orphaned() && late.entries().is_empty());
+    late.read(&batch(6, &records[5..]), &mut Vec::new());
+    assert!(late.is_known());
+    assert_eq!(late.entries(), fold(&records).entries());
+    let mut later = roster::Roster::new(EXPIRY);
+    later.read(&batch(7, &records[6..]), &mut Vec::new());
+    assert!(!later.is_known(), "a record after the snapshot's version was not read");
+}
+
+#[test]
+fn empty_fleet_starts_only_without_traces_of_members() {
+    let stored = |record, offset| batch(offset, &[record]).records.remove(0);
+    let empty = |version| {
+        let snapshot =
+            record::Snapshot { version, clock_ms: 0, entries: vec![], tombstones: vec![] };
+        record::Record::Snapshot(snapshot)
+    };
+    let mut backlog = backlog::Backlog::default();
+    backlog.start_at(5);
+    assert!(backlog.is_orphaned());
+    backlog.push(&stored(renew("a", 1, 2, &[]), 5));
+    assert!(!backlog.is_orphaned());
+    backlog.start_at(6);
+    assert!(backlog.is_orphaned());
+    assert!(backlog.push(&stored(empty(3), 6)).is_none(), "records 4 and 5 were not read");
+    assert!(backlog.push(&stored(empty(5), 7)).is_none(), "its writer had not read the other");
+    assert!(backlog.push(&stored(empty(7), 8)).is_some());
+}
+
+#[test]
+fn witness_promises_nothing_while_its_accusation_may_count() {
+    let roster = fold(&four());
+    let mut watch = watch::Watch::new(GUARD);
+    watch.update(roster.entry(&id("a")).unwrap(), ids::Timestamp::ZERO);
+    assert!(watch.hear(&id("a"), 1, GUARD / 2));
+    assert!(watch.accuse(&id("b"), &roster, GUARD).is_empty(), "the promise holds");
+    let now = GUARD * 2;
+    let charges = watch.accuse(&id("b"), &roster, now);
+    assert_eq!(charges.len(), 1);
+    assert!(!watch.hear(&id("a"), 1, now), "the accusation is under way");
+    watch.retract(&charges);
+    assert!(watch.hear(&id("a"), 1, now), "the log has refused the accusation");
+    let now = now + GUARD;
+    let charges = watch.accuse(&id("b"), &roster, now);
+    watch.doubt(&charges);
+    watch.retract(&charges);
+    assert!(!watch.hear(&id("a"), 1, now), "an earlier append may have taken effect");
+    assert!(watch.hear(&id("a"), 5, now), "the member has a newer record");
+}
+
+#[test]
+fn absent_witness_counts_two_leases_after_its_removal() {
+    let mut roster = fold(&four());
+    let mut watch = watch::Watch::new(GUARD);
+    watch.update(roster.entry(&id("a")).unwrap(), ids::Timestamp::ZERO);
+    let mut left = batch(5, &[leave("c", 2)]);
+    left.first = 1;
+    roster.read(&left, &mut Vec::new());
+    watch.remove(&id("c"), GUARD);
+    let absent = |watch: &mut watch::Watch, now| {
+        let charges = watch.accuse(&id("b"), &roster, now);
+        charges.iter().map(|charge| charge.absent.len()).sum::<usize>()
+    };
+    assert_eq!(absent(&mut watch, GUARD * 3 - time::Duration::from_millis(1)), 0);
+    assert_eq!(absent(&mut watch, GUARD * 3), 1);
+}
+
+#[test]
+fn lease_runs_from_the_sending_of_the_heartbeat() {
+    let mut lease = lease::Lease::new(GUARD);
+    let witnesses = [id("b"), id("c"), id("d")];
+    let sequence = lease.send(GUARD);
+    lease.promise(&id("b"), sequence);
+    assert_eq!(lease.promised_until(&witnesses, GUARD), ids::Timestamp::ZERO);
+    let later = lease.send(GUARD + GUARD / 2);
+    lease.promise(&id("c"), later);
+    assert_eq!(lease.promised_until(&witnesses, GUARD), GUARD * 2);
+    lease.promise(&id("d"), later + 1);
+    assert_eq!(lease.promised_until(&witnesses, GUARD), GUARD * 2, "no such heartbeat was sent");
+    assert_eq!(lease.promised_until(&[], GUARD * 5), GUARD * 6, "nobody can accuse");
+}
+
+#[test]
+fn any_promises_and_any_accusations_that_suffice_share_a_witness() {
+    for count in 1..=32 {
+        let shared = witnesses::promise_quorum(count) + witnesses::eviction_quorum(count);
+        assert!(shared > count, "{count} witnesses");
+    }
+}
+
+#[test]
+fn witnesses_are_spread_over_failure_domains() {
+    let members: Vec<_> = (0..360_u32)
+        .map(|number| {
+            let failure_domain = Bytes::from(format!("domain-{}", number % 16));
+            membership::Member { failure_domain, ..member(&format!("n{number}"), 1, 0) }
+        })
+        .collect();
+    let mut duties = vec![0_u32; members.len()];
+    for own in &members {
+        let chosen = witnesses::choose(&own.id, members.iter(), 7);
+        let mut domains: Vec<_> = Vec::new();
+        for (duty, member) in duties.iter_mut().zip(&members) {
+            if chosen.contains(&member.id) {
+                *duty += 1;
+                domains.push(member.failure_domain.clone());
+            }
+        }
+        domains.sort();
+        domains.dedup();
+        assert_eq!((chosen.len(), domains.len()), (7, 7));
+    }
+    insta::assert_debug_snapshot!((duties.iter().min(), duties.iter().max()));
+}
--- a/tests/membership/sessions.rs
+++ b/tests/membership/sessions.rs
@@ -215,6 +215,26 @@
     insta::assert_snapshot!(finish(network));
 }
 
+#[test]
+fn renewal_stands_unseen_and_its_witnesses_evict() {
+    let mut network = fleet_with(long_lived(), &[0, 1, 2]);
+    mark(&mut network, "n1 and n2 are cut from the log, then four more join");
+    network.cut_log(1, u64::MAX / 2);
+    network.cut_log(2, u64::MAX / 2);
+    for slot in 3..7 {
+        network.start(&format!("n{slot}"), slot % 3, 1_000);
+    }
+    let is_renewed = |line: &String| line.contains("n0: append") && line.contains("n6");
+    while !network.trace.iter().any(is_renewed) {
+        run(&mut network, 1);
+    }
+    mark(&mut network, "n0 is cut from the log; n0, n1 and n2 from the others");
+    network.cut_log(0, u64::MAX / 2);
+    network.island = (0b111, u64::MAX);
+    run(&mut network, 5_000);
+    insta::assert_snapshot!(finish(network));
+}
+
 #[test]
 fn two_of_three_crash_and_their_records_expire() {
     let mut network = fleet(&[0, 1, 2]);
