--- a/src/core/membership/tests.rs
+++ b/src/core/membership/tests.rs
@@ -274,3 +274,23 @@
     }
     insta::assert_debug_snapshot!((duties.iter().min(), duties.iter().max()));
 }
+
+#[test]
+fn encoded_sizes_at_360_instances() {
+    let instances: Vec<_> = (0..360).map(|number| format!("instance-{number:03}")).collect();
+    let names: Vec<_> = instances.iter().map(String::as_str).collect();
+    let joins: Vec<_> = names.iter().map(|name| join(name, 1, &names[..7])).collect();
+    let mut roster = roster::Roster::new(EXPIRY * 60);
+    roster.read(&batch(1, &joins), &mut Vec::new());
+    let message = |message: membership::Message| rmp_serde::to_vec(&message).unwrap().len();
+    let (incarnation, sequence, record) = (u64::MAX, 100_000, 1_000_000);
+    let sizes = [
+        ("heartbeat", message(membership::Message::Heartbeat { sequence, record })),
+        ("promise", message(membership::Message::Promise { incarnation, sequence })),
+        ("record of a member", record::encode(&joins[0]).len()),
+        ("accusation", record::encode(&accuse(("b", 1), record, ("a", record), &[])).len()),
+        ("snapshot", record::encode(&record::Record::Snapshot(roster.snapshot())).len()),
+    ];
+    let lines = sizes.map(|(name, bytes)| format!("{name}: {bytes} bytes"));
+    insta::assert_snapshot!(lines.join("\n"));
+}
