--- a/src/core/membership/tests.rs
+++ b/src/core/membership/tests.rs
@@ -11,8 +11,10 @@
 use crate::core::membership::lease;
 use crate::core::membership::record;
 use crate::core::membership::roster;
+use crate::core::membership::settings;
 use crate::core::membership::watch;
 use crate::core::membership::witnesses;
+use crate::core::reducer::Reducer;
 
 const EXPIRY: time::Duration = time::Duration::from_secs(60);
 const GUARD: time::Duration = time::Duration::from_secs(1);
@@ -294,3 +296,66 @@
     let lines = sizes.map(|(name, bytes)| format!("{name}: {bytes} bytes"));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn expired_member_leaves_no_trace() {
+    let records = [join("a", 1, &[]), join("b", 1, &[]), join("a", 1, &[])];
+    let mut all = batch(1, &records);
+    for record in &mut all.records[1..] {
+        record.time_ms += 2 * EXPIRY.as_millis() as u64;
+    }
+    let mut reader = roster::Roster::new(EXPIRY);
+    reader.read(&all, &mut Vec::new());
+    // A reader that starts an empty fleet at offset 1 does not know that `a` ever joined.
+    let mut newcomer = roster::Roster::new(EXPIRY);
+    let snapshot =
+        record::Snapshot { version: 1, clock_ms: 0, entries: vec![], tombstones: vec![] };
+    let mut later = batch(2, &[join("b", 1, &[]), join("a", 1, &[])]);
+    later.records = all.records.split_off(1);
+    let empty = batch(4, &[record::Record::Snapshot(snapshot)]);
+    later.records.extend(empty.records);
+    newcomer.read(&later, &mut Vec::new());
+    assert!(newcomer.is_known());
+    assert_eq!(reader.entries(), newcomer.entries());
+    assert_eq!(reader.entries().len(), 2);
+}
+
+#[test]
+fn waking_witness_accuses_nobody_for_a_lease() {
+    let roster = fold(&four());
+    let mut watch = watch::Watch::new(GUARD);
+    watch.update(roster.entry(&id("a")).unwrap(), ids::Timestamp::ZERO);
+    let woken_at = GUARD * 5;
+    watch.resume(woken_at);
+    let just_before = woken_at + GUARD - time::Duration::from_millis(1);
+    assert!(watch.accuse(&id("b"), &roster, just_before).is_empty());
+    assert_eq!(watch.accuse(&id("b"), &roster, woken_at + GUARD).len(), 1);
+}
+
+#[test]
+fn process_that_missed_records_joins_anew() {
+    let settings = settings::Settings::default();
+    let mut reducer = membership::Membership::new(member("a", 1, 0), settings.clone());
+    let mut effects = Vec::new();
+    let read = |records: &[record::Record], first| membership::Event::Read(batch(first, records));
+    reducer.apply(read(&[], 1), ids::Timestamp::ZERO, &mut effects);
+    reducer.apply(membership::Event::Tick, ids::Timestamp::ZERO, &mut effects);
+    reducer.apply(read(&[join("a", 1, &[])], 1), ids::Timestamp::ZERO, &mut effects);
+    assert!(reducer.is_valid(ids::Timestamp::ZERO));
+    let snapshot = fold(&[join("a", 1, &[])]).snapshot();
+    let snapshot = record::Record::Snapshot(record::Snapshot { version: 8, ..snapshot });
+    effects.clear();
+    reducer.apply(read(&[snapshot], 9), ids::Timestamp::ZERO, &mut effects);
+    assert!(reducer.knows_members() && !reducer.is_valid(ids::Timestamp::ZERO));
+    effects.clear();
+    let rejoins_at = settings.lease;
+    let mut again = batch(9, &[]);
+    (again.requested_at, again.next) = (rejoins_at, 10);
+    reducer.apply(membership::Event::Read(again), rejoins_at, &mut effects);
+    reducer.apply(membership::Event::Tick, rejoins_at, &mut effects);
+    let appended = effects.iter().filter_map(|effect| match effect {
+        membership::Effect::Append { body, .. } => record::decode(body),
+        _ => None,
+    });
+    assert_eq!(appended.collect::<Vec<_>>(), [join("a", 2, &[])]);
+}
