--- a/tests/membership/safety.rs
+++ b/tests/membership/safety.rs
@@ -54,7 +54,8 @@
 }
 
 fn conditions() -> impl Strategy<Value = network::Conditions> {
-    (1..400_u64, 0..300_u64, 0..100_u64, 0..200_u64, 0..300_u64, 0..200_u64).prop_map(
+    let max_delay_ms = strategy::Union::new([1..400_u64, 400..2_000]);
+    (max_delay_ms, 0..300_u64, 0..100_u64, 0..200_u64, 0..300_u64, 0..200_u64).prop_map(
         |(max_delay_ms, lost, duplicated, append_lost, answer_lost, append_late)| {
             network::Conditions {
                 max_delay_ms,
