Let the decode limit come closer to the inter-token target

Cause: the limit shrank at 97 % of the target and grew below 88 %, measured at the mean and two deviations, so slots of slow servers stood idle. Change: shrink above the target, grow below 93 %.

--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -73,10 +73,10 @@
 pub const INTER_TOKEN_TARGET_MS: f64 = 42.0;
 
 /// The share of the target up to which the limit grows.
-pub const LIMIT_GROWTH_BELOW: f64 = 0.88;
+pub const LIMIT_GROWTH_BELOW: f64 = 0.93;
 
 /// The share of the target above which the limit shrinks.
-pub const LIMIT_SHRINK_ABOVE: f64 = 0.97;
+pub const LIMIT_SHRINK_ABOVE: f64 = 1.0;
 
 /// The least time between two changes of a limit.
 pub const LIMIT_WINDOW: time::Duration = time::Duration::from_millis(1_000);
