Shorten the scheduler's messages and count engine queues beyond the overlap

Cause: variant names took 5 to 8 bytes of each message; requests that wait in an engine because of places granted ahead shrank the limit. Change: single-letter names on the wire; only more waiting requests than the places beyond the slots shrink it.

--- a/examples/placement_trial/site.rs
+++ b/examples/placement_trial/site.rs
@@ -201,7 +201,7 @@
 }
 
 pub fn instance(index: usize) -> ids::InstanceId {
-    format!("i{index}").into()
+    format!("instance-{index}").into()
 }
 
 pub fn instance_index(id: &ids::InstanceId) -> usize {
@@ -209,7 +209,7 @@
 }
 
 pub fn incarnation(index: usize) -> ids::Incarnation {
-    index as u64 + 1
+    xxh3::xxh3_64(&index.to_le_bytes())
 }
 
 pub fn request(node: usize, number: u64) -> ids::RequestId {
@@ -217,18 +217,19 @@
 }
 
 pub fn workspace(index: usize) -> ids::WorkspaceId {
-    format!("w{index}").into()
+    format!("workspace-{index}").into()
 }
 
 pub fn prefill_server(index: usize) -> ids::ServerId {
-    format!("p{index}").into()
+    format!("prefill-{index}").into()
 }
 
 pub fn decode_server(index: usize) -> ids::ServerId {
-    format!("d{index}").into()
+    format!("decode-{index}").into()
 }
 
 /// Returns the number at the end of a name.
 pub fn server_index(id: &ids::ServerId) -> usize {
-    std::str::from_utf8(&id[1..]).ok().and_then(|digits| digits.parse().ok()).unwrap_or(0)
+    let text = std::str::from_utf8(id).unwrap_or_default();
+    text.rsplit('-').next().and_then(|digits| digits.parse().ok()).unwrap_or(0)
 }
--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -74,11 +74,15 @@
 }
 
 /// A message between the client of a place and the scheduler that grants it.
+///
+/// The variants' names on the wire are single letters, since a place costs several messages.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a place.
+    #[serde(rename = "a")]
     Ask(Ask),
     /// Gives up a place or the wait for one.
+    #[serde(rename = "r")]
     Release {
         /// The server.
         server: ids::ServerId,
@@ -88,6 +92,7 @@
         report: Option<Report>,
     },
     /// Tells what a client observed.
+    #[serde(rename = "o")]
     Report {
         /// The server.
         server: ids::ServerId,
@@ -97,6 +102,7 @@
         report: Report,
     },
     /// Grants a place.
+    #[serde(rename = "g")]
     Grant {
         /// The server.
         server: ids::ServerId,
@@ -106,6 +112,7 @@
         ticket: Ticket,
     },
     /// The request is queued.
+    #[serde(rename = "q")]
     Queued {
         /// The server.
         server: ids::ServerId,
@@ -117,6 +124,7 @@
         wait_ms: u32,
     },
     /// The request is not queued.
+    #[serde(rename = "f")]
     Refuse {
         /// The server.
         server: ids::ServerId,
@@ -128,6 +136,7 @@
         refusal: Refusal,
     },
     /// Registers places that the client holds, with a new scheduler or in answer to a check.
+    #[serde(rename = "h")]
     Hold {
         /// The server.
         server: ids::ServerId,
@@ -135,11 +144,13 @@
         places: Vec<Registration>,
     },
     /// Acknowledges the registration of a server's places.
+    #[serde(rename = "k")]
     Kept {
         /// The server.
         server: ids::ServerId,
     },
     /// Asks whether the client holds places for requests on a server.
+    #[serde(rename = "c")]
     Check {
         /// The client's incarnation.
         incarnation: ids::Incarnation,
@@ -149,6 +160,7 @@
         sequences: Vec<u64>,
     },
     /// The client holds no place for a request on a server.
+    #[serde(rename = "u")]
     Unheld {
         /// The server.
         server: ids::ServerId,
--- a/src/core/scheduler/server.rs
+++ b/src/core/scheduler/server.rs
@@ -256,9 +256,11 @@
         self.decode.remove_where(|entry| entry.key.0 == incarnation);
     }
 
-    /// Takes note of the load that the server reports.
+    /// Takes note of the load that the server reports: more requests wait inside the engine than
+    /// the places beyond its slots explain.
     pub fn loaded(&mut self, load: &scheduler::Load, now: ids::Timestamp) {
-        if load.queued > 0 && self.decodes > 0 && self.prefill_work_tokens == 0 {
+        let expected = self.hold_time.places(self.capacity.slots) - self.capacity.slots;
+        if load.queued > expected && self.decodes > 0 && self.prefill_work_tokens == 0 {
             self.limit.engine_queued(now);
         }
     }
--- a/tests/scheduler/fleet.rs
+++ b/tests/scheduler/fleet.rs
@@ -36,6 +36,7 @@
     pub now_ms: u64,
     pub nodes: collections::Map<ids::InstanceId, Node>,
     pub outcomes: Vec<(ids::InstanceId, scheduler::Effect)>,
+    pub sent: Vec<scheduler::Message>,
     pub trace: String,
     snapshot: configuration::SharedSnapshot,
     parcels: Vec<Parcel>,
@@ -103,6 +104,7 @@
             now_ms: 1_000,
             nodes: collections::Map::default(),
             outcomes: Vec::new(),
+            sent: Vec::new(),
             trace: String::new(),
             snapshot,
             parcels: Vec::new(),
@@ -117,6 +119,11 @@
         fleet
     }
 
+    /// Changes what happens to further messages.
+    pub fn transport(&mut self, transport: Transport) {
+        self.transport = transport;
+    }
+
     /// Stops tracing.
     pub fn quiet(&mut self) {
         self.quiet = true;
@@ -263,6 +270,9 @@
         to: ids::InstanceId,
         message: scheduler::Message,
     ) {
+        if !self.quiet {
+            self.sent.push(message.clone());
+        }
         for delay_ms in (self.transport)() {
             self.order += 1;
             self.parcels.push(Parcel {
--- a/tests/scheduler/golden.rs
+++ b/tests/scheduler/golden.rs
@@ -318,3 +318,56 @@
     assert_eq!(fleet.usage("d1").places, 0);
     insta::assert_snapshot!(fleet.trace);
 }
+
+#[test]
+fn requests_waiting_inside_the_engine_shrink_the_limit() {
+    let mut wide = document();
+    wide.servers[0].slots = 20;
+    let mut fleet = settled(wide);
+    place_decode(&mut fleet, "a", 1);
+    let before = fleet.usage("d1").decode_limit;
+    let owner = fleet.owner("d1");
+    for queued in [0, 1, 2, 8, 8, 0] {
+        fleet.run(1_100);
+        let server = fleet::key("d1");
+        let load = scheduler::Load { server, running: 1, queued, free_pieces: 1, age_ms: 250 };
+        fleet.apply(&owner, scheduler::Event::Loaded(load));
+    }
+    assert_eq!(before - fleet.usage("d1").decode_limit, 3);
+}
+
+#[test]
+fn a_lost_registration_is_repeated_within_the_grace() {
+    let mut dropped = 0;
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    fleet.transport(Box::new(move || {
+        dropped += 1;
+        if dropped <= 2 { Vec::new() } else { vec![2] }
+    }));
+    fleet.note("a dies, and the first two messages after it are lost");
+    fleet.kill("a");
+    fleet.view(&[("b", 20), ("c", 30)]);
+    fleet.run(600);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 1);
+}
+
+#[test]
+fn messages_are_small() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    place_decode(&mut fleet, "c", 1);
+    place_decode(&mut fleet, "a", 1);
+    observe(&mut fleet, "b", 100, 2_500);
+    fleet.release("b", request("b", 1), DECODE);
+    fleet.run(20);
+    let mut sizes = String::new();
+    for message in &fleet.sent {
+        let bytes = rmp_serde::to_vec(message).expect("encoded").len();
+        let text = format!("{message:?}");
+        let name = text.split([' ', '(', '{']).next().expect("name");
+        sizes.push_str(&format!("{bytes:>3} bytes {name}\n"));
+    }
+    insta::assert_snapshot!(sizes);
+}
