--- /dev/null
+++ b/tests/configuration/main.rs
@@ -0,0 +1,6 @@
+//! Sessions and properties of the configuration reducer.
+
+mod fleet;
+mod properties;
+mod sessions;
+mod wiring;
