--- a/tests/scheduler/fleet.rs
+++ b/tests/scheduler/fleet.rs
@@ -117,6 +117,11 @@
         fleet
     }
 
+    /// Changes what happens to further messages.
+    pub fn transport(&mut self, transport: Transport) {
+        self.transport = transport;
+    }
+
     /// Stops tracing.
     pub fn quiet(&mut self) {
         self.quiet = true;
--- a/tests/scheduler/golden.rs
+++ b/tests/scheduler/golden.rs
@@ -149,11 +149,7 @@
     let mut fleet = settled(document());
     place_decode(&mut fleet, "b", 1);
     let owner = fleet.owner("d1");
-    let grant = |incarnation, ticket| scheduler::Message::Grant {
-        server: fleet::key("d1"),
-        incarnation,
-        ticket,
-    };
+    let grant = |addressee, ticket| scheduler::Message::Grant { addressee, ticket };
     fleet.note("the grant comes again");
     fleet.deliver(&owner, 10, "b", grant(20, 1));
     fleet.run(20);
@@ -318,3 +314,80 @@
     assert_eq!(fleet.usage("d1").places, 0);
     insta::assert_snapshot!(fleet.trace);
 }
+
+#[test]
+fn requests_waiting_inside_the_engine_shrink_the_limit() {
+    let mut wide = document();
+    wide.servers[0].slots = 20;
+    let mut fleet = settled(wide);
+    place_decode(&mut fleet, "a", 1);
+    let before = fleet.usage("d1").decode_limit;
+    let owner = fleet.owner("d1");
+    for queued in [0, 1, 2, 8, 8, 0] {
+        fleet.run(1_100);
+        let server = fleet::key("d1");
+        let load = scheduler::Load { server, running: 1, queued, free_pieces: 1, age_ms: 250 };
+        fleet.apply(&owner, scheduler::Event::Loaded(load));
+    }
+    assert_eq!(before - fleet.usage("d1").decode_limit, 3);
+}
+
+#[test]
+fn a_lost_registration_is_repeated_within_the_grace() {
+    let mut dropped = 0;
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    fleet.transport(Box::new(move || {
+        dropped += 1;
+        if dropped <= 2 { Vec::new() } else { vec![2] }
+    }));
+    fleet.note("a dies, and the first two messages after it are lost");
+    fleet.kill("a");
+    fleet.view(&[("b", 20), ("c", 30)]);
+    fleet.run(600);
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 1);
+}
+
+#[test]
+fn messages_are_small() {
+    let server = ids::ServerId::from_static(b"decode-07");
+    let report = scheduler::message::Report {
+        tokens: 480,
+        elapsed_ms: 12_000,
+        observations: 3,
+        failures: 0,
+    };
+    let ask = scheduler::message::Ask {
+        ticket: 70_000,
+        sequence: 50_000,
+        server: server.clone(),
+        decode: true,
+        workspace: ids::WorkspaceId::from_static(b"workspace-3"),
+        work_tokens: 300,
+        memory_pieces: 3,
+        age_ms: 200,
+        slack_ms: 1_100,
+        report: None,
+    };
+    let (addressee, ticket) = (u32::MAX, 70_000);
+    let refusal = scheduler::message::Refusal::Full;
+    let messages = [
+        scheduler::Message::Ask(ask.clone()),
+        scheduler::Message::Ask(scheduler::message::Ask { report: Some(report), ..ask }),
+        scheduler::Message::Grant { addressee, ticket },
+        scheduler::Message::Queued { addressee, ticket, wait_ms: 800 },
+        scheduler::Message::Refuse { addressee, ticket, refusal },
+        scheduler::Message::Release { server: server.clone(), ticket, report: None },
+        scheduler::Message::Release { server, ticket, report: Some(report) },
+    ];
+    let mut sizes = String::new();
+    for message in messages {
+        let bytes = rmp_serde::to_vec(&message).expect("encoded");
+        assert_eq!(rmp_serde::from_slice::<scheduler::Message>(&bytes).expect("decoded"), message);
+        let text = format!("{message:?}");
+        let name = text.split([' ', '(', '{']).next().expect("name");
+        sizes.push_str(&format!("{:>3} bytes {name}\n", bytes.len()));
+    }
+    insta::assert_snapshot!(sizes);
+}
