Judge pauses strictly and measure processor time by the age of each process

Cause: a paused instance excused missing answers though its connections stay open, and a restart made the processor time look small. Change: only kills excuse answers that break off, within a second; processor time is divided by the age of the process.

--- a/standins/src/load/faults.rs
+++ b/standins/src/load/faults.rs
@@ -119,10 +119,8 @@
             fleet.lock().await.start_instance(instance)?;
         }
         Action::Pause { instance, for_s } => {
-            let address = fleet.lock().await.signal(instance, "STOP").await?;
-            events.lost.push((started.elapsed(), address));
+            fleet.lock().await.signal(instance, "STOP").await?;
             time::sleep(seconds(for_s)).await;
-            events.lost.push((started.elapsed(), address));
             fleet.lock().await.signal(instance, "CONT").await?;
         }
         Action::RollingRestart { gap_s } => {
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -194,12 +194,12 @@
     }
 
     /// Sends a signal to the process of an instance.
-    pub async fn signal(&mut self, index: usize, name: &str) -> Result<SocketAddr, BoxError> {
+    pub async fn signal(&mut self, index: usize, name: &str) -> Result<(), BoxError> {
         let instance = self.instances.get(index).ok_or("no such instance")?;
         let process = instance.child.as_ref().and_then(Child::id).ok_or("it does not run")?;
         let process = process.to_string();
         Command::new("kill").args(["-s", name, &process]).status().await?;
-        Ok(instance.callers)
+        Ok(())
     }
 
     /// Waits until the process of an instance has ended.
@@ -256,8 +256,7 @@
             .iter()
             .filter_map(|instance| instance.child.as_ref().and_then(Child::id))
             .collect();
-        let shares = processes.iter().filter_map(|process| cpu_s(*process));
-        let shares: Vec<f64> = shares.map(|used_s| used_s / time.as_secs_f64()).collect();
+        let shares: Vec<f64> = processes.iter().filter_map(|process| cpu_share(*process)).collect();
         let records = self.log.log.records();
         Cost {
             cpu_share_max: shares.iter().copied().fold(0.0, f64::max),
@@ -484,12 +483,15 @@
     Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-/// Processor time that a process has used.
-fn cpu_s(process: u32) -> Option<f64> {
+/// Share of a core that a process has used since its start.
+fn cpu_share(process: u32) -> Option<f64> {
     let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
     let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
-    let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-    Some(ticks / TICKS_PER_S)
+    let ticks = |index: usize| fields.get(index)?.parse::<f64>().ok();
+    let uptime = std::fs::read_to_string("/proc/uptime").ok()?;
+    let uptime_s: f64 = uptime.split(' ').next()?.parse().ok()?;
+    let age_s = uptime_s - ticks(19)? / TICKS_PER_S;
+    Some((ticks(11)? + ticks(12)?) / TICKS_PER_S / age_s)
 }
 
 /// Most memory that a process has used.
--- a/standins/src/load/judge.rs
+++ b/standins/src/load/judge.rs
@@ -16,7 +16,7 @@
 const WITHDRAWAL_LIMIT: Duration = Duration::from_secs(5);
 
 /// Time around the loss of an instance in which its connections may break.
-const LOSS_MARGIN: Duration = Duration::from_secs(10);
+const LOSS_MARGIN: Duration = Duration::from_secs(1);
 
 /// Longest time that a histogram tells apart.
 const LONGEST_TIME_US: u64 = 600_000_000;
@@ -33,7 +33,7 @@
 /// What was done to the system during a run. Times count from its start.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Events {
-    /// Instances that were killed or paused, by their address for callers.
+    /// Instances that were killed, by their address for callers.
     pub lost: Vec<(Duration, SocketAddr)>,
     /// Workspaces whose keys were withdrawn.
     pub withdrawn: Vec<(Duration, usize)>,
