--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -217,3 +217,28 @@
     client.request(request).await.unwrap().into_body().collect().await.unwrap();
     assert_eq!(handle.engine.records().authorization_seen, 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn cache_events_are_late_and_have_gaps_and_blocks_are_evicted() {
+    let handle = engine(|config| {
+        config.event_drop_every = 2;
+        config.cache_blocks = 4;
+    })
+    .await;
+    for prompt in ["a", "b"] {
+        send(&handle, ID, json!({"prompt": prompt.repeat(4_096), "max_tokens": 1})).await;
+    }
+    let path = "/v1/cache/events?from=1";
+    let early = ask(&handle, Method::GET, path, json!({})).await;
+    assert_eq!(early["events"], json!([]), "both prefills are less than 200 ms old");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let events = ask(&handle, Method::GET, path, json!({})).await;
+    let seen: Vec<_> = events["events"].as_array().unwrap().iter().collect();
+    let seen: Vec<_> = seen.iter().map(|event| (&event["sequence"], &event["kind"])).collect();
+    assert_eq!(seen, [(&json!(1), &json!("stored")), (&json!(3), &json!("evicted"))]);
+    let snapshot = ask(&handle, Method::GET, "/v1/cache", json!({})).await;
+    assert_eq!(
+        (&snapshot["sequence"], snapshot["blocks"].as_array().unwrap().len()),
+        (&json!(3), 4)
+    );
+}
