Ask other servers when a scheduler is silent

Cause: candidates that had not answered counted as asked, so a request whose two candidates had one lost scheduler waited until the view dropped it, 3 s and more. Change: after 150 ms without an answer others are asked in their place, and the silent ones rank last for a while.

--- a/src/core/scheduler/client.rs
+++ b/src/core/scheduler/client.rs
@@ -24,6 +24,8 @@
     Idle,
     /// It was asked and has not answered.
     Asked,
+    /// It was asked and has not answered in time; another is asked in its place.
+    Silent,
     /// It has queued the request.
     Queued,
     /// It refused, but may take the request later.
@@ -270,7 +272,7 @@
         for candidate in candidates {
             match candidate.stand {
                 Stand::Idle => {}
-                Stand::Asked | Stand::Queued | Stand::Deferred => {
+                Stand::Asked | Stand::Silent | Stand::Queued | Stand::Deferred => {
                     self.send_release(&candidate.server, candidate.ticket, None, context, out);
                 }
                 Stand::Refused(_) => self.forget_ticket(&candidate.server, candidate.ticket),
--- a/src/core/scheduler/client/waits.rs
+++ b/src/core/scheduler/client/waits.rs
@@ -57,7 +57,7 @@
             let tickets = self.by_server.entry(candidate.server.clone()).or_default();
             tickets.insert(candidate.ticket);
         }
-        if candidate.stand != client::Stand::Queued {
+        if !matches!(candidate.stand, client::Stand::Queued | client::Stand::Silent) {
             candidate.stand = client::Stand::Asked;
         }
         let Some(owner) = context.assignment.owner(&candidate.server) else { return };
@@ -97,7 +97,8 @@
             out.effects.push(client::unplaced(subject, scheduler::Unplaced::WaitedTooLong));
             return;
         }
-        let silent = wait.candidates.iter().any(|c| c.stand == client::Stand::Asked);
+        let silent = self.note_silence(subject, context.now);
+        let Some(client::Slot::Waiting(wait)) = self.slots.get(&subject) else { return };
         let deferred = wait.candidates.iter().any(|c| c.stand == client::Stand::Deferred);
         let asked: Vec<_> = (0..wait.candidates.len())
             .filter(|&index| {
@@ -111,13 +112,30 @@
             self.ask(subject, index, context, out);
         }
         if silent {
-            self.ask_next(subject, context, out);
+            for _ in 0..constants::CONCURRENT_ASKS {
+                self.ask_next(subject, context, out);
+            }
         }
         let pause =
             if silent || deferred { constants::ASK_TIMEOUT * 2 } else { constants::REASK_INTERVAL };
         self.timers.add((context.now + pause).min(deadline), client::Timer::Wait(subject, epoch));
     }
 
+    /// Marks the candidates that have not answered; returns whether there are any.
+    fn note_silence(&mut self, subject: client::Subject, now: ids::Timestamp) -> bool {
+        let Some(client::Slot::Waiting(wait)) = self.slots.get_mut(&subject) else { return false };
+        let mut is_any = false;
+        for candidate in &mut wait.candidates {
+            if matches!(candidate.stand, client::Stand::Asked | client::Stand::Silent) {
+                candidate.stand = client::Stand::Silent;
+                let wait_ms = constants::SILENT_WAIT_MS;
+                self.hints.insert(candidate.server.clone(), client::Hint { wait_ms, at: now });
+                is_any = true;
+            }
+        }
+        is_any
+    }
+
     pub(super) fn delay_due(
         &mut self,
         subject: client::Subject,
--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -99,6 +99,9 @@
 /// The longest ejection, after which a server is tried with one request.
 pub const EJECT_LIMIT: time::Duration = time::Duration::from_millis(10_000);
 
+/// The wait assumed at a server whose scheduler does not answer, in milliseconds.
+pub const SILENT_WAIT_MS: u32 = 5_000;
+
 /// How long a server's answer about its queue guides further requests.
 pub const HINT_TTL: time::Duration = time::Duration::from_millis(500);
 
--- a/tests/scheduler/golden.rs
+++ b/tests/scheduler/golden.rs
@@ -391,3 +391,23 @@
     }
     insta::assert_snapshot!(sizes);
 }
+
+#[test]
+fn another_server_is_asked_when_the_scheduler_of_both_candidates_is_silent() {
+    let names = ["d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8"];
+    let servers = names.map(|name| fleet::server(name, document::Role::Decode, 1, 8)).to_vec();
+    let workspaces = vec![fleet::workspace("w", 1)];
+    let mut fleet =
+        settled(document::Document { workspaces, servers, ..document::Document::default() });
+    let owned = |id: &&str| names.iter().filter(|name| fleet.owner(name) == *id).count();
+    let lost = MEMBERS.iter().map(|member| member.0).max_by_key(owned).expect("owner");
+    let (silent, others): (Vec<_>, Vec<_>) =
+        names.into_iter().partition(|name| fleet.owner(name) == lost);
+    let client = MEMBERS.iter().map(|member| member.0).find(|id| *id != lost).expect("client");
+    fleet.kill(lost);
+    fleet.note("the view still names the lost instance");
+    let demand = fleet::demand(request(client, 1), DECODE, "w");
+    fleet.place(client, demand, &[silent[0], silent[1], others[0]]);
+    fleet.run(400);
+    insta::assert_snapshot!(fleet.trace);
+}
