--- a/benches/configuration.rs
+++ b/benches/configuration.rs
@@ -34,7 +34,7 @@
         }
     }
     for index in 0..SERVERS {
-        let role = if index / MODELS % 2 == 0 { "prefill" } else { "decode" };
+        let role = if (index / MODELS).is_multiple_of(2) { "prefill" } else { "decode" };
         let (model, domain, high, low) = (index % MODELS, index % 16, index / 256, index % 256);
         let _ = write!(
             text,
