--- a/src/core/scheduler/message.rs
+++ b/src/core/scheduler/message.rs
@@ -7,6 +7,14 @@
 /// A client's number for one ask of one server, unique within its incarnation.
 pub type Ticket = u64;
 
+/// The lower half of an incarnation: it tells a process from earlier ones of the same name.
+pub type Addressee = u32;
+
+/// Returns how answers to a process are addressed.
+pub fn addressee(incarnation: ids::Incarnation) -> Addressee {
+    incarnation as Addressee
+}
+
 /// What a client observed on a server since it last told.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -74,11 +82,15 @@
 }
 
 /// A message between the client of a place and the scheduler that grants it.
+///
+/// The variants' names on the wire are single letters, since a place costs several messages.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a place.
+    #[serde(rename = "a")]
     Ask(Ask),
     /// Gives up a place or the wait for one.
+    #[serde(rename = "r")]
     Release {
         /// The server.
         server: ids::ServerId,
@@ -87,7 +99,14 @@
         /// What the client observed on the server in this phase.
         report: Option<Report>,
     },
+    /// Gives up a place that the client no longer knows.
+    #[serde(rename = "d")]
+    Decline {
+        /// The client's number for it.
+        ticket: Ticket,
+    },
     /// Tells what a client observed.
+    #[serde(rename = "o")]
     Report {
         /// The server.
         server: ids::ServerId,
@@ -97,37 +116,35 @@
         report: Report,
     },
     /// Grants a place.
+    #[serde(rename = "g")]
     Grant {
-        /// The server.
-        server: ids::ServerId,
-        /// The client's incarnation.
-        incarnation: ids::Incarnation,
+        /// The process that asked.
+        addressee: Addressee,
         /// The client's number for it.
         ticket: Ticket,
     },
     /// The request is queued.
+    #[serde(rename = "q")]
     Queued {
-        /// The server.
-        server: ids::ServerId,
-        /// The client's incarnation.
-        incarnation: ids::Incarnation,
+        /// The process that asked.
+        addressee: Addressee,
         /// The client's number for it.
         ticket: Ticket,
         /// The expected wait, in milliseconds.
         wait_ms: u32,
     },
     /// The request is not queued.
+    #[serde(rename = "f")]
     Refuse {
-        /// The server.
-        server: ids::ServerId,
-        /// The client's incarnation.
-        incarnation: ids::Incarnation,
+        /// The process that asked.
+        addressee: Addressee,
         /// The client's number for it.
         ticket: Ticket,
         /// Why.
         refusal: Refusal,
     },
     /// Registers places that the client holds, with a new scheduler or in answer to a check.
+    #[serde(rename = "h")]
     Hold {
         /// The server.
         server: ids::ServerId,
@@ -135,20 +152,23 @@
         places: Vec<Registration>,
     },
     /// Acknowledges the registration of a server's places.
+    #[serde(rename = "k")]
     Kept {
         /// The server.
         server: ids::ServerId,
     },
     /// Asks whether the client holds places for requests on a server.
+    #[serde(rename = "c")]
     Check {
-        /// The client's incarnation.
-        incarnation: ids::Incarnation,
+        /// The process that is asked.
+        addressee: Addressee,
         /// The server.
         server: ids::ServerId,
         /// The lower halves of the request ids.
         sequences: Vec<u64>,
     },
     /// The client holds no place for a request on a server.
+    #[serde(rename = "u")]
     Unheld {
         /// The server.
         server: ids::ServerId,
