--- a/src/borders.rs
+++ b/src/borders.rs
@@ -7,3 +7,4 @@
 pub mod peers;
 pub mod platform;
 pub mod services;
+pub mod timer;
--- a/src/borders/callers.rs
+++ b/src/borders/callers.rs
@@ -15,6 +15,7 @@
 
 use crate::borders::engines;
 use crate::borders::services;
+use crate::borders::timer;
 use crate::settings;
 use crate::shell::handle;
 
@@ -132,12 +133,12 @@
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
-        .timer(rt::TokioTimer::new())
+        .timer(timer::PauseAwareTimer)
         .header_read_timeout(time::Duration::from_millis(limits.request_send_timeout_ms))
         .max_buf_size(limits.header_bytes.max(8 * 1024));
     builder
         .http2()
-        .timer(rt::TokioTimer::new())
+        .timer(timer::PauseAwareTimer)
         .keep_alive_interval(PING_INTERVAL)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
     builder
--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -11,10 +11,10 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use serde_json::value;
-use tokio::time as tokio_time;
 
 use crate::borders::engines;
 use crate::borders::http;
+use crate::borders::timer;
 use crate::core::ids;
 use crate::core::placement;
 use crate::core::request;
@@ -274,7 +274,7 @@
 
     async fn next_chunk(&mut self) -> Result<Option<engines::Chunk>, request::Failure> {
         loop {
-            let event = match tokio_time::timeout(self.timeout, self.events.next()).await {
+            let event = match timer::timeout(self.timeout, self.events.next()).await {
                 Ok(Some(Ok(event))) => event,
                 Ok(Some(Err(_)) | None) => return Err(maybe_run(request::Fault::Closed)),
                 Err(_) => return Err(maybe_run(request::Fault::Gap)),
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -604,6 +604,20 @@
         }
     }
 
+    /// Requests whose attempts failed without a lease go on once there is one.
+    fn on_validity(&mut self, valid: bool, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let is_new = valid && !self.context.valid;
+        self.context.valid = valid;
+        if !is_new {
+            return;
+        }
+        let mut requests: Vec<ids::RequestId> = self.language.keys().copied().collect();
+        requests.sort_unstable();
+        for request in requests {
+            self.forward(request, Input::Leased, now, effects);
+        }
+    }
+
     fn forward(
         &mut self,
         request: ids::RequestId,
@@ -666,6 +680,7 @@
 enum Input {
     Deadline,
     Gone,
+    Leased,
     Admitted,
     Limited { retry_after_ms: u64, reason: escrow::Refusal },
     Chosen { phase: scheduler::Phase, candidates: Vec<ids::ServerId>, cached_tokens: u32 },
@@ -688,7 +703,7 @@
             Event::Tick => self.expire(now, effects),
             Event::Applied(snapshot) => self.context.snapshot = Some(snapshot),
             Event::Fresh(fresh) => self.context.fresh = fresh,
-            Event::Validity(valid) => self.context.valid = valid,
+            Event::Validity(valid) => self.on_validity(valid, now, effects),
             Event::Drain => self.context.draining = true,
             Event::Arrived { request, arrival } => self.arrive(request, arrival, now, effects),
             other => {
--- a/src/core/request/language.rs
+++ b/src/core/request/language.rs
@@ -50,6 +50,8 @@
     PlacingDecode,
     Prefilling,
     Decoding,
+    /// An attempt failed while this instance held no lease; nothing is granted to it before.
+    AwaitingLease,
 }
 
 /// A granted place.
@@ -129,6 +131,7 @@
             request::Input::Gone => self.end_gone(now, effects),
             request::Input::Deadline => self.end_refused(request::Reason::Deadline, now, effects),
             request::Input::Admitted => self.on_admitted(effects),
+            request::Input::Leased => self.on_lease(effects),
             request::Input::Limited { retry_after_ms, reason } => {
                 self.on_limited(retry_after_ms, reason, now, effects)
             }
@@ -154,7 +157,7 @@
                 self.on_ended(usage, context, now, effects)
             }
             request::Input::Failed { attempt, failure } if attempt == self.attempts => {
-                self.on_failed(failure, now, effects)
+                self.on_failed(failure, context, now, effects)
             }
             request::Input::Prefilled { .. }
             | request::Input::Started { .. }
@@ -251,12 +254,24 @@
             scheduler::Phase::Prefill => self.prefill = place,
             scheduler::Phase::Decode => self.decode = place,
         }
-        if !context.still_holds(self.key, &self.workspace) {
-            return self.end_refused(request::Reason::Unauthenticated, now, effects);
+        if let Some(reason) = self.key_refusal(context) {
+            return self.end_refused(reason, now, effects);
         }
         self.advance(now, effects)
     }
 
+    /// Returns why the key no longer lets the request run; an answer that has begun is finished.
+    fn key_refusal(&self, context: &request::Context) -> Option<request::Reason> {
+        if self.relayed_tokens > 0 {
+            return None;
+        }
+        if context.workspace_of(self.key) != Some(&self.workspace) {
+            return Some(request::Reason::Unauthenticated);
+        }
+        let is_unconfirmed = self.attempts == 0 && !context.fresh;
+        is_unconfirmed.then_some(request::Reason::Stale)
+    }
+
     /// Takes the next step once a place was granted.
     fn advance(&mut self, now: ids::Timestamp, effects: &mut Effects) -> request::Flow {
         let kv_is_fresh = self.kv_is_fresh(now);
@@ -361,6 +376,7 @@
     fn on_failed(
         &mut self,
         failure: request::Failure,
+        context: &request::Context,
         now: ids::Timestamp,
         effects: &mut Effects,
     ) -> request::Flow {
@@ -369,8 +385,8 @@
             self.unclear_attempts = self.unclear_attempts.saturating_sub(1);
         }
         match self.stage {
-            Stage::Prefilling => self.on_prefill_failed(failure, now, effects),
-            Stage::Decoding => self.on_decode_failed(failure, now, effects),
+            Stage::Prefilling => self.on_prefill_failed(failure, context, now, effects),
+            Stage::Decoding => self.on_decode_failed(failure, context, now, effects),
             _ => request::Flow::Continue,
         }
     }
@@ -378,6 +394,7 @@
     fn on_prefill_failed(
         &mut self,
         failure: request::Failure,
+        context: &request::Context,
         now: ids::Timestamp,
         effects: &mut Effects,
     ) -> request::Flow {
@@ -388,6 +405,9 @@
         if self.attempts >= constants::MAX_ATTEMPTS {
             return self.end_refused(request::Reason::Failed(failure.fault), now, effects);
         }
+        if !context.valid {
+            return self.await_lease(effects);
+        }
         self.choose(scheduler::Phase::Prefill, effects);
         request::Flow::Continue
     }
@@ -395,6 +415,7 @@
     fn on_decode_failed(
         &mut self,
         failure: request::Failure,
+        context: &request::Context,
         now: ids::Timestamp,
         effects: &mut Effects,
     ) -> request::Flow {
@@ -418,9 +439,30 @@
         if !self.kv_is_fresh(now) {
             self.cancel_export(effects);
         }
+        if !context.valid {
+            return self.await_lease(effects);
+        }
         self.advance(now, effects)
     }
 
+    /// Gives up all places until this instance holds a lease again.
+    fn await_lease(&mut self, effects: &mut Effects) -> request::Flow {
+        self.cancel_export(effects);
+        self.release_places(effects);
+        self.prefilled_at = None;
+        self.avoid.clear();
+        self.stage = Stage::AwaitingLease;
+        request::Flow::Continue
+    }
+
+    /// Starts over after this instance got a lease.
+    fn on_lease(&mut self, effects: &mut Effects) -> request::Flow {
+        if self.stage == Stage::AwaitingLease {
+            self.choose(scheduler::Phase::Decode, effects);
+        }
+        request::Flow::Continue
+    }
+
     /// Returns whether the server is likely to hold the stream still.
     fn may_resume(&self, fault: request::Fault) -> bool {
         let held =
--- a/tests/sessions/language.rs
+++ b/tests/sessions/language.rs
@@ -279,3 +279,26 @@
     bench.pass(5_000);
     insta::assert_snapshot!(bench.trace());
 }
+
+#[test]
+fn stream_lost_during_a_pause_is_run_again() {
+    let mut bench = bench::Bench::ready();
+    let request = bench.ask(bench::KEY, 50, true);
+    bench.pass(100);
+    prefilled(&mut bench, request, 1);
+    started(&mut bench, request, 2);
+    relayed(&mut bench, request, 2, 20);
+    bench.set_log(false);
+    bench.pause(30_000);
+    bench.note("the server was told to cancel the request of a lost instance");
+    failed(&mut bench, request, 2, request::Fault::Closed);
+    failed(&mut bench, request, 3, request::Fault::UnknownRequest);
+    bench.pass(2_000);
+    bench.note("the request runs again and skips what was relayed");
+    bench.set_log(true);
+    bench.pass(2_000);
+    prefilled(&mut bench, request, 4);
+    started(&mut bench, request, 5);
+    ended(&mut bench, request, 5);
+    insta::assert_snapshot!(bench.trace());
+}
