--- a/tests/escrow/fleet.rs
+++ b/tests/escrow/fleet.rs
@@ -1,120 +1,32 @@
 //! Joins escrow reducers by a queue with faults, and checks what they admit.
 
-use std::cmp;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::fmt::Write;
-use std::net;
-use std::sync;
 use std::time;
 
 use bytes::Bytes;
 use galenayard::core::escrow;
 use galenayard::core::ids;
-use galenayard::core::membership;
-use galenayard::core::message::Message as Envelope;
 use galenayard::core::reducer::Reducer;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 
+mod actions;
+mod ledger;
+mod members;
+mod network;
+mod queue;
+mod trace;
+
+pub use actions::{Action, Load, Mishap, Options, Traffic};
+pub use ledger::Ledger;
+use queue::{Entry, Settlement, Step};
+use trace::{describe, describe_effect, kind};
+
 /// The instance's clock may be faster than another one's by 2%.
 const LEASE_MARGIN_PERCENT: u64 = 5;
 /// The longest time that a request may go without an answer at a running instance.
 const ANSWER_BOUND_MS: u64 = 900;
 
-/// What happens to a fleet.
-#[derive(Debug, Clone)]
-pub enum Action {
-    Crash(usize),
-    Restart(usize),
-    /// The process stands still, for a time in milliseconds.
-    Pause(usize, u64),
-    /// The log records an eviction of a process that still runs.
-    Evict(usize),
-    /// The instance stops reading the log.
-    CutLog(usize),
-    HealLog(usize),
-    /// Messages between two groups are lost; bit i stands for instance i.
-    Partition(u32),
-    /// Loss and duplication per thousand messages, and the longest delay.
-    Noise {
-        loss: u32,
-        duplication: u32,
-        delay_ms: u64,
-    },
-    /// The next messages of a kind are lost, twice delivered or late.
-    Next(Mishap, &'static str),
-    Leave(usize),
-    Limit {
-        rate: u64,
-        burst: u64,
-    },
-    Reserve {
-        at: usize,
-        workspace: usize,
-        tokens: u64,
-    },
-    /// Every instance runs and is connected from now on.
-    Heal,
-}
-
-/// Requests of one size at equal distances.
-#[derive(Debug, Clone, Copy)]
-pub struct Load {
-    pub at: usize,
-    pub workspace: usize,
-    pub tokens: u64,
-    pub every_ms: u64,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Mishap {
-    Lost,
-    Twice,
-    Late(u64),
-}
-
-#[derive(Debug)]
-enum Step {
-    Act(Action),
-    Wake(usize, u64),
-    Deliver { to: usize, from: usize, incarnation: ids::Incarnation, message: escrow::Message },
-    Settle(Settlement),
-    Limit { at: usize },
-}
-
-#[derive(Debug)]
-struct Settlement {
-    at: usize,
-    incarnation: ids::Incarnation,
-    request: ids::RequestId,
-    used: u64,
-}
-
-struct Entry {
-    at_us: u64,
-    sequence: u64,
-    step: Step,
-}
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == cmp::Ordering::Equal
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at_us, other.sequence).cmp(&(self.at_us, self.sequence))
-    }
-}
-
 #[derive(Debug, Clone)]
 enum Record {
     Join { node: usize, incarnation: ids::Incarnation },
@@ -159,67 +71,6 @@
     gone_at: Option<ids::Timestamp>,
 }
 
-/// What one workspace has been granted, as a leaky bucket that must not exceed the burst.
-#[derive(Debug, Clone, Default)]
-pub struct Ledger {
-    pub admitted_tokens: u64,
-    pub admitted: u64,
-    pub refused: u64,
-    pub refusals: BTreeMap<String, u64>,
-    pub peak_tokens: f64,
-    level_tokens: f64,
-    at_us: u64,
-}
-
-/// The traffic of one instance.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Traffic {
-    pub messages: u64,
-    pub bytes: u64,
-}
-
-pub struct Options {
-    pub nodes: usize,
-    pub domains: usize,
-    pub workspaces: usize,
-    pub rate: u64,
-    pub burst: u64,
-    pub seed: u64,
-    pub skews_ppm: Vec<i64>,
-    pub latency_us: u64,
-    pub tick_ms: u64,
-    pub lease_ms: u64,
-    pub settings: escrow::settings::Settings,
-    /// Percentage of reserved tokens that a request uses.
-    pub used_percent: u64,
-    pub measure_bytes: bool,
-    /// Whether every share is checked to have one holder after each event.
-    pub check_holders: bool,
-    pub trace: bool,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            nodes: 3,
-            domains: 3,
-            workspaces: 1,
-            rate: 8_000,
-            burst: 16_000,
-            seed: 1,
-            skews_ppm: Vec::new(),
-            latency_us: 1_500,
-            tick_ms: 20,
-            lease_ms: 2_000,
-            settings: escrow::settings::Settings::default(),
-            used_percent: 100,
-            measure_bytes: false,
-            check_holders: true,
-            trace: false,
-        }
-    }
-}
-
 pub struct Fleet {
     pub now_us: u64,
     pub ledgers: Vec<Ledger>,
@@ -468,98 +319,6 @@
         self.schedule(at_us, Step::Wake(index, generation));
     }
 
-    /// Folds the log's records into the view of one instance.
-    fn read(&mut self, index: usize) {
-        let now = self.local(index);
-        let margin =
-            time::Duration::from_millis(self.options.lease_ms * (100 + LEASE_MARGIN_PERCENT) / 100);
-        let end = if self.nodes[index].log_cut { self.nodes[index].cursor } else { self.log.len() };
-        let node = &mut self.nodes[index];
-        node.read_us = self.now_us;
-        let mut changed = false;
-        for offset in node.cursor..end {
-            changed = true;
-            match self.log[offset].clone() {
-                Record::Join { node: joiner, incarnation } => {
-                    let joined = offset as u64 + 1;
-                    let seen = Seen { incarnation, joined, leaving: false, gone_at: None };
-                    node.members.insert(joiner, seen);
-                }
-                Record::Leaving { node: leaver } => {
-                    if let Some(seen) = node.members.get_mut(&leaver) {
-                        seen.leaving = true;
-                    }
-                }
-                Record::Gone { node: gone, joined } => {
-                    let seen = node.members.get_mut(&gone).filter(|one| one.joined == joined);
-                    let Some(seen) = seen else { continue };
-                    seen.gone_at.get_or_insert(now + margin);
-                    if gone == index {
-                        node.members.remove(&gone);
-                    }
-                }
-            }
-        }
-        node.cursor = end;
-        node.version = end as u64;
-        let before = node.members.len();
-        node.members.retain(|_, seen| seen.gone_at.is_none_or(|at| at > now));
-        changed |= node.members.len() != before;
-        let gone = !node.members.contains_key(&index) && !node.left;
-        let rejoin = gone && self.latest_join(index).is_some_and(|joined| joined <= end as u64);
-        if changed {
-            self.show_view(index);
-        }
-        if rejoin {
-            self.join(index);
-        }
-    }
-
-    fn show_view(&mut self, index: usize) {
-        let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
-        let node = &self.nodes[index];
-        let members = node.members.iter().map(|(number, seen)| membership::Member {
-            id: self.nodes[*number].id.clone(),
-            incarnation: seen.incarnation,
-            failure_domain: self.nodes[*number].domain.clone(),
-            weight: 1,
-            peer_address: address,
-            caller_address: address,
-            leaving: seen.leaving,
-            joined: seen.joined,
-        });
-        let view = membership::View { version: node.version, members: members.collect() };
-        self.apply(index, escrow::Event::Viewed(sync::Arc::new(view)));
-    }
-
-    /// Renews the lease, unless the log has a record of the eviction.
-    fn renew(&mut self, index: usize) {
-        let due = self.now_us >= self.nodes[index].renewed_us + self.options.lease_ms * 1_000 / 4;
-        if !due || !self.is_member(index) {
-            return;
-        }
-        let until = self.local(index) + time::Duration::from_millis(self.options.lease_ms);
-        self.nodes[index].renewed_us = self.now_us;
-        self.nodes[index].until = until;
-        self.apply(index, escrow::Event::Validity { valid: true, until });
-    }
-
-    /// Tells whether an instance has read its join and the log has no later eviction.
-    pub fn is_member(&self, index: usize) -> bool {
-        let node = &self.nodes[index];
-        let Some(seen) = node.members.get(&index) else { return false };
-        let evicted = self.log.iter().any(|record| {
-            matches!(record, Record::Gone { node, joined } if *node == index && *joined == seen.joined)
-        });
-        seen.incarnation == node.incarnation && !evicted
-    }
-
-    fn latest_join(&self, index: usize) -> Option<u64> {
-        let is_join =
-            |record: &Record| matches!(record, Record::Join { node, .. } if *node == index);
-        self.log.iter().rposition(is_join).map(|offset| offset as u64 + 1)
-    }
-
     fn act(&mut self, action: Action) {
         if self.options.trace {
             let noise = matches!(action, Action::Reserve { .. });
@@ -606,39 +365,6 @@
         }
     }
 
-    fn evict(&mut self, index: usize) {
-        let Some(joined) = self.latest_join(index) else { return };
-        let node = &self.nodes[index];
-        let since_us = self.now_us.saturating_sub(node.renewed_us);
-        let restarted =
-            node.running && !self.postpone(index) && since_us < self.options.lease_ms * 1_000 / 8;
-        let own = node.members.get(&index).is_some_and(|seen| seen.joined == joined);
-        if restarted && !own {
-            return;
-        }
-        self.log.push(Record::Gone { node: index, joined });
-    }
-
-    fn heal(&mut self) {
-        self.loss = 0;
-        self.duplication = 0;
-        self.delay_ms = 0;
-        self.partition = 0;
-        self.mishaps.clear();
-        for index in 0..self.nodes.len() {
-            self.nodes[index].log_cut = false;
-            if self.postpone(index) {
-                self.nodes[index].paused_until_us = self.now_us;
-                self.nodes[index].generation += 1;
-                let generation = self.nodes[index].generation;
-                self.schedule(self.now_us, Step::Wake(index, generation));
-            }
-            if !self.nodes[index].running && !self.nodes[index].left {
-                self.start(index);
-            }
-        }
-    }
-
     fn change_limit(&mut self, rate: u64, burst: u64) {
         self.rate = rate;
         self.burst = burst;
@@ -746,42 +472,6 @@
         self.schedule(at_us, Step::Settle(settlement));
     }
 
-    fn send(&mut self, from: usize, to: &Bytes, message: escrow::Message) {
-        let needs_kind = self.options.measure_bytes || !self.mishaps.is_empty();
-        let kind = if needs_kind { kind(&message) } else { String::new() };
-        if self.options.measure_bytes {
-            let envelope = Envelope::Escrow(message.clone());
-            let bytes = rmp_serde::to_vec(&envelope).map_or(0, |bytes| bytes.len()) as u64;
-            for traffic in [&mut self.traffic[from], self.kinds.entry(kind.clone()).or_default()] {
-                traffic.messages += 1;
-                traffic.bytes += bytes;
-            }
-        }
-        let Some(to) = self.nodes.iter().position(|node| node.id == *to) else { return };
-        let partition = self.partition;
-        let side = |index: usize| partition & (1 << index.min(31)) != 0;
-        let mishap = self.mishaps.iter().position(|(_, name)| *name == kind);
-        let mishap = mishap.map(|index| self.mishaps.remove(index).0);
-        let lost = self.chance(self.loss) || mishap == Some(Mishap::Lost);
-        if side(from) != side(to) || lost {
-            return;
-        }
-        let twice = self.chance(self.duplication) || mishap == Some(Mishap::Twice);
-        let late_ms = if let Some(Mishap::Late(ms)) = mishap { ms } else { 0 };
-        for _ in 0..1 + usize::from(twice) {
-            let jitter_us =
-                if self.delay_ms == 0 { 0 } else { self.rng.next_u64() % (self.delay_ms * 1_000) };
-            let at_us = self.now_us + self.options.latency_us + jitter_us + late_ms * 1_000;
-            let incarnation = self.nodes[from].incarnation;
-            let message = message.clone();
-            self.schedule(at_us, Step::Deliver { to, from, incarnation, message });
-        }
-    }
-
-    fn chance(&mut self, per_mille: u32) -> bool {
-        per_mille > 0 && self.rng.next_u32() % 1_000 < per_mille
-    }
-
     fn check_status(&mut self, index: usize) {
         let mut held = Vec::new();
         for status in self.nodes[index].escrow.status() {
@@ -831,15 +521,6 @@
     }
 }
 
-impl Ledger {
-    fn spend(&mut self, tokens: f64, rate: f64, now_us: u64) {
-        let elapsed_s = (now_us - self.at_us) as f64 / 1e6;
-        self.level_tokens = (self.level_tokens - elapsed_s * rate).max(0.0) + tokens;
-        self.peak_tokens = self.peak_tokens.max(self.level_tokens);
-        self.at_us = now_us;
-    }
-}
-
 /// Returns the name of a workspace.
 pub fn name(workspace: usize) -> Bytes {
     Bytes::from(format!("w{workspace}"))
@@ -848,40 +529,3 @@
 fn number(workspace: &Bytes) -> usize {
     std::str::from_utf8(&workspace[1..]).ok().and_then(|text| text.parse().ok()).unwrap_or(0)
 }
-
-fn kind(message: &escrow::Message) -> String {
-    let text = format!("{message:?}");
-    text.split([' ', '{', '(']).next().unwrap_or_default().to_owned()
-}
-
-fn describe(event: &escrow::Event) -> String {
-    match event {
-        escrow::Event::Received { from, message, .. } => {
-            format!("<- {} {message:?}", String::from_utf8_lossy(from))
-        }
-        escrow::Event::Viewed(view) => {
-            let members = view.members.iter().map(|one| {
-                let leaving = if one.leaving { "(leaving)" } else { "" };
-                format!("{}@{}{leaving}", String::from_utf8_lossy(&one.id), one.joined)
-            });
-            format!("Viewed {} {}", view.version, members.collect::<Vec<_>>().join(" "))
-        }
-        escrow::Event::Reserve { request, tokens, .. } => {
-            format!("Reserve r{} {tokens}", *request as u64)
-        }
-        other => format!("{other:?}"),
-    }
-}
-
-fn describe_effect(effect: &escrow::Effect) -> String {
-    match effect {
-        escrow::Effect::Send { to, message } => {
-            format!("{} {message:?}", String::from_utf8_lossy(to))
-        }
-        escrow::Effect::Admitted { request } => format!("Admitted r{}", *request as u64),
-        escrow::Effect::Refused { request, retry_after_ms, reason } => {
-            format!("Refused r{} {reason:?} retry after {retry_after_ms} ms", *request as u64)
-        }
-        escrow::Effect::HandedOver => "HandedOver".to_owned(),
-    }
-}
