--- a/src/core/membership/exchange.rs
+++ b/src/core/membership/exchange.rs
@@ -6,11 +6,13 @@
 use crate::core::membership;
 
 impl membership::Membership {
+    /// Returns where a peer listens: by the view, else by the instance list.
     pub(super) fn address(&self, id: &ids::InstanceId) -> Option<net::SocketAddr> {
         let member = self.outlook.view().members.iter().find(|member| member.id == *id);
         member.map(|member| member.peer_address).or_else(|| self.listed.get(id).copied())
     }
 
+    /// Sends a message to a peer whose address is known.
     pub(super) fn send(
         &self,
         to: &ids::InstanceId,
@@ -21,6 +23,7 @@
         effects.push(membership::Effect::Send { to: to.clone(), address, message });
     }
 
+    /// Sends heartbeats to the witnesses, and the announcement to those that this instance awaits.
     pub(super) fn beat(&mut self, now: ids::Timestamp, effects: &mut Vec<membership::Effect>) {
         let Some(entry) = self.entry().filter(|_| self.leave_by.is_none()) else { return };
         let record = entry.record;
@@ -37,6 +40,7 @@
         }
     }
 
+    /// Tells a member of this instance's join or leave.
     pub(super) fn announce(&self, to: &membership::Member, effects: &mut Vec<membership::Effect>) {
         let Some(entry) = self.entry() else { return };
         let mut own = entry.member.clone();
@@ -63,6 +67,7 @@
             .collect()
     }
 
+    /// Takes in a message of a peer.
     pub(super) fn received(
         &mut self,
         from: ids::InstanceId,
--- a/src/core/membership/reading.rs
+++ b/src/core/membership/reading.rs
@@ -8,6 +8,7 @@
 use crate::core::membership::witnesses;
 
 impl membership::Membership {
+    /// Takes in a batch of the membership stream.
     pub(super) fn read(&mut self, batch: &log::Batch, now: ids::Timestamp) {
         let mut changes = Vec::new();
         let next = self.roster.next();
--- a/src/core/membership/upkeep.rs
+++ b/src/core/membership/upkeep.rs
@@ -65,6 +65,7 @@
         effects.push(self.journal.propose(record, token, now));
     }
 
+    /// Tells whether the log's tail was read within a lease.
     pub(super) fn has_read(&self, now: ids::Timestamp) -> bool {
         self.read_at + self.settings.lease > now && self.roster.next() > 0
     }
@@ -138,6 +139,7 @@
         effects.push(membership::Effect::Append { token, body });
     }
 
+    /// Takes in the log's answer to an append.
     pub(super) fn appended(
         &mut self,
         token: ids::AppendToken,
@@ -159,6 +161,7 @@
         }
     }
 
+    /// Shows this instance as leaving, in its own view first.
     pub(super) fn drain(&mut self, effects: &mut Vec<membership::Effect>) {
         self.own.leaving = true;
         let Some(entry) = self.entry() else { return };
@@ -171,6 +174,7 @@
         }
     }
 
+    /// Ends the validity of this instance, then appends its leave.
     pub(super) fn leave(&mut self, now: ids::Timestamp, effects: &mut Vec<membership::Effect>) {
         if self.leave_by.is_some() {
             return;
@@ -189,6 +193,7 @@
         effects.push(self.journal.propose(record, token, now));
     }
 
+    /// Reports the leave once it stands or has taken too long.
     pub(super) fn finish_leave(
         &mut self,
         now: ids::Timestamp,
