--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -5,7 +5,21 @@
 use crate::core::configuration;
 use crate::core::ids;
 use crate::core::membership;
-use crate::core::reducer;
+
+mod assignment;
+mod client;
+pub mod constants;
+mod health;
+mod instance;
+mod limit;
+pub mod message;
+mod outbox;
+mod queue;
+mod server;
+mod timers;
+
+pub use instance::Scheduler;
+pub use message::Message;
 
 /// The part of a language request that a place is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -35,6 +49,26 @@
     pub slack_ms: i32,
     /// The first blocks of the prompt's chain of hashes, for prefix affinity.
     pub prefix: Vec<ids::BlockHash>,
+    /// The part of the work that the first candidate saves, since its cache is believed to hold
+    /// it, in tokens.
+    pub cached_tokens: u32,
+}
+
+/// How places are given.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Discipline {
+    /// Servers grant places, fairly over workspaces, and a request takes the first grant.
+    #[default]
+    Fair,
+    /// As [`Discipline::Fair`], but a request waits for a server that holds its prefix for this
+    /// share of the time that the cached part would take, before it asks another server.
+    Delayed {
+        /// The share.
+        share: f64,
+    },
+    /// Each request has a place on its first candidate at once. A baseline to compare with.
+    Direct,
 }
 
 /// What a running request shows of its server.
@@ -185,34 +219,15 @@
     Lost,
 }
 
-/// What instances tell each other about places.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {}
-
-/// The places that this instance grants and those it asks for.
-#[derive(Debug, Default)]
-pub struct Scheduler {}
-
-impl Scheduler {
-    /// Creates the state of an instance that schedules no server.
-    pub fn new(_own: ids::InstanceId, _incarnation: ids::Incarnation) -> Self {
-        Self {}
-    }
-}
-
-impl reducer::Reducer for Scheduler {
-    type Event = Event;
-    type Effect = Effect;
-
-    fn apply(&mut self, event: Event, _now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        if let Event::Place { demand, candidates } = event {
-            let Some(server) = candidates.into_iter().next() else { return };
-            effects.push(Effect::Placed {
-                request: demand.request,
-                phase: demand.phase,
-                server,
-                waited_ms: 0,
-            });
-        }
-    }
+/// What the scheduling instance counts for one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Places that are granted or registered.
+    pub places: u32,
+    /// Pieces of memory that these places hold.
+    pub memory_pieces: u32,
+    /// How many decodes may run at once.
+    pub decode_limit: u32,
+    /// Requests that wait.
+    pub queued: u32,
 }
--- /dev/null
+++ b/src/shell/explain.rs
@@ -0,0 +1,134 @@
+//! Keeps the decisions on the latest requests for `galenayard explain`.
+
+use std::collections as std_collections;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::collections;
+use crate::core::ids;
+use crate::core::request;
+use crate::core::scheduler;
+
+/// Requests whose decisions are kept.
+const MAX_REQUESTS: usize = 4_096;
+
+/// Decisions that are kept of one request.
+const MAX_STEPS: usize = 64;
+
+/// A decision and when it was taken.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Milliseconds since the process started.
+    pub at_ms: u64,
+    /// The decision.
+    pub step: request::Step,
+}
+
+impl Entry {
+    /// Describes the decision in words, with its time.
+    pub fn describe(&self) -> Description {
+        Description { at_ms: self.at_ms, text: describe(&self.step) }
+    }
+}
+
+/// A decision in words.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Description {
+    /// Milliseconds since the process started.
+    pub at_ms: u64,
+    /// The decision.
+    pub text: String,
+}
+
+/// Describes a decision in words.
+pub fn describe(step: &request::Step) -> String {
+    match step {
+        request::Step::Arrived => "arrived".to_string(),
+        request::Step::Admitted { workspace, tokens } => {
+            format!("{tokens} tokens reserved for workspace {}", text(workspace))
+        }
+        request::Step::Candidates { phase, servers, cached_tokens } => {
+            let servers: Vec<_> = servers.iter().map(text).collect();
+            let servers = servers.join(", ");
+            format!(
+                "{} candidates: {servers}; {cached_tokens} tokens believed cached",
+                name(*phase)
+            )
+        }
+        request::Step::Placed { phase, server, waited_ms } => {
+            format!("{} place on {} after {waited_ms} ms", name(*phase), text(server))
+        }
+        request::Step::Attempted { attempt, server } => {
+            format!("attempt {attempt} at {}", text(server))
+        }
+        request::Step::Failed { attempt, failure } => {
+            format!("attempt {attempt} failed: {:?}; ran: {:?}", failure.fault, failure.ran)
+        }
+        request::Step::Started => "first token or answer head relayed".to_string(),
+        request::Step::Ended { usage } => format!(
+            "answered: {} prompt tokens, {} of them cached, {} generated",
+            usage.prompt_tokens, usage.cached_tokens, usage.completion_tokens
+        ),
+        request::Step::Refused(refusal) => format!(
+            "refused: {}; ran: {:?}; retry after {} ms",
+            refusal.reason.name(),
+            refusal.ran,
+            refusal.retry_after_ms.unwrap_or_default()
+        ),
+        request::Step::Gone => "the caller went away".to_string(),
+    }
+}
+
+fn name(phase: scheduler::Phase) -> &'static str {
+    match phase {
+        scheduler::Phase::Prefill => "prefill",
+        scheduler::Phase::Decode => "decode",
+    }
+}
+
+fn text(name: &bytes::Bytes) -> String {
+    String::from_utf8_lossy(name).into_owned()
+}
+
+#[derive(Debug, Default)]
+struct Buffer {
+    entries: collections::Map<ids::RequestId, Vec<Entry>>,
+    order: std_collections::VecDeque<ids::RequestId>,
+}
+
+/// A bounded buffer of decisions.
+#[derive(Debug, Default)]
+pub struct Explanations {
+    buffer: sync::Mutex<Buffer>,
+}
+
+impl Explanations {
+    /// Keeps a decision, dropping the oldest request's decisions if there are too many.
+    pub fn push(&self, request: ids::RequestId, step: request::Step, now: ids::Timestamp) {
+        let at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let mut buffer = self.lock();
+        let buffer = &mut *buffer;
+        let entries = buffer.entries.entry(request).or_insert_with(|| {
+            buffer.order.push_back(request);
+            Vec::new()
+        });
+        if entries.len() < MAX_STEPS {
+            entries.push(Entry { at_ms, step });
+        }
+        if buffer.order.len() > MAX_REQUESTS
+            && let Some(oldest) = buffer.order.pop_front()
+        {
+            buffer.entries.remove(&oldest);
+        }
+    }
+
+    /// Returns the decisions on a request, if they are still kept.
+    pub fn of(&self, request: ids::RequestId) -> Option<Vec<Entry>> {
+        self.lock().entries.get(&request).cloned()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Buffer> {
+        self.buffer.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
