Fit the life of membership records to the log's retention

Cause: a record expiry beyond the log's retention, or a long lease with the default margin, breaks what the proofs assume. Change: Settings::with_log_retention, used by the runtime; the margin is at least 1/40 of the lease. Conclusion: unit tests of the module pass.

--- a/src/core/membership/constants.rs
+++ b/src/core/membership/constants.rs
@@ -11,6 +11,15 @@
 /// The allowance for clocks whose rates differ by up to 2 % over a lease.
 pub const CLOCK_MARGIN: time::Duration = time::Duration::from_millis(150);
 
+/// The least allowance for clocks as a share of the lease: its reciprocal.
+pub const CLOCK_MARGIN_DIVISOR: u32 = 40;
+
+/// The longest record expiry as a share of the time that the log keeps records, in percent.
+pub const EXPIRY_RETENTION_PERCENT: u32 = 75;
+
+/// How often at least a record is renewed before it expires.
+pub const RENEWALS_PER_EXPIRY: u32 = 8;
+
 /// The age at which an instance replaces its record.
 pub const RENEW_INTERVAL: time::Duration = time::Duration::from_secs(3_600);
 
--- a/src/core/membership/settings.rs
+++ b/src/core/membership/settings.rs
@@ -11,7 +11,7 @@
     pub lease: time::Duration,
     /// The time between two heartbeats to a witness; at most a third of the lease.
     pub heartbeat_interval: time::Duration,
-    /// The allowance for clock rates that differ; at least 2 % of the lease.
+    /// The allowance for clock rates that differ; 1/40 of the lease if that is more.
     pub clock_margin: time::Duration,
     /// The most witnesses that a record names; at most 32.
     pub max_witnesses: usize,
@@ -44,9 +44,18 @@
 }
 
 impl Settings {
+    /// Fits the life of records to a log that keeps them for `retention`.
+    pub fn with_log_retention(mut self, retention: time::Duration) -> Self {
+        let longest = retention * constants::EXPIRY_RETENTION_PERCENT / 100;
+        self.record_expiry = self.record_expiry.min(longest);
+        let longest = self.record_expiry / constants::RENEWALS_PER_EXPIRY;
+        self.renew_interval = self.renew_interval.min(longest);
+        self
+    }
+
     /// Returns how long after an event all permissions from before it have surely run out.
     pub fn guard(&self) -> time::Duration {
-        self.lease + self.clock_margin
+        self.lease + self.clock_margin.max(self.lease / constants::CLOCK_MARGIN_DIVISOR)
     }
 
     /// Returns how long an instance may act on a record, from the sending of the record.
--- a/src/core/membership/tests.rs
+++ b/src/core/membership/tests.rs
@@ -384,3 +384,14 @@
     let first = ticks.find(|(_, accusations)| *accusations > 0).map(|(now, _)| now);
     assert!(first.is_some_and(|now| now >= woken_at + settings.guard()));
 }
+
+#[test]
+fn settings_fit_the_log_and_the_lease() {
+    let hour = time::Duration::from_secs(3_600);
+    let default = settings::Settings::default();
+    assert_eq!(default.clone().with_log_retention(hour * 24 * 7), default);
+    let short = default.clone().with_log_retention(hour * 4);
+    assert_eq!((short.record_expiry, short.renew_interval), (hour * 3, hour * 3 / 8));
+    let slow = settings::Settings { lease: time::Duration::from_secs(60), ..default };
+    assert!(slow.guard() >= slow.lease * 102 / 100);
+}
--- a/src/shell/runtime.rs
+++ b/src/shell/runtime.rs
@@ -186,7 +186,8 @@
         lease: time::Duration::from_millis(settings.membership.lease_ms),
         heartbeat_interval: time::Duration::from_millis(settings.membership.heartbeat_ms),
         ..membership::settings::Settings::default()
-    };
+    }
+    .with_log_retention(settings.platform.log_retention());
     let policy = match settings.policy.limits {
         settings::LimitPolicy::Escrow => escrow::settings::Policy::Escrow,
         settings::LimitPolicy::RateOverN => escrow::settings::Policy::EqualSplit,
