--- a/tests/membership/safety.rs
+++ b/tests/membership/safety.rs
@@ -6,7 +6,7 @@
 
 use crate::network;
 
-const CASES: u32 = 120;
+const CASES: u32 = 400;
 const SEED: u32 = 7;
 const FAULTS_MS: u64 = 24_000;
 /// The record expiry, the longest wait before joining again, and a few leases.
