--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -360,6 +360,8 @@
                 self.send(to, message::Message::Scheduler(message), out);
             }
             scheduler::Effect::Placed { request, phase, server, waited_ms } => {
+                let placed = placement::Event::Placed { request, phase, server: server.clone() };
+                queue.push_back(Internal::Placement(placed));
                 let event = request::Event::Placed { request, phase, server, waited_ms };
                 queue.push_back(Internal::Request(event));
             }
@@ -514,6 +516,9 @@
                 let event = placement::Event::Observed(observation.clone());
                 queue.push_back(Internal::Placement(event));
             }
+            if let scheduler::Event::Release { request, phase } = event {
+                queue.push_back(Internal::Placement(placement::Event::Released { request, phase }));
+            }
             queue.push_back(Internal::Scheduler(event));
         }
         request::Effect::Claims(event) => queue.push_back(Internal::Claims(event)),
