Check places that only the engine confirms with their clients

Cause: if a release and the engine's cancel were both lost, the engine's list kept the place alive and the place kept the reaper off; found by the property test once it modeled what engines hold. Change: such a place is checked with its client after 6 s.

--- a/src/core/scheduler/client/waits.rs
+++ b/src/core/scheduler/client/waits.rs
@@ -97,8 +97,9 @@
             out.effects.push(client::unplaced(subject, scheduler::Unplaced::WaitedTooLong));
             return;
         }
-        let silent = wait.candidates.iter().any(|c| c.stand == client::Stand::Asked);
-        let deferred = wait.candidates.iter().any(|c| c.stand == client::Stand::Deferred);
+        let stands = |stand| wait.candidates.iter().any(|candidate| candidate.stand == stand);
+        let silent = stands(client::Stand::Asked);
+        let hurried = silent || !stands(client::Stand::Queued);
         let asked: Vec<_> = (0..wait.candidates.len())
             .filter(|&index| {
                 !matches!(
@@ -113,8 +114,7 @@
         if silent {
             self.ask_next(subject, context, out);
         }
-        let pause =
-            if silent || deferred { constants::ASK_TIMEOUT * 2 } else { constants::REASK_INTERVAL };
+        let pause = if hurried { constants::ASK_TIMEOUT * 2 } else { constants::REASK_INTERVAL };
         self.timers.add((context.now + pause).min(deadline), client::Timer::Wait(subject, epoch));
     }
 
--- a/src/core/scheduler/constants.rs
+++ b/src/core/scheduler/constants.rs
@@ -29,6 +29,9 @@
 /// The age at which a place that the engine does not list is checked with its client.
 pub const CHECK_AFTER: time::Duration = time::Duration::from_millis(3_000);
 
+/// The age at which a place that only the engine lists is checked with its client.
+pub const CHECK_LISTED_AFTER: time::Duration = time::Duration::from_millis(6_000);
+
 /// How long a place lives without a sign of life from its client or its engine.
 pub const PLACE_TTL: time::Duration = time::Duration::from_millis(12_000);
 
--- a/src/core/scheduler/server.rs
+++ b/src/core/scheduler/server.rs
@@ -43,6 +43,9 @@
     work_tokens: u32,
     memory_pieces: u32,
     since: ids::Timestamp,
+    /// When the client last said that it holds the place.
+    confirmed: ids::Timestamp,
+    /// When the client or the engine last showed that the place is in use.
     alive: ids::Timestamp,
 }
 
@@ -125,7 +128,7 @@
             self.report(ask.decode, report, now, out);
         }
         if let Some(place) = self.places.get_mut(&key) {
-            place.alive = now;
+            (place.confirmed, place.alive) = (now, now);
             out.send(from, grant_message(key));
             return;
         }
@@ -232,7 +235,7 @@
             let key = (incarnation, place.ticket);
             self.reaper.found(ids::request_id(incarnation, place.sequence));
             if let Some(known) = self.places.get_mut(&key) {
-                known.alive = now;
+                (known.confirmed, known.alive) = (now, now);
                 continue;
             }
             self.prefill.remove(key).or_else(|| self.decode.remove(key));
@@ -243,6 +246,7 @@
                 work_tokens: place.work_tokens,
                 memory_pieces: place.memory_pieces,
                 since: now,
+                confirmed: now,
                 alive: now,
             };
             self.occupy(key, place, now);
@@ -414,6 +418,7 @@
             work_tokens: entry.work_tokens,
             memory_pieces: entry.memory_pieces,
             since: now,
+            confirmed: now,
             alive: now,
         };
         self.occupy(entry.key, place, now);
--- a/src/core/scheduler/server/reaper.rs
+++ b/src/core/scheduler/server/reaper.rs
@@ -114,11 +114,13 @@
         }
     }
 
-    /// Asks clients about places that the engine has not listed for a while.
+    /// Asks clients about places that neither they nor the engine have confirmed for a while, and
+    /// more rarely about those that only the engine has confirmed.
     pub(super) fn check_places(&mut self, now: ids::Timestamp, out: &mut outbox::Outbox<'_>) {
         let mut doubtful: collections::Map<_, Vec<u64>> = collections::Map::default();
         for (key, place) in &self.places {
-            if place.alive + constants::CHECK_AFTER <= now {
+            let idle = place.alive + constants::CHECK_AFTER <= now;
+            if idle || place.confirmed + constants::CHECK_LISTED_AFTER <= now {
                 let client = (key.0, place.client.clone());
                 doubtful.entry(client).or_default().push(place.sequence);
             }
--- a/tests/scheduler/properties.rs
+++ b/tests/scheduler/properties.rs
@@ -61,6 +61,8 @@
     fleet: fleet::Fleet,
     incarnations: [Option<ids::Incarnation>; 4],
     requests: Vec<(usize, ids::RequestId, u32, Stand)>,
+    /// What the engines hold, also for processes that are gone.
+    engines: Vec<(ids::ServerId, ids::RequestId)>,
     leaving: [bool; 2],
     next_incarnation: ids::Incarnation,
     exempt_until_ms: u64,
@@ -103,6 +105,7 @@
             fleet,
             incarnations: [Some(1), Some(2), Some(3), Some(4)],
             requests: Vec::new(),
+            engines: Vec::new(),
             leaving: [false; 2],
             next_incarnation: 5,
             exempt_until_ms: 0,
@@ -148,6 +151,10 @@
         let stand = std::mem::replace(stand, Stand::Ended);
         let (node, request) = (*node, *request);
         if let Stand::Placed(server) = stand {
+            // Every third request ends for its client while the engine still holds it.
+            if !request.is_multiple_of(3) {
+                self.engines.retain(|held| *held != (server.clone(), request));
+            }
             let (tokens, elapsed_ms) = (20, 200);
             let observation =
                 scheduler::Observation { server, phase: DECODE, tokens, elapsed_ms, failed: false };
@@ -161,9 +168,40 @@
         for _ in 0..ms.div_ceil(5) {
             self.fleet.run(5);
             self.check();
+            if self.fleet.now_ms % 250 < 5 {
+                self.list();
+            }
         }
     }
 
+    /// Shows each scheduler what its engines hold.
+    fn list(&mut self) {
+        for server in SERVERS.map(fleet::key) {
+            let here = self.engines.iter().filter(|(holder, _)| *holder == server);
+            let held = here.map(|(_, request)| scheduler::Held {
+                request: *request,
+                pieces: 1,
+                age_ms: 0,
+            });
+            let held: Vec<_> = held.collect();
+            for id in self.fleet.names() {
+                if self.fleet.nodes[&id].scheduler.usage(&server).is_some() {
+                    let (server, held) = (server.clone(), held.clone());
+                    self.fleet.apply(&id, scheduler::Event::Listed { server, held });
+                }
+            }
+        }
+        self.check();
+    }
+
+    fn canceled(&mut self, server: &ids::ServerId, request: ids::RequestId) {
+        let live = self.requests.iter().any(|(_, known, _, stand)| {
+            *known == request && *stand == Stand::Placed(server.clone())
+        });
+        assert!(!live, "a live request was canceled");
+        self.engines.retain(|held| *held != (server.clone(), request));
+    }
+
     fn crash(&mut self, node: usize, lag_ms: u64) {
         if self.incarnations.iter().flatten().count() <= 2 {
             return;
@@ -226,11 +264,16 @@
     }
 
     fn follow_outcomes(&mut self) {
-        for (_, effect) in self.fleet.outcomes.drain(..) {
+        for (_, effect) in std::mem::take(&mut self.fleet.outcomes) {
             let (request, next) = match effect {
                 scheduler::Effect::Placed { request, server, .. } => {
+                    self.engines.push((server.clone(), request));
                     (request, Stand::Placed(server))
                 }
+                scheduler::Effect::Cancel { server, request } => {
+                    self.canceled(&server, request);
+                    continue;
+                }
                 scheduler::Effect::Unplaced { request, .. } => (request, Stand::Ended),
                 _ => continue,
             };
@@ -254,6 +297,7 @@
             self.release(0);
         }
         self.wait(30_000);
+        assert_eq!(self.engines, [], "an engine still holds what nobody awaits");
         for node in self.fleet.nodes.values() {
             assert_eq!(node.scheduler.subjects(), 0);
             for server in SERVERS {
