--- a/tests/scheduler/golden.rs
+++ b/tests/scheduler/golden.rs
@@ -391,3 +391,23 @@
     }
     insta::assert_snapshot!(sizes);
 }
+
+#[test]
+fn a_live_request_unknown_to_its_scheduler_is_registered_and_not_canceled() {
+    let mut fleet = settled(document());
+    place_decode(&mut fleet, "b", 1);
+    fleet.note("the scheduler forgets everything, and b does not see it");
+    fleet.start("a", 10);
+    fleet.view_of(&fleet::key("a"), &MEMBERS);
+    fleet.run(700);
+    for _ in 0..3 {
+        let (server, held) = (fleet::key("d1"), held(request("b", 1)));
+        fleet.event("a", scheduler::Event::Listed { server, held });
+        fleet.run(800);
+    }
+    insta::assert_snapshot!(fleet.trace);
+    assert_eq!(fleet.usage("d1").places, 1);
+    let cancel =
+        |(_, effect): &(_, scheduler::Effect)| matches!(effect, scheduler::Effect::Cancel { .. });
+    assert!(!fleet.outcomes.iter().any(cancel));
+}
