Decide claims safely across pauses, repeated records and dropped answers

Cause: a second record of a claim released its key once the answer had been dropped for want of room; a claim read after a long pause could be granted beyond its window; a holder that had not yet read its own claim was reported as unknown; a claim granted but refused at dispatch was never settled; a keyed call was given up when its caller went away, so that callers that resend learnt nothing.

Change: only requests known not to have run are released; late grants are given up; keyed calls are read to their end and never sent after their send window; open routes digest keys apart from workspaces.

--- a/src/borders/callers/plain.rs
+++ b/src/borders/callers/plain.rs
@@ -48,7 +48,16 @@
     };
     let request = context.handle.next_request();
     let (reply, head) = reply::Reply::new(request);
-    let session = Session { context, request, caller, parts, body, reply, commands: None };
+    let session = Session {
+        context,
+        request,
+        caller,
+        parts,
+        body,
+        reply,
+        commands: None,
+        keep_answer: false,
+    };
     tokio::spawn(session.run(request::Arrival { key, target: request::Target::Plain(call) }));
     match head.await {
         Ok(response) => response,
@@ -90,6 +99,8 @@
     body: Bytes,
     reply: reply::Reply,
     commands: Option<handle::Commands>,
+    /// Whether an attempt has begun whose answer callers that resend will ask for.
+    keep_answer: bool,
 }
 
 impl Session {
@@ -112,17 +123,24 @@
 
     async fn wait(&mut self) -> Turn {
         let Some(commands) = &mut self.commands else { return Turn::Over };
+        let keep_answer = self.keep_answer;
         tokio::select! {
             biased;
             command = commands.recv() => command.map_or(Turn::Over, Turn::Command),
-            () = self.reply.closed() => Turn::Gone,
+            () = self.reply.closed(), if !keep_answer => Turn::Gone,
         }
     }
 
     async fn perform(&mut self, command: request::Command) -> Turn {
         match command {
+            request::Command::Forward { attempt, send_before, .. }
+                if send_before.is_some_and(|before| self.context.handle.now() >= before) =>
+            {
+                self.fail(attempt, not_run(request::Fault::Connect)).await
+            }
             request::Command::Forward { attempt, address, fresh, keep_answer, .. } => {
-                self.forward(attempt, address, fresh, keep_answer).await
+                self.keep_answer = keep_answer;
+                self.forward(attempt, address, fresh).await
             }
             request::Command::Replay { answer, .. } => {
                 self.reply.send_whole(replayed(answer));
@@ -141,7 +159,6 @@
         attempt: ids::Attempt,
         address: net::SocketAddr,
         fresh: bool,
-        keep_answer: bool,
     ) -> Turn {
         let parts = self.parts.clone();
         let message = hyper::Request::from_parts(parts, http::full(self.body.clone()));
@@ -156,21 +173,18 @@
             Ok(response) => {
                 let event = request::Event::Started { request: self.request, attempt };
                 context.handle.request_event(event).await;
-                self.relay(attempt, response, keep_answer).await
+                self.relay(attempt, response).await
             }
             Err(failure) => self.fail(attempt, failure).await,
         }
     }
 
-    async fn relay(
-        &mut self,
-        attempt: ids::Attempt,
-        response: http::Response,
-        keep_answer: bool,
-    ) -> Turn {
+    /// Relays an answer; one that is kept is read to its end even if the caller goes away.
+    async fn relay(&mut self, attempt: ids::Attempt, response: http::Response) -> Turn {
         let (parts, mut body) = response.into_parts();
-        let mut kept = keep_answer.then(|| Kept::new(&parts));
-        if self.reply.start(hyper::Response::from_parts(parts, ())).is_err() {
+        let mut kept = self.keep_answer.then(|| Kept::new(&parts));
+        let started = self.reply.start(hyper::Response::from_parts(parts, ()));
+        if started.is_err() && kept.is_none() {
             return Turn::Gone;
         }
         loop {
@@ -190,7 +204,7 @@
             if let (Some(kept), Some(data)) = (&mut kept, frame.data_ref()) {
                 kept.push(data);
             }
-            if self.reply.write(frame).await.is_err() {
+            if self.reply.write(frame).await.is_err() && kept.is_none() {
                 return Turn::Gone;
             }
         }
@@ -272,6 +286,10 @@
     }
 }
 
+fn not_run(fault: request::Fault) -> request::Failure {
+    request::Failure { fault, ran: request::Ran::No }
+}
+
 fn maybe_run(fault: request::Fault) -> request::Failure {
     request::Failure { fault, ran: request::Ran::Unknown }
 }
--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -21,10 +21,9 @@
 /// Digests a workspace and the idempotency key that one of its callers chose.
 pub fn key_digest(workspace: Option<&ids::WorkspaceId>, key: &Bytes) -> ids::Digest {
     let mut hasher = sha2::Sha256::new();
-    if let Some(workspace) = workspace {
-        hasher.update((workspace.len() as u64).to_le_bytes());
-        hasher.update(workspace);
-    }
+    let workspace = workspace.map(|workspace| workspace.as_ref()).unwrap_or_default();
+    hasher.update((workspace.len() as u64).to_le_bytes());
+    hasher.update(workspace);
     hasher.update(key);
     hasher.finalize().into()
 }
@@ -290,15 +289,31 @@
         now: ids::Timestamp,
         effects: &mut Effects,
     ) {
-        let Some(waiting) = self.waiting.get_mut(&request) else { return };
         if answer != Answer::NotRun {
-            self.waiting.remove(&request);
-            return effects.push(Effect::Answered { request, holder, answer });
+            if self.stop_waiting(request).is_some() {
+                effects.push(Effect::Answered { request, holder, answer });
+            }
+            return;
         }
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
         waiting.since = now;
         waiting.stage = Stage::Blocked { checked_at: now };
     }
 
+    /// Ends a request's wait, and its question to another holder with it.
+    fn stop_waiting(&mut self, request: ids::RequestId) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&request)?;
+        if let Stage::Asking { holder, .. } = waiting.stage
+            && let Some(askers) = self.askers.get_mut(&holder)
+        {
+            askers.retain(|asker| *asker != request);
+            if askers.is_empty() {
+                self.askers.remove(&holder);
+            }
+        }
+        Some(waiting)
+    }
+
     /// Claims a key again once the log shows that its holder has released it.
     fn unblock(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
         let Some(waiting) = self.waiting.get_mut(&request) else { return };
@@ -348,6 +363,8 @@
     }
 
     /// Tells a request of this instance what the order of the log has decided.
+    ///
+    /// A claim that is read long after it was made may have outlived its window, so it is given up.
     fn decide(
         &mut self,
         request: ids::RequestId,
@@ -355,22 +372,26 @@
         now: ids::Timestamp,
         effects: &mut Effects,
     ) {
-        let is_waiting =
-            self.waiting.get(&request).is_some_and(|waiting| waiting.stage == Stage::Committing);
         if holder.request != request {
-            if is_waiting {
+            let stage = self.waiting.get(&request).map(|waiting| waiting.stage);
+            if stage == Some(Stage::Committing) {
                 self.lose(request, holder, now, effects);
             }
             return;
         }
-        if is_waiting {
-            self.waiting.remove(&request);
-            self.answers.expect(request);
-            return effects.push(Effect::Granted { request });
-        }
-        if !self.answers.may_have_run(request) {
+        let Some(waiting) = self.stop_waiting(request) else {
+            if self.answers.is_not_run(request) {
+                self.committer.release(request);
+                self.committer.flush(now, effects);
+            }
+            return;
+        };
+        if now.saturating_sub(waiting.since) >= constants::CLAIM_TIMEOUT {
             self.settle(request, Answer::NotRun, now, effects);
+            return effects.push(Effect::Unavailable { request });
         }
+        self.answers.expect(request);
+        effects.push(Effect::Granted { request });
     }
 
     /// Keeps the answer of a request that held a claim and tells those that wait for it.
@@ -389,22 +410,14 @@
         self.resolve(request, answer, now, effects);
     }
 
-    /// Gives up a claim that was not decided: if it is granted later, it is released.
+    /// Gives up a claim that was not decided: if the log grants it later, it is released.
     fn withdraw(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
-        let Some(waiting) = self.waiting.remove(&request) else { return };
-        match waiting.stage {
-            Stage::Committing => {
-                if !self.committer.withdraw(request) {
-                    self.settle(request, Answer::NotRun, now, effects);
-                }
-            }
-            Stage::Blocked { .. } => {}
-            Stage::Asking { holder, .. } => {
-                if let Some(askers) = self.askers.get_mut(&holder) {
-                    askers.retain(|asker| *asker != request);
-                }
-            }
+        let Some(waiting) = self.stop_waiting(request) else { return };
+        let was_sent = self.committer.withdraw(request);
+        if was_sent || waiting.stage != Stage::Committing {
+            self.answers.keep(request, Answer::NotRun, now);
         }
+        self.resolve(request, Answer::NotRun, now, effects);
     }
 
     fn receive(
@@ -416,7 +429,10 @@
     ) {
         match message {
             Message::Ask { holder } => {
-                let answer = self.answers.reply(holder, self.incarnation);
+                let answer = match self.waiting.contains_key(&holder) {
+                    true => None,
+                    false => self.answers.reply(holder, self.incarnation),
+                };
                 effects.push(Effect::Send { to: from, message: Message::Tell { holder, answer } });
             }
             Message::Tell { holder, answer: Some(answer) } => {
--- a/src/core/claims/answers.rs
+++ b/src/core/claims/answers.rs
@@ -22,12 +22,9 @@
         self.expected.insert(request);
     }
 
-    /// Returns whether a request was granted its claim and is not known not to have run.
-    pub fn may_have_run(&self, request: ids::RequestId) -> bool {
-        match self.kept.get(&request) {
-            Some(answer) => *answer != claims::Answer::NotRun,
-            None => self.expected.contains(&request),
-        }
+    /// Returns whether a request is known not to have run.
+    pub fn is_not_run(&self, request: ids::RequestId) -> bool {
+        self.kept.get(&request) == Some(&claims::Answer::NotRun)
     }
 
     /// Returns the answer of a request of this process.
@@ -54,12 +51,11 @@
     /// Keeps an answer; the oldest ones make room.
     pub fn keep(&mut self, request: ids::RequestId, answer: claims::Answer, now: ids::Timestamp) {
         self.expected.remove(&request);
-        let size_bytes = size(&answer);
-        if self.kept.insert(request, answer).is_some() {
-            return;
+        self.size_bytes += size(&answer);
+        match self.kept.insert(request, answer) {
+            Some(replaced) => self.size_bytes -= size(&replaced),
+            None => self.order.push_back((now, request)),
         }
-        self.size_bytes += size_bytes;
-        self.order.push_back((now, request));
         while self.size_bytes > constants::MAX_ANSWER_BYTES {
             self.drop_oldest();
         }
--- a/src/core/claims/committer.rs
+++ b/src/core/claims/committer.rs
@@ -63,13 +63,16 @@
         self.releases.push(request as u64);
     }
 
-    /// Takes a claim back; returns whether it certainly was never sent.
+    /// Takes a claim back; returns whether it may have been sent.
     pub fn withdraw(&mut self, request: ids::RequestId) -> bool {
         let sequence = request as u64;
-        let sent = self.is_sent(sequence);
+        let was_sent = self.is_sent(sequence);
         self.claims.retain(|claim| claim.sequence != sequence);
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.record.claims.retain(|claim| claim.sequence != sequence);
+        }
         self.unread.remove(&sequence);
-        !sent
+        was_sent
     }
 
     /// A claim was read in the log.
--- a/src/core/claims/constants.rs
+++ b/src/core/claims/constants.rs
@@ -11,6 +11,10 @@
 /// Time within which a claim must be read back before its request is refused as not run.
 pub const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// Time from a call's arrival after which it is not sent under its claim any more, so that a
+/// process that was paused does not send it when another call may hold the key.
+pub const SEND_WINDOW: time::Duration = time::Duration::from_secs(450);
+
 /// Time between two questions for the answer of a claim's holder.
 pub const ASK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
--- a/src/core/claims/tests.rs
+++ b/src/core/claims/tests.rs
@@ -1,1 +1,5 @@
 //! Tests of the claims reducer.
+
+mod fleet;
+mod properties;
+mod scenarios;
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -353,6 +353,8 @@
         fresh: bool,
         /// Whether the whole answer is to be reported for callers that resend.
         keep_answer: bool,
+        /// When the call must no longer be sent, because its claim may run out.
+        send_before: Option<ids::Timestamp>,
     },
     /// Answer with what an earlier request with the same idempotency key got.
     Replay {
--- a/src/core/request/constants.rs
+++ b/src/core/request/constants.rs
@@ -34,3 +34,21 @@
 
 /// Attempts at plain servers for one call.
 pub const MAX_PLAIN_ATTEMPTS: u16 = 3;
+
+/// Calls of one route that wait for room at its servers.
+pub const MAX_QUEUED_PER_ROUTE: usize = 1_024;
+
+/// The longest that a call waits for room at its servers.
+pub const PLAIN_QUEUE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Time from a call's arrival after which it is not retried any more.
+pub const PLAIN_RETRY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// The longest pause before the first retry; it doubles with each further one.
+pub const RETRY_BACKOFF: time::Duration = time::Duration::from_millis(50);
+
+/// The part of a retry that each call earns its route, in thousandths.
+pub const RETRY_EARNED_PER_MILLE: u32 = 200;
+
+/// Retries that a route can save up, in thousandths.
+pub const RETRY_SAVED_PER_MILLE: u32 = 20_000;
--- a/src/core/request/plain.rs
+++ b/src/core/request/plain.rs
@@ -38,6 +38,7 @@
     idempotent: bool,
     replayable: bool,
     claimed: bool,
+    granted: bool,
     arrived_at: ids::Timestamp,
     first_byte_at: Option<ids::Timestamp>,
     avoid: Vec<ids::ServerId>,
@@ -79,6 +80,7 @@
             idempotent,
             replayable: call.replayable,
             claimed: false,
+            granted: false,
             arrived_at: now,
             first_byte_at: None,
             avoid: Vec::new(),
@@ -147,7 +149,10 @@
             return request::Flow::Continue;
         }
         match outcome {
-            request::ClaimOutcome::Granted => self.dispatch(context, now, effects),
+            request::ClaimOutcome::Granted => {
+                self.granted = true;
+                self.dispatch(context, now, effects)
+            }
             request::ClaimOutcome::Answered { holder, answer } => {
                 self.claimed = false;
                 let command = request::Command::Replay { holder, answer };
@@ -195,6 +200,7 @@
             address,
             fresh: !self.idempotent,
             keep_answer: self.claimed,
+            send_before: self.claimed.then(|| self.arrived_at + claims::constants::SEND_WINDOW),
         };
         effects.push(request::Effect::Command { request: self.request, command });
         request::Flow::Continue
@@ -256,11 +262,9 @@
     }
 
     fn settle_unfinished(&mut self, effects: &mut Effects) {
-        if !self.under_way {
-            if self.claimed {
-                let event = claims::Event::Withdraw { request: self.request };
-                effects.push(request::Effect::Claims(event));
-            }
+        if self.claimed && !self.granted {
+            let event = claims::Event::Withdraw { request: self.request };
+            effects.push(request::Effect::Claims(event));
             return;
         }
         let answer = match self.unclear_attempts {
