Bound retries and load of plain servers and eject sick ones

Cause: plain calls went round robin to servers that failed or were full, and were retried at once without a bound over a route. A call that was granted its claim and then refused at dispatch left its claim unsettled.

Change: the less loaded of two healthy servers with room is chosen; servers are ejected by passive signs and return slowly, and half of a route's servers stay eligible; slots bound the calls on a server, with a bounded queue for each route; retries spend a budget and wait with jitter drawn from the request.

--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -541,7 +541,7 @@
     valid: bool,
     draining: bool,
     estimator: estimator::Estimator,
-    servers: plain::Servers,
+    plain: plain::Shared,
 }
 
 /// Whether a request goes on after an event.
@@ -596,6 +596,25 @@
         self.deadlines.insert((now + constants::REQUEST_TIMEOUT, request));
     }
 
+    fn on_tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        self.expire(now, effects);
+        while let Some(request) = self.context.plain.take_due(now) {
+            self.wake(request, now, effects);
+        }
+    }
+
+    /// Wakes plain calls that wait for room, as many as there is room for.
+    fn wake_queued(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        for route in self.context.plain.take_freed() {
+            while let Some(request) = self.context.plain.front(&route) {
+                self.wake(request, now, effects);
+                if self.context.plain.front(&route) == Some(request) {
+                    break;
+                }
+            }
+        }
+    }
+
     fn expire(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         while let Some(&(deadline, request)) = self.deadlines.first() {
             if deadline > now {
@@ -622,8 +641,22 @@
         } else if let Some(plain) = self.plain.get_mut(&request)
             && plain.apply(input, &mut self.context, now, effects) == Flow::Close
         {
+            self.forget_plain(request);
+        }
+    }
+
+    /// Lets a plain call go on that waited for room or for the time of its next attempt.
+    fn wake(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        if let Some(plain) = self.plain.get_mut(&request)
+            && plain.wake(&mut self.context, now, effects) == Flow::Close
+        {
+            self.forget_plain(request);
+        }
+    }
+
+    fn forget_plain(&mut self, request: ids::RequestId) {
+        if let Some(plain) = self.plain.remove(&request) {
             let deadline = plain.arrived_at() + constants::REQUEST_TIMEOUT;
-            self.plain.remove(&request);
             self.deadlines.remove(&(deadline, request));
         }
     }
@@ -687,8 +720,11 @@
 
     fn apply(&mut self, event: Event, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         match event {
-            Event::Tick => self.expire(now, effects),
-            Event::Applied(snapshot) => self.context.snapshot = Some(snapshot),
+            Event::Tick => self.on_tick(now, effects),
+            Event::Applied(snapshot) => {
+                self.context.plain.retain(&snapshot);
+                self.context.snapshot = Some(snapshot);
+            }
             Event::Fresh(fresh) => self.context.fresh = fresh,
             Event::Validity(valid) => self.context.valid = valid,
             Event::Drain => self.context.draining = true,
@@ -699,6 +735,7 @@
                 }
             }
         }
+        self.wake_queued(now, effects);
     }
 }
 
--- a/src/core/request/plain.rs
+++ b/src/core/request/plain.rs
@@ -3,27 +3,48 @@
 use bytes::Bytes;
 
 use crate::core::claims;
+use crate::core::configuration;
 use crate::core::ids;
 use crate::core::request;
 use crate::core::request::constants;
+use crate::core::scheduler;
 use crate::document;
 
 type Effects = Vec<request::Effect>;
 
-/// What is known of the plain servers.
+mod budget;
+mod servers;
+mod waits;
+
+/// What the plain calls of an instance share.
 #[derive(Debug, Default)]
-pub struct Servers {
-    next: usize,
+pub struct Shared {
+    budgets: budget::Budgets,
+    servers: servers::Servers,
+    waits: waits::Waits,
 }
 
-impl Servers {
-    /// Chooses the next server in turn.
-    fn choose(&mut self, candidates: &[ids::ServerId]) -> Option<ids::ServerId> {
-        if candidates.is_empty() {
-            return None;
-        }
-        self.next = self.next.wrapping_add(1);
-        candidates.get(self.next % candidates.len()).cloned()
+impl Shared {
+    /// Forgets what a new document no longer names.
+    pub(super) fn retain(&mut self, snapshot: &configuration::Snapshot) {
+        self.servers.retain(|id| snapshot.server(id).is_some());
+        let routes = &snapshot.document.plain_routes;
+        self.budgets.retain(|id| routes.iter().any(|route| route.id == *id));
+    }
+
+    /// Takes the next call whose timer is due.
+    pub(super) fn take_due(&mut self, now: ids::Timestamp) -> Option<ids::RequestId> {
+        self.waits.take_due(now)
+    }
+
+    /// Returns the routes with calls that wait for room, if a call has ended since the last time.
+    pub(super) fn take_freed(&mut self) -> Vec<ids::RouteId> {
+        if self.servers.take_freed() { self.waits.routes() } else { Vec::new() }
+    }
+
+    /// Returns the call of a route that has waited longest for room.
+    pub(super) fn front(&self, route: &ids::RouteId) -> Option<ids::RequestId> {
+        self.waits.front(route)
     }
 }
 
@@ -41,10 +62,12 @@
     granted: bool,
     arrived_at: ids::Timestamp,
     first_byte_at: Option<ids::Timestamp>,
-    avoid: Vec<ids::ServerId>,
+    tried: Vec<ids::ServerId>,
     attempts: ids::Attempt,
     unclear_attempts: ids::Attempt,
-    under_way: bool,
+    under_way: Option<servers::Candidate>,
+    queued_at: Option<ids::Timestamp>,
+    timer: Option<ids::Timestamp>,
 }
 
 impl Plain {
@@ -83,11 +106,14 @@
             granted: false,
             arrived_at: now,
             first_byte_at: None,
-            avoid: Vec::new(),
+            tried: Vec::new(),
             attempts: 0,
             unclear_attempts: 0,
-            under_way: false,
+            under_way: None,
+            queued_at: None,
+            timer: None,
         };
+        context.plain.budgets.earn(&plain.route);
         match call.idempotency_key {
             Some(name) if !idempotent => {
                 let key = claims::key_digest(plain.workspace.as_ref(), &name);
@@ -109,13 +135,52 @@
         self.arrived_at
     }
 
-    /// Applies one event to the call.
+    /// Applies one event to the call and, if that ends it, frees what it holds.
     pub(super) fn apply(
         &mut self,
         input: request::Input,
         context: &mut request::Context,
         now: ids::Timestamp,
         effects: &mut Effects,
+    ) -> request::Flow {
+        let flow = self.on_input(input, context, now, effects);
+        self.conclude(flow, context, now)
+    }
+
+    /// Goes on after a wait for room or for the time of the next attempt.
+    pub(super) fn wake(
+        &mut self,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.timer.is_none() {
+            return request::Flow::Continue;
+        }
+        let flow = self.dispatch(context, now, effects);
+        self.conclude(flow, context, now)
+    }
+
+    /// Frees what the call holds if it has ended.
+    fn conclude(
+        &mut self,
+        flow: request::Flow,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+    ) -> request::Flow {
+        if flow == request::Flow::Close {
+            self.release(servers::Ending::GivenUp, context, now);
+            self.stop_waiting(context);
+        }
+        flow
+    }
+
+    fn on_input(
+        &mut self,
+        input: request::Input,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
     ) -> request::Flow {
         match input {
             request::Input::Gone => self.end_gone(now, effects),
@@ -127,6 +192,7 @@
                 request::Flow::Continue
             }
             request::Input::Ended { attempt, usage, answer } if attempt == self.attempts => {
+                self.release(servers::Ending::Answered, context, now);
                 self.settle(answer.unwrap_or(claims::Answer::Unknown), effects);
                 effects.push(self.explained(request::Step::Ended { usage }));
                 self.close(request::Outcome::Answered, None, now, effects)
@@ -145,7 +211,7 @@
         now: ids::Timestamp,
         effects: &mut Effects,
     ) -> request::Flow {
-        if self.under_way {
+        if self.granted {
             return request::Flow::Continue;
         }
         match outcome {
@@ -170,30 +236,58 @@
         }
     }
 
+    /// Sends the call to a server, or queues it until one has room.
     fn dispatch(
         &mut self,
         context: &mut request::Context,
         now: ids::Timestamp,
         effects: &mut Effects,
     ) -> request::Flow {
+        self.stop_timer(context);
         if let Some(workspace) = &self.workspace
             && !context.still_holds(self.key, workspace)
         {
             return self.end_refused(request::Reason::Unauthenticated, now, effects);
         }
         let candidates = self.candidates(context);
-        let Some(server) = context.servers.choose(&candidates) else {
-            return self.end_refused(request::Reason::NoRoute, now, effects);
-        };
-        let Some(address) = context.address(&server) else {
-            return self.end_refused(request::Reason::NoRoute, now, effects);
+        if candidates.is_empty() {
+            let reason = request::Reason::Place(scheduler::Unplaced::NoServer);
+            return self.end_refused(reason, now, effects);
+        }
+        if !context.plain.waits.is_next(&self.route, self.request) {
+            return self.queue(context, now, effects);
+        }
+        let draw = servers::draw(self.request, self.attempts);
+        match context.plain.servers.choose(&candidates, &self.tried, draw, now) {
+            servers::Choice::Busy => self.queue(context, now, effects),
+            servers::Choice::Server(id) => {
+                let chosen = candidates.into_iter().find(|candidate| candidate.id == id);
+                self.send(chosen, context, now, effects)
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        chosen: Option<servers::Candidate>,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        let address = chosen.as_ref().and_then(|chosen| context.address(&chosen.id));
+        let (Some(chosen), Some(address)) = (chosen, address) else {
+            let reason = request::Reason::Place(scheduler::Unplaced::NoServer);
+            return self.end_refused(reason, now, effects);
         };
+        self.stop_waiting(context);
+        context.plain.servers.begin(&chosen.id);
         self.attempts += 1;
         self.unclear_attempts += 1;
-        self.under_way = true;
+        let server = chosen.id.clone();
         let step = request::Step::Attempted { attempt: self.attempts, server: server.clone() };
         effects.push(self.explained(step));
-        self.avoid.push(server.clone());
+        self.tried.push(server.clone());
+        self.under_way = Some(chosen);
         let command = request::Command::Forward {
             attempt: self.attempts,
             server,
@@ -206,13 +300,63 @@
         request::Flow::Continue
     }
 
-    /// Returns the servers that are not leaving, those that have not failed this call first.
-    fn candidates(&self, context: &request::Context) -> Vec<ids::ServerId> {
-        let in_service =
-            |id: &&ids::ServerId| context.server(id).is_some_and(|server| !server.leaving);
-        let all: Vec<_> = self.servers.iter().filter(in_service).cloned().collect();
-        let untried: Vec<_> = all.iter().filter(|id| !self.avoid.contains(id)).cloned().collect();
-        if untried.is_empty() { all } else { untried }
+    /// Waits for room at a server, for a bounded time and behind a bounded number of others.
+    fn queue(
+        &mut self,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+        effects: &mut Effects,
+    ) -> request::Flow {
+        if self.queued_at.is_none() && !context.plain.waits.join(&self.route, self.request) {
+            let reason = request::Reason::Place(scheduler::Unplaced::QueueFull);
+            return self.end_refused(reason, now, effects);
+        }
+        let until = *self.queued_at.get_or_insert(now) + constants::PLAIN_QUEUE_TIMEOUT;
+        if now >= until {
+            let reason = request::Reason::Place(scheduler::Unplaced::WaitedTooLong);
+            return self.end_refused(reason, now, effects);
+        }
+        self.start_timer(until, context);
+        request::Flow::Continue
+    }
+
+    fn start_timer(&mut self, at: ids::Timestamp, context: &mut request::Context) {
+        self.timer = Some(at);
+        context.plain.waits.set_timer(at, self.request);
+    }
+
+    fn stop_timer(&mut self, context: &mut request::Context) {
+        if let Some(at) = self.timer.take() {
+            context.plain.waits.clear_timer(at, self.request);
+        }
+    }
+
+    fn stop_waiting(&mut self, context: &mut request::Context) {
+        self.stop_timer(context);
+        if self.queued_at.take().is_some() {
+            context.plain.waits.leave(&self.route, self.request);
+        }
+    }
+
+    /// Frees the place at the server of the attempt that has ended.
+    fn release(
+        &mut self,
+        ending: servers::Ending,
+        context: &mut request::Context,
+        now: ids::Timestamp,
+    ) {
+        if let Some(server) = self.under_way.take() {
+            context.plain.servers.end(&server.id, ending, server.slots, now);
+        }
+    }
+
+    /// Returns the servers that are not leaving.
+    fn candidates(&self, context: &request::Context) -> Vec<servers::Candidate> {
+        let in_service = self.servers.iter().filter_map(|id| context.server(id));
+        in_service
+            .filter(|server| !server.leaving)
+            .map(|server| servers::Candidate { id: server.id.clone(), slots: server.slots })
+            .collect()
     }
 
     fn on_failed(
@@ -227,12 +371,23 @@
         if not_run {
             self.unclear_attempts = self.unclear_attempts.saturating_sub(1);
         }
-        let may_repeat = self.replayable && (self.idempotent || not_run);
-        let begun = self.first_byte_at.is_some();
-        if may_repeat && !begun && self.attempts < constants::MAX_PLAIN_ATTEMPTS {
+        self.release(servers::Ending::Failed, context, now);
+        if !self.may_retry(failure, now) || !context.plain.budgets.spend(&self.route) {
+            return self.end_refused(request::Reason::Failed(failure.fault), now, effects);
+        }
+        let is_untried = |one: &servers::Candidate| !self.tried.contains(&one.id);
+        if not_run && self.candidates(context).iter().any(is_untried) {
             return self.dispatch(context, now, effects);
         }
-        self.end_refused(request::Reason::Failed(failure.fault), now, effects)
+        self.start_timer(now + budget::backoff(self.request, self.attempts), context);
+        request::Flow::Continue
+    }
+
+    fn may_retry(&self, failure: request::Failure, now: ids::Timestamp) -> bool {
+        let may_repeat = self.replayable && (self.idempotent || failure.ran == request::Ran::No);
+        let in_time = now.saturating_sub(self.arrived_at) < constants::PLAIN_RETRY_TIMEOUT;
+        let begun = self.first_byte_at.is_some();
+        may_repeat && in_time && !begun && self.attempts < constants::MAX_PLAIN_ATTEMPTS
     }
 
     fn end_gone(&mut self, now: ids::Timestamp, effects: &mut Effects) -> request::Flow {
--- a/src/core/request/plain/servers.rs
+++ b/src/core/request/plain/servers.rs
@@ -62,8 +62,7 @@
     ) -> Choice {
         let eligible = self.eligible(candidates, now);
         let free: Vec<_> = eligible.into_iter().filter(|one| self.has_room(one, now)).collect();
-        let untried: Vec<_> =
-            free.iter().filter(|one| !tried.contains(&one.id)).copied().collect();
+        let untried: Vec<_> = free.iter().filter(|one| !tried.contains(&one.id)).copied().collect();
         let pool = if untried.is_empty() { free } else { untried };
         match self.less_loaded(&pool, draw) {
             Some(chosen) => Choice::Server(chosen.id.clone()),
--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -9,7 +9,7 @@
 mod assignment;
 mod client;
 pub mod constants;
-mod health;
+pub(in crate::core) mod health;
 mod instance;
 mod limit;
 pub mod message;
--- a/tests/sessions/bench.rs
+++ b/tests/sessions/bench.rs
@@ -35,6 +35,7 @@
     log_is_up: bool,
     next_request: u64,
     trace: String,
+    forwarded: Vec<(ids::RequestId, ids::Attempt, ids::ServerId)>,
 }
 
 impl Bench {
@@ -47,6 +48,7 @@
             log_is_up: true,
             next_request: 1,
             trace: String::new(),
+            forwarded: Vec::new(),
         };
         bench.pass(2_000);
         bench.propose(1, 0, DOCUMENT);
@@ -60,6 +62,13 @@
         &self.trace
     }
 
+    /// Returns the server to which an attempt at a plain call was sent.
+    pub fn server_of(&self, request: ids::RequestId, attempt: ids::Attempt) -> Option<String> {
+        let mut sent = self.forwarded.iter();
+        let (_, _, server) = sent.find(|(id, number, _)| *id == request && *number == attempt)?;
+        Some(String::from_utf8_lossy(server).into_owned())
+    }
+
     /// Writes a line of explanation into the trace.
     pub fn note(&mut self, text: &str) {
         let _ = writeln!(self.trace, "# {text}");
@@ -142,6 +151,13 @@
             let _ = writeln!(self.trace, "           -> {line}");
         }
         for effect in effects {
+            if let effect::Effect::Command {
+                request,
+                command: request::Command::Forward { attempt, server, .. },
+            } = &effect
+            {
+                self.forwarded.push((*request, *attempt, server.clone()));
+            }
             if let effect::Effect::Append { stream, token, body } = effect {
                 self.append(stream, token, body);
             }
--- a/tests/sessions/plain.rs
+++ b/tests/sessions/plain.rs
@@ -65,6 +65,7 @@
 fn order_is_sent_elsewhere_only_if_no_byte_can_have_left() {
     let mut bench = bench::Bench::ready();
     let request = bench.call(bench::KEY, order(None, 1));
+    bench.note("the next server is tried at once");
     failed(&mut bench, request, 1, request::Fault::Connect, request::Ran::No);
     bench.note("the second server may have run it: the outcome is unknown");
     failed(&mut bench, request, 2, request::Fault::Closed, request::Ran::Unknown);
@@ -77,6 +78,7 @@
     let request = bench.call(bench::KEY, order(None, 1));
     for attempt in 1..=3 {
         failed(&mut bench, request, attempt, request::Fault::Connect, request::Ran::No);
+        bench.pass(200);
     }
     insta::assert_snapshot!(bench.trace());
 }
@@ -87,6 +89,7 @@
     bench.note("an open route needs no key");
     let request = bench.call(b"", enquiry("/stock/7"));
     failed(&mut bench, request, 1, request::Fault::FirstByte, request::Ran::Unknown);
+    bench.pass(100);
     started(&mut bench, request, 2);
     ended(&mut bench, request, 2);
     insta::assert_snapshot!(bench.trace());
@@ -140,8 +143,8 @@
     bench.pass(40);
     for attempt in 1..=3 {
         failed(&mut bench, first, attempt, request::Fault::Connect, request::Ran::No);
+        bench.pass(200);
     }
-    bench.pass(40);
     let second = bench.call(bench::KEY, order(Some("a"), 1));
     bench.pass(40);
     started(&mut bench, second, 1);
@@ -162,3 +165,97 @@
     bench.pass(40);
     insta::assert_snapshot!(bench.trace());
 }
+
+#[test]
+fn key_withdrawn_before_the_claim_is_granted_frees_the_claim() {
+    let mut bench = bench::Bench::ready();
+    bench.set_log(false);
+    bench.call(bench::KEY, order(Some("a"), 1));
+    bench.pass(40);
+    bench.note("all plain servers are leaving");
+    let without = bench::DOCUMENT.replace("kind = \"plain\"", "kind = \"plain\"\nleaving = true");
+    bench.set_log(true);
+    bench.propose(2, 1, &without);
+    bench.pass(1_000);
+    bench.note("a resend is refused as not run, too, and does not wait for the first");
+    bench.call(bench::KEY, order(Some("a"), 1));
+    bench.pass(1_000);
+    insta::assert_snapshot!(bench.trace());
+}
+
+#[test]
+fn server_that_fails_again_and_again_is_ejected_and_returns_slowly() {
+    let mut bench = bench::Bench::ready();
+    bench.note("s1 fails, s2 answers");
+    for _ in 0..16 {
+        let request = bench.call(b"", enquiry("/stock/7"));
+        for attempt in 1..=3 {
+            answer_from(&mut bench, request, attempt, "s1");
+        }
+    }
+    bench.note("after its ejection s1 gets one call at a time");
+    bench.pass(1_200);
+    for _ in 0..4 {
+        bench.call(b"", enquiry("/stock/8"));
+    }
+    insta::assert_snapshot!(bench.trace());
+}
+
+/// The server of an attempt answers, unless it is the one that fails.
+fn answer_from(
+    bench: &mut bench::Bench,
+    request: ids::RequestId,
+    attempt: ids::Attempt,
+    failing: &str,
+) {
+    let Some(server) = bench.server_of(request, attempt) else { return };
+    if server == failing {
+        failed(bench, request, attempt, request::Fault::FirstByte, request::Ran::Unknown);
+        return bench.pass(200);
+    }
+    started(bench, request, attempt);
+    ended(bench, request, attempt);
+}
+
+#[test]
+fn retries_stay_within_their_budget() {
+    let mut bench = bench::Bench::ready();
+    let mut attempts = 0;
+    for _ in 0..60 {
+        let request = bench.call(b"", enquiry("/stock/7"));
+        for attempt in 1..=3 {
+            if bench.server_of(request, attempt).is_some() {
+                attempts += 1;
+                let ran = request::Ran::Unknown;
+                failed(&mut bench, request, attempt, request::Fault::FirstByte, ran);
+                bench.pass(200);
+            }
+        }
+    }
+    insta::assert_snapshot!(format!("60 calls, {attempts} attempts"));
+}
+
+#[test]
+fn calls_beyond_the_slots_wait_in_a_bounded_queue() {
+    let mut bench = bench::Bench::ready();
+    let calls: Vec<_> = (0..42).map(|_| bench.call(bench::KEY, order(None, 1))).collect();
+    bench.note("two calls wait for room; the first goes when one ends");
+    started(&mut bench, calls[0], 1);
+    ended(&mut bench, calls[0], 1);
+    bench.note("the other one is refused as not run after its wait");
+    bench.pass(10_100);
+    let trace = bench.trace().split("# two").nth(1).unwrap_or_default();
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn call_that_finds_the_queue_full_is_refused_as_not_run() {
+    let mut bench = bench::Bench::ready();
+    for _ in 0..40 + request::constants::MAX_QUEUED_PER_ROUTE {
+        bench.call(bench::KEY, order(None, 1));
+    }
+    bench.note("the queue is full");
+    bench.call(bench::KEY, order(None, 1));
+    let trace = bench.trace().split("# the queue is full").nth(1).unwrap_or_default();
+    insta::assert_snapshot!(trace);
+}
