Stream large bodies of plain calls and refuse ambiguous paths

Cause: every body was buffered; paths were matched as sent, so that an encoded letter or a dot segment could reach a service under another route's rules; forged origin headers were passed on; a second idempotency key was ignored.

Change: bodies above 64 KiB are streamed and sent once; keyed ones are refused with 413; routes are matched on the normalised path and ambiguous paths are refused with 400; forwarded, x-real-ip and the like are removed.

--- a/src/borders/callers.rs
+++ b/src/borders/callers.rs
@@ -84,6 +84,15 @@
         Ok(Self { listener })
     }
 
+    /// Returns the address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell it.
+    pub fn address(&self) -> std::io::Result<net::SocketAddr> {
+        self.listener.local_addr()
+    }
+
     /// Serves callers until `stop` is notified, then closes idle connections and waits for the
     /// others to finish their requests.
     pub async fn run(self, context: sync::Arc<Context>, stop: sync::Arc<tokio_sync::Notify>) {
--- a/src/borders/callers/errors.rs
+++ b/src/borders/callers/errors.rs
@@ -40,6 +40,21 @@
         /// The longest body that is taken, in bytes.
         limit_bytes: usize,
     },
+    /// The body is too long for a call with an idempotency key.
+    #[error("a call with an idempotency key takes a body of at most {limit_bytes} bytes")]
+    KeyedTooLarge {
+        /// The longest body that such a call takes, in bytes.
+        limit_bytes: usize,
+    },
+    /// The idempotency key is missing its value, too long, or given twice.
+    #[error("the idempotency-key header takes one value of 1 to {limit_bytes} bytes")]
+    IdempotencyKey {
+        /// The longest key, in bytes.
+        limit_bytes: usize,
+    },
+    /// The path could be read in more than one way.
+    #[error("the path has dot segments, empty segments, encoded separators or broken encoding")]
+    Path,
     /// The body did not come in time.
     #[error("the body did not arrive in time")]
     TooSlow,
@@ -57,9 +72,14 @@
 impl Unreadable {
     fn status(&self) -> StatusCode {
         match self {
-            Unreadable::Malformed(_) | Unreadable::Broken => StatusCode::BAD_REQUEST,
+            Unreadable::Malformed(_)
+            | Unreadable::Broken
+            | Unreadable::IdempotencyKey { .. }
+            | Unreadable::Path => StatusCode::BAD_REQUEST,
             Unreadable::MediaType => StatusCode::UNSUPPORTED_MEDIA_TYPE,
-            Unreadable::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Unreadable::TooLarge { .. } | Unreadable::KeyedTooLarge { .. } => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
             Unreadable::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Unreadable::Method { .. } => StatusCode::METHOD_NOT_ALLOWED,
         }
@@ -70,6 +90,9 @@
             Unreadable::Malformed(_) => "correct the field that the message names",
             Unreadable::MediaType => "send content-type: application/json",
             Unreadable::TooLarge { .. } => "send a shorter prompt",
+            Unreadable::KeyedTooLarge { .. } => "send a shorter body",
+            Unreadable::IdempotencyKey { .. } => "send one idempotency-key header with a short key",
+            Unreadable::Path => "send the path in its normal form",
             Unreadable::TooSlow | Unreadable::Broken => {
                 "send the request again on a new connection"
             }
--- a/src/borders/callers/plain.rs
+++ b/src/borders/callers/plain.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -21,9 +22,15 @@
 use crate::core::request;
 use crate::shell::handle;
 
+mod path;
+mod upload;
+
 /// The header by which a caller makes a call idempotent.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// The longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+
 /// The largest answer that is kept for callers that resend, in bytes.
 const MAX_KEPT_ANSWER_BYTES: usize = 16 * 1024;
 
@@ -34,18 +41,11 @@
     message: hyper::Request<body::Incoming>,
 ) -> http::Response {
     let (parts, body) = message.into_parts();
-    let body = match read::whole_body(body, &context.limits).await {
-        Ok(body) => body,
+    let (call, upload) = match read_call(&parts, body, &context).await {
+        Ok(read) => read,
         Err(unreadable) => return unreadable.response(),
     };
     let key = read::key_digest(&parts.headers);
-    let call = request::PlainCall {
-        method: Bytes::copy_from_slice(parts.method.as_str().as_bytes()),
-        path: Bytes::copy_from_slice(parts.uri.path().as_bytes()),
-        idempotency_key: idempotency_key(&parts.headers),
-        fingerprint: fingerprint(&parts, &body),
-        replayable: true,
-    };
     let request = context.handle.next_request();
     let (reply, head) = reply::Reply::new(request);
     let session = Session {
@@ -53,7 +53,7 @@
         request,
         caller,
         parts,
-        body,
+        upload,
         reply,
         commands: None,
         keep_answer: false,
@@ -69,14 +69,45 @@
     }
 }
 
-fn idempotency_key(headers: &header::HeaderMap) -> Option<Bytes> {
-    let value = headers.get(IDEMPOTENCY_KEY)?;
-    Some(Bytes::copy_from_slice(value.as_bytes()))
+/// Reads what decides on a call, and its body as far as that needs it.
+async fn read_call(
+    parts: &hyper::http::request::Parts,
+    body: body::Incoming,
+    context: &callers::Context,
+) -> Result<(request::PlainCall, upload::Upload), errors::Unreadable> {
+    let path = path::normalised(parts.uri.path()).ok_or(errors::Unreadable::Path)?;
+    let idempotency_key = idempotency_key(&parts.headers)?;
+    let pause = time::Duration::from_millis(context.limits.body_send_timeout_ms);
+    let upload = upload::Upload::read(body, pause).await?;
+    if idempotency_key.is_some() && upload.as_whole().is_none() {
+        let limit_bytes = upload::MAX_BUFFERED_BYTES;
+        return Err(errors::Unreadable::KeyedTooLarge { limit_bytes });
+    }
+    let call = request::PlainCall {
+        method: Bytes::copy_from_slice(parts.method.as_str().as_bytes()),
+        path,
+        idempotency_key,
+        fingerprint: fingerprint(parts, upload.as_whole()),
+        replayable: upload.as_whole().is_some(),
+    };
+    Ok((call, upload))
+}
+
+fn idempotency_key(headers: &header::HeaderMap) -> Result<Option<Bytes>, errors::Unreadable> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() || value.is_empty() || value.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        let limit_bytes = MAX_IDEMPOTENCY_KEY_BYTES;
+        return Err(errors::Unreadable::IdempotencyKey { limit_bytes });
+    }
+    Ok(Some(Bytes::copy_from_slice(value.as_bytes())))
 }
 
-fn fingerprint(parts: &hyper::http::request::Parts, body: &Bytes) -> ids::Digest {
+/// Digests method, path, query and, where it is buffered, the body.
+fn fingerprint(parts: &hyper::http::request::Parts, body: Option<&Bytes>) -> ids::Digest {
     let mut hasher = sha2::Sha256::new();
     let target = parts.uri.path_and_query().map(|target| target.as_str()).unwrap_or_default();
+    let body = body.map(|body| body.as_ref()).unwrap_or_default();
     for part in [parts.method.as_str().as_bytes(), target.as_bytes(), body] {
         hasher.update((part.len() as u64).to_le_bytes());
         hasher.update(part);
@@ -96,7 +127,7 @@
     request: ids::RequestId,
     caller: net::SocketAddr,
     parts: hyper::http::request::Parts,
-    body: Bytes,
+    upload: upload::Upload,
     reply: reply::Reply,
     commands: Option<handle::Commands>,
     /// Whether an attempt has begun whose answer callers that resend will ask for.
@@ -160,10 +191,13 @@
         address: net::SocketAddr,
         fresh: bool,
     ) -> Turn {
-        let parts = self.parts.clone();
-        let message = hyper::Request::from_parts(parts, http::full(self.body.clone()));
-        let call =
-            services::Call { request: self.request, address, caller: self.caller, message, fresh };
+        let Some(body) = self.upload.take() else {
+            return self.fail(attempt, not_run(request::Fault::Closed)).await;
+        };
+        let message = hyper::Request::from_parts(self.parts.clone(), body);
+        let upload = self.upload_time();
+        let (request, caller) = (self.request, self.caller);
+        let call = services::Call { request, address, caller, message, fresh, upload };
         let context = sync::Arc::clone(&self.context);
         let forwarded = tokio::select! {
             forwarded = context.services.forward(call) => forwarded,
@@ -179,6 +213,14 @@
         }
     }
 
+    /// Returns how long sending the body may take.
+    fn upload_time(&self) -> time::Duration {
+        match self.upload.as_whole() {
+            Some(_) => time::Duration::ZERO,
+            None => time::Duration::from_millis(self.context.limits.body_send_timeout_ms),
+        }
+    }
+
     /// Relays an answer; one that is kept is read to its end even if the caller goes away.
     async fn relay(&mut self, attempt: ids::Attempt, response: http::Response) -> Turn {
         let (parts, mut body) = response.into_parts();
--- /dev/null
+++ b/src/borders/callers/plain/upload.rs
@@ -0,0 +1,94 @@
+//! The body of a plain call: buffered if it is short, else streamed with back-pressure.
+
+use std::time;
+
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::stream;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use tokio::time as tokio_time;
+
+use crate::borders::callers::errors;
+use crate::borders::http;
+
+/// The longest body that is buffered, in bytes; longer ones are streamed.
+pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+
+/// A body on its way to a backend server.
+pub enum Upload {
+    /// The whole body, which can be sent again.
+    Whole(Bytes),
+    /// A body that can be sent once; `None` once it is.
+    Stream(Option<http::Body>),
+}
+
+impl Upload {
+    /// Reads a body to its end or up to the bound of buffered bodies.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off or pauses longer than `pause`.
+    pub async fn read(
+        mut body: body::Incoming,
+        pause: time::Duration,
+    ) -> Result<Self, errors::Unreadable> {
+        let mut buffered = Vec::new();
+        let announced = body::Body::size_hint(&body).lower();
+        if announced > MAX_BUFFERED_BYTES as u64 {
+            return Ok(Self::stream(buffered, body, pause));
+        }
+        loop {
+            let next = tokio_time::timeout(pause, body.frame()).await;
+            let frame = match next.map_err(|_| errors::Unreadable::TooSlow)? {
+                Some(frame) => frame.map_err(|_| errors::Unreadable::Broken)?,
+                None => return Ok(Self::Whole(Bytes::from(buffered))),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            buffered.extend_from_slice(&data);
+            if buffered.len() > MAX_BUFFERED_BYTES {
+                return Ok(Self::stream(buffered, body, pause));
+            }
+        }
+    }
+
+    /// Returns the body if it is buffered.
+    pub fn as_whole(&self) -> Option<&Bytes> {
+        match self {
+            Upload::Whole(bytes) => Some(bytes),
+            Upload::Stream(_) => None,
+        }
+    }
+
+    /// Returns the body for an attempt; `None` if it was a stream and is used up.
+    pub fn take(&mut self) -> Option<http::Body> {
+        match self {
+            Upload::Whole(bytes) => Some(http::full(bytes.clone())),
+            Upload::Stream(body) => body.take(),
+        }
+    }
+
+    fn stream(buffered: Vec<u8>, body: body::Incoming, pause: time::Duration) -> Self {
+        let first = (!buffered.is_empty()).then(|| Ok(body::Frame::data(Bytes::from(buffered))));
+        let rest = stream::unfold(Some(body), move |body| next_frame(body, pause));
+        let frames = stream::iter(first).chain(rest);
+        let body = http_body_util::StreamBody::new(frames.boxed()).boxed_unsync();
+        Self::Stream(Some(body))
+    }
+}
+
+type Item = Result<body::Frame<Bytes>, http::BodyError>;
+
+/// Reads the next frame; after a failure there is none.
+async fn next_frame(
+    body: Option<body::Incoming>,
+    pause: time::Duration,
+) -> Option<(Item, Option<body::Incoming>)> {
+    let mut body = body?;
+    match tokio_time::timeout(pause, body.frame()).await {
+        Ok(Some(Ok(frame))) => Some((Ok(frame), Some(body))),
+        Ok(Some(Err(failure))) => Some((Err(http::BodyError::new(failure)), None)),
+        Ok(None) => None,
+        Err(_) => Some((Err(http::BodyError::new("the caller sent nothing in time")), None)),
+    }
+}
--- a/src/borders/services.rs
+++ b/src/borders/services.rs
@@ -26,6 +26,8 @@
     pub message: http::Request,
     /// Whether only a new connection may be used.
     pub fresh: bool,
+    /// How long sending the body may take beside the wait for the first byte of the answer.
+    pub upload: time::Duration,
 }
 
 /// All plain services.
@@ -54,7 +56,8 @@
         let mut message = call.message;
         headers::prepare(&mut message, call.request, call.address, call.caller);
         let reuse = if call.fresh { http::Reuse::Never } else { http::Reuse::Pooled };
-        let mut response = self.client.send(call.address, message, reuse, self.first_byte).await?;
+        let first_byte = self.first_byte + call.upload;
+        let mut response = self.client.send(call.address, message, reuse, first_byte).await?;
         strip_hop_by_hop(response.headers_mut());
         response.headers_mut().remove(header::CONNECTION);
         Ok(response)
--- a/src/borders/services/headers.rs
+++ b/src/borders/services/headers.rs
@@ -19,8 +19,17 @@
     "upgrade",
 ];
 
-/// Headers that must not reach a backend server.
-const PRIVATE: [&str; 3] = ["authorization", "expect", "x-api-key"];
+/// Headers that must not reach a backend server: keys, and claims of a caller about its own
+/// address that only a proxy may make.
+const PRIVATE: [&str; 7] = [
+    "authorization",
+    "expect",
+    "forwarded",
+    "x-api-key",
+    "x-forwarded-host",
+    "x-forwarded-port",
+    "x-real-ip",
+];
 
 /// Removes the headers that concern one connection only, those that `Connection` names included.
 pub fn strip_hop_by_hop(headers: &mut header::HeaderMap) {
--- /dev/null
+++ b/tests/plain_http.rs
@@ -0,0 +1,309 @@
+//! What reaches a plain service from the bytes that a caller sends, and what comes back.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use galenayard::borders::engines::openai;
+use galenayard::borders::{callers, http, services};
+use galenayard::core::request;
+use galenayard::settings;
+use galenayard::shell::{explain, handle};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, watch};
+
+/// How long a test waits for an answer that does not come.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Header values that differ from run to run.
+const VARYING: [&str; 3] = ["host", "x-request-id", "date"];
+
+type Paths = Arc<Mutex<Vec<String>>>;
+
+/// A caller's side whose calls all go to one service, without a reducer.
+struct Site {
+    address: SocketAddr,
+    paths: Paths,
+}
+
+async fn start() -> Site {
+    let service = spawn_service().await;
+    let (inputs, receiver) = mpsc::channel(64);
+    let (published, watch) = watch::channel(handle::Published::default());
+    let paths = Paths::default();
+    tokio::spawn(forward_all(receiver, service, Arc::clone(&paths), published));
+    let explanations = Arc::new(explain::Explanations::default());
+    let started = std::time::Instant::now();
+    let handle = handle::Handle::new(inputs, watch, explanations, 7, started);
+    let timeouts = http::Timeouts { connect: LIMIT, idle: LIMIT };
+    let client = http::Client::new(timeouts);
+    let engine_timeouts = openai::Timeouts { prefill: LIMIT, first_token: LIMIT, gap: LIMIT };
+    let context = callers::Context {
+        handle,
+        engines: Arc::new(openai::OpenAi::new(client.clone(), engine_timeouts)),
+        services: Arc::new(services::HttpServices::new(client, LIMIT)),
+        limits: settings::Limits::default(),
+        discovery_ttl: LIMIT,
+        gap: LIMIT,
+    };
+    let server = callers::Server::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+    let server = server.expect("a free port");
+    let address = server.address().expect("a bound address");
+    tokio::spawn(server.run(Arc::new(context), Arc::new(Notify::new())));
+    Site { address, paths }
+}
+
+/// Answers each arrival with one attempt and each failure with a refusal.
+async fn forward_all(
+    mut receiver: mpsc::Receiver<handle::Input>,
+    service: SocketAddr,
+    paths: Paths,
+    published: watch::Sender<handle::Published>,
+) {
+    let mut requests = BTreeMap::new();
+    while let Some(input) = receiver.recv().await {
+        match input {
+            handle::Input::Open { request, arrival, commands } => {
+                let request::Target::Plain(call) = arrival.target else { continue };
+                let path = String::from_utf8_lossy(&call.path).into_owned();
+                paths.lock().expect("no test panics while it holds the lock").push(path);
+                let command = request::Command::Forward {
+                    attempt: 1,
+                    server: Bytes::from_static(b"s1"),
+                    address: service,
+                    fresh: true,
+                    keep_answer: call.idempotency_key.is_some(),
+                    send_before: None,
+                };
+                drop(commands.send(command));
+                requests.insert(request, commands);
+            }
+            handle::Input::Event(galenayard::core::event::Event::Request(
+                request::Event::Failed { request, failure, .. },
+            )) => {
+                let refusal = request::Refusal {
+                    reason: request::Reason::Failed(failure.fault),
+                    ran: failure.ran,
+                    retry_after_ms: None,
+                };
+                if let Some(commands) = requests.get(&request) {
+                    drop(commands.send(request::Command::Refuse(refusal)));
+                }
+            }
+            _ => {}
+        }
+    }
+    drop(published);
+}
+
+/// A service that answers with what it was sent.
+async fn spawn_service() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(|request| async { Ok::<_, Infallible>(echo(request).await) });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    });
+    address
+}
+
+async fn echo(request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let mut text = format!("{} {}\n", parts.method, parts.uri);
+    let mut lines: Vec<String> = Vec::new();
+    for (name, value) in &parts.headers {
+        let shown = if VARYING.contains(&name.as_str()) { "..." } else { text_of(value) };
+        lines.push(format!("{name}: {shown}\n"));
+    }
+    lines.sort();
+    text.extend(lines);
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let _ = match body {
+        Ok(body) if body.len() > 100 => writeln!(text, "body of {} bytes", body.len()),
+        Ok(body) => writeln!(text, "body {:?}", String::from_utf8_lossy(&body)),
+        Err(_) => writeln!(text, "body broken off"),
+    };
+    Response::new(Full::new(Bytes::from(text)))
+}
+
+fn text_of(value: &hyper::header::HeaderValue) -> &str {
+    value.to_str().unwrap_or("not text")
+}
+
+/// Sends bytes, ends the sending half and returns all that comes back.
+async fn exchange(site: &Site, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(site.address).await.expect("a connection");
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(LIMIT, stream.read_to_end(&mut answer)).await;
+    read.expect("the connection is closed in time").ok();
+    let answer = String::from_utf8_lossy(&answer).replace('\r', "");
+    let lines = answer.lines().map(|line| match line.split_once(": ") {
+        Some((name, _)) if VARYING.contains(&name) => format!("{name}: ..."),
+        _ => line.to_string(),
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+fn message(line: &str, headers: &str, body: &str) -> Vec<u8> {
+    let head = format!("{line} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{headers}\r\n{body}");
+    head.into_bytes()
+}
+
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+#[tokio::test]
+async fn framing_and_headers() {
+    let site = start().await;
+    let cases = [
+        ("plain", message("POST /orders?a=1", "content-length: 2\r\n", "ab")),
+        ("chunked", message("POST /orders", CHUNKED, "2\r\nab\r\n0\r\n\r\n")),
+        (
+            "chunk extension",
+            message("POST /orders", CHUNKED, "2;x=\"y\"\r\nab\r\n0\r\n\r\n"),
+        ),
+        (
+            "request trailers",
+            message("POST /orders", CHUNKED, "2\r\nab\r\n0\r\nx-sum: 1\r\n\r\n"),
+        ),
+        (
+            "both lengths",
+            message(
+                "POST /orders",
+                "content-length: 2\r\ntransfer-encoding: chunked\r\n",
+                "2\r\nab\r\n0\r\n\r\nGET /stolen HTTP/1.1\r\nhost: a\r\n\r\n",
+            ),
+        ),
+        (
+            "two equal lengths",
+            message("POST /orders", "content-length: 2\r\ncontent-length: 2\r\n", "ab"),
+        ),
+        (
+            "two lengths",
+            message("POST /orders", "content-length: 2\r\ncontent-length: 3\r\n", "abc"),
+        ),
+        ("length with a sign", message("POST /orders", "content-length: +2\r\n", "ab")),
+        (
+            "chunked twice",
+            message("POST /orders", "transfer-encoding: chunked, chunked\r\n", "0\r\n\r\n"),
+        ),
+        (
+            "coding after chunked",
+            message("POST /orders", "transfer-encoding: chunked, gzip\r\n", "0\r\n\r\n"),
+        ),
+        ("folded header", message("GET /stock", "x-a: b\r\n c\r\n", "")),
+        ("blank before colon", message("GET /stock", "x-a : b\r\n", "")),
+        ("bare line feeds", b"GET /stock HTTP/1.1\nhost: a\nconnection: close\n\n".to_vec()),
+        ("bare carriage return", message("GET /stock", "x-a: b\rc\r\n", "")),
+        ("absolute form", message("GET http://other/stock", "", "")),
+        ("authority form", message("CONNECT other:80", "", "")),
+        (
+            "nominated headers",
+            b"GET /stock HTTP/1.1\r\nhost: a\r\nconnection: close, authorization, x-a, x-forwarded-for\r\n\
+              authorization: Bearer k\r\nx-a: b\r\nx-b: c\r\n\r\n"
+                .to_vec(),
+        ),
+        (
+            "keys and forged origins",
+            message(
+                "GET /stock",
+                "authorization: Bearer k\r\nx-api-key: k\r\nx-forwarded-for: 10.0.0.1\r\n\
+                 forwarded: for=10.0.0.1\r\nx-real-ip: 10.0.0.1\r\nx-forwarded-host: b\r\n\
+                 x-forwarded-proto: https\r\nvia: 1.1 b\r\n",
+                "",
+            ),
+        ),
+        (
+            "upgrade",
+            b"GET /stock HTTP/1.1\r\nhost: a\r\nconnection: close, upgrade\r\nupgrade: websocket\r\n\r\n"
+                .to_vec(),
+        ),
+        (
+            "expect",
+            message("POST /orders", "expect: 100-continue\r\ncontent-length: 2\r\n", "ab"),
+        ),
+        (
+            "idempotency key twice",
+            message("POST /orders", "idempotency-key: a\r\nidempotency-key: b\r\n", ""),
+        ),
+        ("head", message("HEAD /stock", "", "")),
+    ];
+    let mut shown = String::new();
+    for (name, bytes) in cases {
+        let _ = writeln!(shown, "== {name}\n{}\n", exchange(&site, &bytes).await);
+    }
+    insta::assert_snapshot!(shown);
+}
+
+#[tokio::test]
+async fn paths() {
+    let site = start().await;
+    let paths = [
+        "/orders/1",
+        "/orders/",
+        "/%6Frders",
+        "/orders/%7e",
+        "/orders/a%20b",
+        "/orders/%c3%a9",
+        "/stock/../orders",
+        "/stock/%2e%2e/orders",
+        "/stock/.%2E/orders",
+        "/stock/..;x/orders",
+        "/stock/./a",
+        "//orders",
+        "/stock//orders",
+        "/stock%2forders",
+        "/stock\\..\\orders",
+        "/stock/%5c",
+        "/stock/%00",
+        "/stock/%0d%0a",
+        "/stock/%zz",
+        "/stock/%2",
+        "/stock/%252e",
+        "/v1/models/..",
+        "/%761/models",
+        "*",
+    ];
+    let mut shown = String::new();
+    for path in paths {
+        let answer = exchange(&site, &message(&format!("GET {path}"), "", "")).await;
+        let status = answer.lines().next().unwrap_or("closed").to_string();
+        let known = site.paths.lock().expect("no test panics while it holds the lock").pop();
+        let sent = answer.lines().find(|line| line.starts_with("GET "));
+        let _ = writeln!(shown, "{path}: {status}, route path {known:?}, sent {sent:?}");
+    }
+    insta::assert_snapshot!(shown);
+}
+
+#[tokio::test]
+async fn large_bodies() {
+    let site = start().await;
+    let body = "x".repeat(300_000);
+    let length = format!("content-length: {}\r\n", body.len());
+    let keyed = format!("{length}idempotency-key: a\r\n");
+    let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    let cases = [
+        ("announced", message("POST /orders", &length, &body)),
+        ("chunked", message("POST /orders", CHUNKED, &chunk)),
+        ("keyed", message("POST /orders", &keyed, &body)),
+    ];
+    let mut shown = String::new();
+    for (name, bytes) in cases {
+        let _ = writeln!(shown, "== {name}\n{}\n", exchange(&site, &bytes).await);
+    }
+    insta::assert_snapshot!(shown);
+}
