Give an answer up early that belongs to another request

Change: three strays in a row end the attempt and cancel it; single strays are dropped as before. Test: two streams in openai/tests.rs.

--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -20,6 +20,8 @@
 use crate::core::request;
 use crate::core::scheduler;
 
+#[cfg(test)]
+mod tests;
 mod wire;
 
 /// The largest answer that is read as a whole, in bytes.
@@ -28,8 +30,8 @@
 /// How long an engine may take to answer a question about itself.
 const QUESTION_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// Events of other requests that are dropped from one stream before it is given up.
-const MAX_STRAYS: u32 = 1_024;
+/// Consecutive events of other requests after which a stream counts as another request's.
+const MAX_CONSECUTIVE_STRAYS: u32 = 3;
 
 /// How long a long poll for cache events waits, in milliseconds.
 const CACHE_POLL_WAIT_MS: u64 = 1_000;
@@ -285,8 +287,13 @@
                 return Ok(None);
             }
             match wire::parse_chunk(data, self.request) {
-                Ok(chunk) => return Ok(Some(chunk)),
-                Err(request::Fault::Crossed) if self.strays < MAX_STRAYS => self.drop_stray(),
+                Ok(chunk) => {
+                    self.strays = 0;
+                    return Ok(Some(chunk));
+                }
+                Err(request::Fault::Crossed) if self.strays < MAX_CONSECUTIVE_STRAYS => {
+                    self.drop_stray();
+                }
                 Err(fault) => return Err(maybe_run(fault)),
             }
         }
--- /dev/null
+++ b/src/borders/engines/openai/tests.rs
@@ -0,0 +1,62 @@
+//! Tests of streams that carry events of other requests.
+
+use std::time;
+
+use bytes::Bytes;
+
+use crate::borders::engines;
+use crate::borders::engines::Stream as _;
+use crate::borders::engines::openai;
+use crate::borders::http;
+use crate::core::ids;
+use crate::core::request;
+
+const OWN: ids::RequestId = 1;
+const OTHER: ids::RequestId = 2;
+const TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// A stream with one token for each request, in this order, and the end mark.
+fn stream(requests: &[ids::RequestId]) -> openai::EventStream {
+    let mut body = String::new();
+    for (index, request) in requests.iter().enumerate() {
+        let id = ids::request_text(*request);
+        let text = format!("{{\"id\":\"cmpl-{id}\",\"choices\":[{{\"text\":\"t{index}\"}}]}}");
+        body.push_str(&format!("data: {text}\n\n"));
+    }
+    body.push_str("data: [DONE]\n\n");
+    openai::EventStream {
+        request: OWN,
+        events: sse_stream::SseStream::new(http::full(Bytes::from(body))),
+        timeout: TIMEOUT,
+        gap: TIMEOUT,
+        strays: 0,
+    }
+}
+
+/// Reads a stream to its end and returns the texts of its tokens and how it ended.
+async fn read(mut stream: openai::EventStream) -> (Vec<String>, Result<(), request::Fault>) {
+    let mut texts = Vec::new();
+    loop {
+        match stream.next().await {
+            Ok(Some(chunk)) => {
+                if let engines::Content::Token { text, .. } = chunk.content {
+                    texts.push(text);
+                }
+            }
+            Ok(None) => return (texts, Ok(())),
+            Err(failure) => return (texts, Err(failure.fault)),
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn strays_are_dropped() {
+    let outcome = read(stream(&[OTHER, OWN, OTHER, OTHER, OWN, OTHER])).await;
+    assert_eq!(outcome, (vec!["t1".to_string(), "t4".to_string()], Ok(())));
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_of_another_request_is_given_up_early() {
+    let outcome = read(stream(&[OTHER; 8])).await;
+    assert_eq!(outcome, (Vec::new(), Err(request::Fault::Crossed)));
+}
