--- a/tests/escrow/golden.rs
+++ b/tests/escrow/golden.rs
@@ -249,3 +249,47 @@
     assert_eq!(fleet.ledgers[0].refused, 0);
     assert_eq!(fleet.ledgers[0].admitted, 2_000);
 }
+
+#[test]
+fn requests_of_a_workspace_are_admitted_in_the_order_of_their_arrival() {
+    let mut fleet = warm(fleet::Options::default());
+    let (_, other) = broker_and_other(&fleet);
+    let load = fleet::Load { at: other, workspace: 0, tokens: 300, every_ms: 20 };
+    fleet.load(load, WARM_MS, WARM_MS + 6_000);
+    fleet.run_traced(WARM_MS + 7_000);
+    let admitted = fleet.trace.lines().filter_map(|line| line.split_once("=> Admitted r"));
+    let admitted: Vec<u64> = admitted.map(|(_, number)| number.parse().unwrap()).collect();
+    assert!(admitted.len() > 100 && admitted.is_sorted(), "{admitted:?}");
+    assert!(fleet.ledgers[0].refused > 20);
+}
+
+#[test]
+fn clocks_that_run_fast_do_not_raise_the_rate() {
+    let skews_ppm = vec![10_000; 3];
+    let mut fleet = warm(fleet::Options { skews_ppm, ..fleet::Options::default() });
+    for at in 0..3 {
+        let load = fleet::Load { at, workspace: 0, tokens: 100, every_ms: 20 };
+        fleet.load(load, WARM_MS, WARM_MS + 60_000);
+    }
+    fleet.run(WARM_MS + 61_000);
+    assert_eq!(fleet.faults, Vec::<String>::new());
+    assert!(fleet.ledgers[0].admitted_tokens > 60 * 8_000 * 97 / 100);
+}
+
+#[test]
+fn pulled_tokens_that_come_late_are_given_back_or_lost() {
+    for late_ms in [1_500, 1_950, 2_050] {
+        let mut fleet = warm(fleet::Options::default());
+        let (broker, other) = broker_and_other(&fleet);
+        fleet.at(WARM_MS, fleet::Action::Next(fleet::Mishap::Late(late_ms), "Pulled"));
+        reserve(&mut fleet, WARM_MS + 10, other, 7_000);
+        fleet.run(WARM_MS + 10 + late_ms);
+        assert_eq!(fleet.status(broker)[0].pooled_tokens, 0);
+        fleet.run(WARM_MS + 16 + late_ms);
+        let arrived = fleet.status(broker)[0].pooled_tokens;
+        assert_eq!(arrived > 0, late_ms < 2_000);
+        fleet.run(WARM_MS + 40 + late_ms);
+        assert_eq!(fleet.status(broker)[0].pooled_tokens, 0);
+        assert_eq!(fleet.faults, Vec::<String>::new());
+    }
+}
