--- a/src/core/scheduler/client/waits.rs
+++ b/src/core/scheduler/client/waits.rs
@@ -87,7 +87,7 @@
         context: &client::Context<'_>,
         out: &mut outbox::Outbox<'_>,
     ) {
-        let Some(client::Slot::Waiting(wait)) = self.slots.get(&subject) else { return };
+        let Some(client::Slot::Waiting(wait)) = self.slots.get_mut(&subject) else { return };
         if wait.epoch != epoch {
             return;
         }
@@ -99,8 +99,7 @@
         }
         let silent = self.note_silence(subject, context.now);
         let Some(client::Slot::Waiting(wait)) = self.slots.get(&subject) else { return };
-        let is_queued = wait.candidates.iter().any(|c| c.stand == client::Stand::Queued);
-        let hurried = silent || !is_queued;
+        let queued = wait.candidates.iter().any(|c| c.stand == client::Stand::Queued);
         let asked: Vec<_> = (0..wait.candidates.len())
             .filter(|&index| {
                 !matches!(
@@ -117,6 +116,7 @@
                 self.ask_next(subject, context, out);
             }
         }
+        let hurried = silent || !queued;
         let pause = if hurried { constants::ASK_TIMEOUT * 2 } else { constants::REASK_INTERVAL };
         self.timers.add((context.now + pause).min(deadline), client::Timer::Wait(subject, epoch));
     }
