--- a/tests/plain_http.rs
+++ b/tests/plain_http.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use galenayard::borders::engines::openai;
 use galenayard::borders::{callers, http, services};
 use galenayard::core::request;
 use galenayard::settings;
 use galenayard::shell::{explain, handle};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -34,14 +35,19 @@
 struct Site {
     address: SocketAddr,
     paths: Paths,
+    arrived: Arc<Notify>,
+    go_on: Arc<Notify>,
+    endings: mpsc::UnboundedReceiver<String>,
 }
 
 async fn start() -> Site {
-    let service = spawn_service().await;
+    let (arrived, go_on) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let service = spawn_service(Arc::clone(&arrived), Arc::clone(&go_on)).await;
+    let (ending, endings) = mpsc::unbounded_channel();
     let (inputs, receiver) = mpsc::channel(64);
     let (published, watch) = watch::channel(handle::Published::default());
     let paths = Paths::default();
-    tokio::spawn(forward_all(receiver, service, Arc::clone(&paths), published));
+    tokio::spawn(forward_all(receiver, service, Arc::clone(&paths), published, ending));
     let explanations = Arc::new(explain::Explanations::default());
     let started = std::time::Instant::now();
     let handle = handle::Handle::new(inputs, watch, explanations, 7, started);
@@ -60,7 +66,7 @@
     let server = server.expect("a free port");
     let address = server.address().expect("a bound address");
     tokio::spawn(server.run(Arc::new(context), Arc::new(Notify::new())));
-    Site { address, paths }
+    Site { address, paths, arrived, go_on, endings }
 }
 
 /// Answers each arrival with one attempt and each failure with a refusal.
@@ -69,6 +75,7 @@
     service: SocketAddr,
     paths: Paths,
     published: watch::Sender<handle::Published>,
+    endings: mpsc::UnboundedSender<String>,
 ) {
     let mut requests = BTreeMap::new();
     while let Some(input) = receiver.recv().await {
@@ -83,7 +90,7 @@
                     address: service,
                     fresh: true,
                     keep_answer: call.idempotency_key.is_some(),
-                    send_before: None,
+                    send_before: call.path.ends_with(b"/late").then_some(Duration::ZERO),
                 };
                 drop(commands.send(command));
                 requests.insert(request, commands);
@@ -91,6 +98,7 @@
             handle::Input::Event(galenayard::core::event::Event::Request(
                 request::Event::Failed { request, failure, .. },
             )) => {
+                drop(endings.send(format!("{failure:?}")));
                 let refusal = request::Refusal {
                     reason: request::Reason::Failed(failure.fault),
                     ran: failure.ran,
@@ -100,6 +108,12 @@
                     drop(commands.send(request::Command::Refuse(refusal)));
                 }
             }
+            handle::Input::Event(galenayard::core::event::Event::Request(
+                request::Event::Ended { answer, .. },
+            )) => drop(endings.send(format!("{answer:?}"))),
+            handle::Input::Event(galenayard::core::event::Event::Request(
+                request::Event::Gone { .. },
+            )) => drop(endings.send("caller gone".to_string())),
             _ => {}
         }
     }
@@ -107,12 +121,16 @@
 }
 
 /// A service that answers with what it was sent.
-async fn spawn_service() -> SocketAddr {
+async fn spawn_service(arrived: Arc<Notify>, go_on: Arc<Notify>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let service = service_fn(|request| async { Ok::<_, Infallible>(echo(request).await) });
+            let (arrived, go_on) = (Arc::clone(&arrived), Arc::clone(&go_on));
+            let service = service_fn(move |request| {
+                let (arrived, go_on) = (Arc::clone(&arrived), Arc::clone(&go_on));
+                async move { Ok::<_, Infallible>(answer(request, &arrived, &go_on).await) }
+            });
             let connection = hyper::server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service);
             tokio::spawn(connection);
@@ -121,7 +139,32 @@
     address
 }
 
-async fn echo(request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Answers slowly, in part, or with what was sent, as the path says.
+async fn answer(
+    request: Request<Incoming>,
+    arrived: &Notify,
+    go_on: &Arc<Notify>,
+) -> Response<http::Body> {
+    match request.uri().path() {
+        "/orders/slow" => {
+            arrived.notify_one();
+            go_on.notified().await;
+            Response::new(http::full(Bytes::from_static(b"done")))
+        }
+        "/orders/cut" => {
+            let go_on = Arc::clone(go_on);
+            let first = stream::iter([Ok(Frame::data(Bytes::from_static(b"half")))]);
+            let rest = stream::once(async move {
+                go_on.notified().await;
+                Err(http::BodyError::new("the service died"))
+            });
+            Response::new(StreamBody::new(first.chain(rest).boxed()).boxed_unsync())
+        }
+        _ => echo(request).await,
+    }
+}
+
+async fn echo(request: Request<Incoming>) -> Response<http::Body> {
     let (parts, body) = request.into_parts();
     let mut text = format!("{} {}\n", parts.method, parts.uri);
     let mut lines: Vec<String> = Vec::new();
@@ -137,7 +180,7 @@
         Ok(body) => writeln!(text, "body {:?}", String::from_utf8_lossy(&body)),
         Err(_) => writeln!(text, "body broken off"),
     };
-    Response::new(Full::new(Bytes::from(text)))
+    Response::new(http::full(Bytes::from(text)))
 }
 
 fn text_of(value: &hyper::header::HeaderValue) -> &str {
@@ -307,3 +350,46 @@
     }
     insta::assert_snapshot!(shown);
 }
+
+#[tokio::test]
+async fn keyed_call_is_read_to_its_end_after_its_caller_has_gone() {
+    let mut site = start().await;
+    for headers in ["idempotency-key: a\r\n", ""] {
+        let mut stream = TcpStream::connect(site.address).await.expect("a connection");
+        let bytes = message("POST /orders/slow", headers, "");
+        stream.write_all(&bytes).await.expect("the call is sent");
+        site.arrived.notified().await;
+    }
+    let first = site.endings.recv().await;
+    site.go_on.notify_one();
+    let second = site.endings.recv().await;
+    insta::assert_snapshot!(format!("{first:?}\n{second:?}"));
+}
+
+#[tokio::test]
+async fn answer_that_breaks_off_is_not_kept() {
+    let mut site = start().await;
+    let mut stream = TcpStream::connect(site.address).await.expect("a connection");
+    let bytes = message("POST /orders/cut", "idempotency-key: a\r\n", "");
+    stream.write_all(&bytes).await.expect("the call is sent");
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|part| part == b"half") {
+        let read = tokio::time::timeout(LIMIT, stream.read_buf(&mut answer)).await;
+        assert_ne!(read.expect("an answer in time").expect("an answer"), 0);
+    }
+    site.go_on.notify_one();
+    let ending = site.endings.recv().await;
+    tokio::time::timeout(LIMIT, stream.read_to_end(&mut answer)).await.expect("an end").ok();
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let body = answer.split_once("\r\n\r\n").map(|(_, body)| body);
+    insta::assert_snapshot!(format!("{body:?}\n{ending:?}"));
+}
+
+#[tokio::test]
+async fn call_is_not_sent_after_its_claim_may_have_run_out() {
+    let mut site = start().await;
+    let bytes = message("POST /orders/late", "idempotency-key: a\r\n", "");
+    let answer = exchange(&site, &bytes).await;
+    let ending = site.endings.recv().await;
+    insta::assert_snapshot!(format!("{answer}\n\n{ending:?}"));
+}
