--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -17,6 +17,7 @@
 mod table;
 #[cfg(test)]
 mod tests;
+mod waiting;
 
 /// Digests a workspace and the idempotency key that one of its callers chose.
 pub fn key_digest(workspace: Option<&ids::WorkspaceId>, key: &Bytes) -> ids::Digest {
@@ -167,30 +168,10 @@
     table: table::Table,
     answers: answers::Answers,
     committer: committer::Committer,
-    waiting: collections::Map<ids::RequestId, Waiting>,
+    waiting: collections::Map<ids::RequestId, waiting::Waiting>,
     askers: collections::Map<ids::RequestId, Vec<ids::RequestId>>,
 }
 
-/// A request of this instance that waits for its claim or for another's answer.
-#[derive(Debug, Clone)]
-struct Waiting {
-    key: ids::Digest,
-    fingerprint: ids::Digest,
-    since: ids::Timestamp,
-    stage: Stage,
-}
-
-/// What a request waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// Its own claim to be read in the log.
-    Committing,
-    /// The answer of the request that holds the claim.
-    Asking { holder: ids::RequestId, asked_at: ids::Timestamp, heard_at: ids::Timestamp },
-    /// The release of a claim whose holder has not run to be read in the log.
-    Blocked { checked_at: ids::Timestamp },
-}
-
 type Effects = Vec<Effect>;
 
 impl Claims {
@@ -218,7 +199,8 @@
         if self.waiting.len() >= constants::MAX_WAITING || self.table.is_full() {
             return effects.push(Effect::Unavailable { request });
         }
-        let waiting = Waiting { key, fingerprint, since: now, stage: Stage::Committing };
+        let waiting =
+            waiting::Waiting { key, fingerprint, since: now, stage: waiting::Stage::Committing };
         self.waiting.insert(request, waiting);
         match self.table.holder(&key, now) {
             Some(claim) => self.lose(request, claim, now, effects),
@@ -241,7 +223,7 @@
             return effects.push(Effect::Mismatch { request });
         }
         let holder = claim.request;
-        waiting.stage = Stage::Asking { holder, asked_at: now, heard_at: now };
+        waiting.stage = waiting::Stage::Asking { holder, asked_at: now, heard_at: now };
         self.askers.entry(holder).or_default().push(request);
         self.ask(request, holder, now, effects);
     }
@@ -297,13 +279,13 @@
         }
         let Some(waiting) = self.waiting.get_mut(&request) else { return };
         waiting.since = now;
-        waiting.stage = Stage::Blocked { checked_at: now };
+        waiting.stage = waiting::Stage::Blocked { checked_at: now };
     }
 
     /// Ends a request's wait, and its question to another holder with it.
-    fn stop_waiting(&mut self, request: ids::RequestId) -> Option<Waiting> {
+    fn stop_waiting(&mut self, request: ids::RequestId) -> Option<waiting::Waiting> {
         let waiting = self.waiting.remove(&request)?;
-        if let Stage::Asking { holder, .. } = waiting.stage
+        if let waiting::Stage::Asking { holder, .. } = waiting.stage
             && let Some(askers) = self.askers.get_mut(&holder)
         {
             askers.retain(|asker| *asker != request);
@@ -322,10 +304,10 @@
             return effects.push(Effect::Unavailable { request });
         }
         if self.table.holder(&waiting.key, now).is_some() {
-            waiting.stage = Stage::Blocked { checked_at: now };
+            waiting.stage = waiting::Stage::Blocked { checked_at: now };
             return;
         }
-        waiting.stage = Stage::Committing;
+        waiting.stage = waiting::Stage::Committing;
         self.committer.claim(request, waiting.key, waiting.fingerprint);
         self.committer.flush(now, effects);
     }
@@ -374,7 +356,7 @@
     ) {
         if holder.request != request {
             let stage = self.waiting.get(&request).map(|waiting| waiting.stage);
-            if stage == Some(Stage::Committing) {
+            if stage == Some(waiting::Stage::Committing) {
                 self.lose(request, holder, now, effects);
             }
             return;
@@ -414,7 +396,7 @@
     fn withdraw(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
         let Some(waiting) = self.stop_waiting(request) else { return };
         let was_sent = self.committer.withdraw(request);
-        if was_sent || waiting.stage != Stage::Committing {
+        if was_sent || waiting.stage != waiting::Stage::Committing {
             self.answers.keep(request, Answer::NotRun, now);
         }
         self.resolve(request, Answer::NotRun, now, effects);
@@ -446,7 +428,7 @@
     fn heard(&mut self, holder: ids::RequestId, now: ids::Timestamp) {
         for request in self.askers.get(&holder).into_iter().flatten() {
             if let Some(waiting) = self.waiting.get_mut(request)
-                && let Stage::Asking { heard_at, .. } = &mut waiting.stage
+                && let waiting::Stage::Asking { heard_at, .. } = &mut waiting.stage
             {
                 *heard_at = now;
             }
@@ -472,12 +454,12 @@
     fn on_due(&mut self, request: ids::RequestId, now: ids::Timestamp, effects: &mut Effects) {
         let Some(waiting) = self.waiting.get_mut(&request) else { return };
         match &mut waiting.stage {
-            Stage::Committing => {
+            waiting::Stage::Committing => {
                 self.withdraw(request, now, effects);
                 effects.push(Effect::Unavailable { request });
             }
-            Stage::Blocked { .. } => self.unblock(request, now, effects),
-            Stage::Asking { holder, asked_at, heard_at } => {
+            waiting::Stage::Blocked { .. } => self.unblock(request, now, effects),
+            waiting::Stage::Asking { holder, asked_at, heard_at } => {
                 let holder = *holder;
                 *asked_at = now;
                 if now.saturating_sub(*heard_at) > constants::ASK_TIMEOUT {
@@ -490,17 +472,6 @@
     }
 }
 
-impl Waiting {
-    fn is_due(&self, now: ids::Timestamp) -> bool {
-        match self.stage {
-            Stage::Committing => now.saturating_sub(self.since) >= constants::CLAIM_TIMEOUT,
-            Stage::Asking { asked_at: at, .. } | Stage::Blocked { checked_at: at } => {
-                now.saturating_sub(at) >= constants::ASK_INTERVAL
-            }
-        }
-    }
-}
-
 impl reducer::Reducer for Claims {
     type Event = Event;
     type Effect = Effect;
--- a/src/core/request/plain.rs
+++ b/src/core/request/plain.rs
@@ -1,18 +1,16 @@
 //! The life of one call of a plain service: route, claim, attempts.
 
-use bytes::Bytes;
-
 use crate::core::claims;
 use crate::core::configuration;
 use crate::core::ids;
 use crate::core::request;
 use crate::core::request::constants;
 use crate::core::scheduler;
-use crate::document;
 
 type Effects = Vec<request::Effect>;
 
 mod budget;
+mod routes;
 mod servers;
 mod waits;
 
@@ -81,7 +79,7 @@
         effects: &mut Effects,
     ) -> Result<Option<Self>, request::Reason> {
         let snapshot = context.snapshot.clone().ok_or(request::Reason::Stale)?;
-        let route = find_route(&snapshot.document.plain_routes, &call)?;
+        let route = routes::find(&snapshot.document.plain_routes, &call)?;
         let workspace = match route.open {
             true => None,
             false => {
@@ -93,7 +91,7 @@
                 Some(workspace.clone())
             }
         };
-        let idempotent = route.idempotent.unwrap_or_else(|| is_idempotent(&call.method));
+        let idempotent = route.idempotent.unwrap_or_else(|| routes::is_idempotent(&call.method));
         let mut plain = Self {
             request: id,
             key,
@@ -464,38 +462,3 @@
         request::Effect::Explain { request: self.request, step }
     }
 }
-
-/// Returns the route with the longest matching prefix that allows the method.
-fn find_route<'a>(
-    routes: &'a [document::PlainRoute],
-    call: &request::PlainCall,
-) -> Result<&'a document::PlainRoute, request::Reason> {
-    let matching = routes.iter().filter(|route| matches_prefix(&route.path_prefix, &call.path));
-    let mut best = None;
-    let mut path_is_known = false;
-    for route in matching {
-        path_is_known = true;
-        let allowed = route.methods.is_empty() || route.methods.contains(&call.method);
-        let length = route.path_prefix.len();
-        let longer =
-            best.is_none_or(|found: &document::PlainRoute| length > found.path_prefix.len());
-        if allowed && longer {
-            best = Some(route);
-        }
-    }
-    best.ok_or(match path_is_known {
-        true => request::Reason::Method,
-        false => request::Reason::NoRoute,
-    })
-}
-
-/// Returns whether a path lies under a prefix, by whole segments.
-fn matches_prefix(prefix: &Bytes, path: &Bytes) -> bool {
-    let Some(rest) = path.strip_prefix(prefix.as_ref()) else { return false };
-    rest.is_empty() || prefix.ends_with(b"/") || rest.starts_with(b"/")
-}
-
-/// Returns whether a method is idempotent by RFC 9110, section 9.2.2.
-fn is_idempotent(method: &Bytes) -> bool {
-    matches!(method.as_ref(), b"GET" | b"HEAD" | b"OPTIONS" | b"TRACE" | b"PUT" | b"DELETE")
-}
