--- a/src/borders/callers/plain.rs
+++ b/src/borders/callers/plain.rs
@@ -9,7 +9,6 @@
 use hyper::body;
 use hyper::header;
 use sha2::Digest as _;
-use tokio::time as tokio_time;
 
 use crate::borders::callers;
 use crate::borders::callers::errors;
@@ -17,6 +16,7 @@
 use crate::borders::callers::reply;
 use crate::borders::http;
 use crate::borders::services;
+use crate::borders::timer;
 use crate::core::claims;
 use crate::core::ids;
 use crate::core::request;
@@ -232,7 +232,7 @@
         loop {
             let gap = self.context.gap;
             let next = tokio::select! {
-                next = tokio_time::timeout(gap, body.frame()) => next,
+                next = timer::timeout(gap, body.frame()) => next,
                 turn = self.wait() => return turn,
             };
             let frame = match next {
@@ -257,6 +257,9 @@
             answer: kept.map(Kept::into_answer),
         };
         self.context.handle.request_event(event).await;
+        if self.reply.finish().await.is_err() {
+            log::debug!("the caller of an answered call has gone away");
+        }
         Turn::Over
     }
 
--- a/src/borders/callers/relay.rs
+++ b/src/borders/callers/relay.rs
@@ -121,7 +121,8 @@
     /// Fails if the caller has gone away.
     pub async fn finish(&mut self, reply: &mut reply::Reply) -> Result<(), reply::Gone> {
         if self.stream {
-            return self.write_event(b"[DONE]", reply).await;
+            self.write_event(b"[DONE]", reply).await?;
+            return reply.finish().await;
         }
         let mut response = hyper::Response::new(http::full(self.whole_answer()));
         let kind = header::HeaderValue::from_static("application/json");
--- a/src/borders/callers/reply.rs
+++ b/src/borders/callers/reply.rs
@@ -12,6 +12,9 @@
 use crate::core::ids;
 use crate::core::request;
 
+#[cfg(test)]
+mod tests;
+
 /// Frames of a body that wait for a slow caller.
 const BODY_QUEUE_FRAMES: usize = 32;
 
@@ -19,13 +22,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gone;
 
-type Frames = tokio_sync::mpsc::Sender<Result<body::Frame<Bytes>, http::BodyError>>;
+type Frame = Result<body::Frame<Bytes>, http::BodyError>;
+
+/// A piece of a body on its way to the connection.
+enum Piece {
+    Frame(body::Frame<Bytes>),
+    /// The body is whole.
+    End,
+}
+
+type Pieces = tokio_sync::mpsc::Sender<Piece>;
 
 /// The sending half of an answer.
 pub struct Reply {
     request: ids::RequestId,
     head: Option<tokio_sync::oneshot::Sender<http::Response>>,
-    frames: Option<Frames>,
+    pieces: Option<Pieces>,
 }
 
 /// The half that the connection waits on.
@@ -35,7 +47,7 @@
     /// Creates both halves.
     pub fn new(request: ids::RequestId) -> (Self, Head) {
         let (head, receiver) = tokio_sync::oneshot::channel();
-        (Self { request, head: Some(head), frames: None }, receiver)
+        (Self { request, head: Some(head), pieces: None }, receiver)
     }
 
     /// Returns whether the head has been sent.
@@ -47,8 +59,8 @@
     pub async fn closed(&mut self) {
         if let Some(head) = &mut self.head {
             head.closed().await;
-        } else if let Some(frames) = &self.frames {
-            frames.closed().await;
+        } else if let Some(pieces) = &self.pieces {
+            pieces.closed().await;
         } else {
             std::future::pending().await
         }
@@ -68,13 +80,10 @@
     /// Fails if the caller has gone away.
     pub fn start(&mut self, head: hyper::Response<()>) -> Result<(), Gone> {
         let Some(sender) = self.head.take() else { return Ok(()) };
-        let (frames, receiver) = tokio_sync::mpsc::channel(BODY_QUEUE_FRAMES);
-        let frames_of_body = stream::unfold(receiver, |mut receiver| async move {
-            let frame = receiver.recv().await?;
-            Some((frame, receiver))
-        });
-        let body = http_body_util::StreamBody::new(frames_of_body.boxed()).boxed_unsync();
-        self.frames = Some(frames);
+        let (pieces, receiver) = tokio_sync::mpsc::channel(BODY_QUEUE_FRAMES);
+        let frames = stream::unfold(Some(receiver), next_frame);
+        let body = http_body_util::StreamBody::new(frames.boxed()).boxed_unsync();
+        self.pieces = Some(pieces);
         let response = self.with_id(head.map(|()| body));
         sender.send(response).map_err(|_| Gone)
     }
@@ -85,8 +94,18 @@
     ///
     /// Fails if the caller has gone away.
     pub async fn write(&mut self, frame: body::Frame<Bytes>) -> Result<(), Gone> {
-        let Some(frames) = &self.frames else { return Err(Gone) };
-        frames.send(Ok(frame)).await.map_err(|_| Gone)
+        let Some(pieces) = &self.pieces else { return Err(Gone) };
+        pieces.send(Piece::Frame(frame)).await.map_err(|_| Gone)
+    }
+
+    /// Ends the body. A body that is dropped without its end is broken off.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has gone away.
+    pub async fn finish(&mut self) -> Result<(), Gone> {
+        let Some(pieces) = self.pieces.take() else { return Err(Gone) };
+        pieces.send(Piece::End).await.map_err(|_| Gone)
     }
 
     /// Refuses the request; after the head was sent, breaks the body off.
@@ -98,12 +117,9 @@
         if let Some(event) = event
             && self.write(body::Frame::data(event)).await.is_err()
         {
-            return;
-        }
-        if let Some(frames) = &self.frames {
-            let failure = http::BodyError::new("the answer could not be completed");
-            drop(frames.send(Err(failure)).await);
+            log::debug!("the caller of a refused request has gone away");
         }
+        self.pieces = None;
     }
 
     fn with_id(&self, mut response: http::Response) -> http::Response {
@@ -114,3 +130,18 @@
         response
     }
 }
+
+/// Returns the next frame of a body, and an error if its sender is gone before the end.
+async fn next_frame(
+    receiver: Option<tokio_sync::mpsc::Receiver<Piece>>,
+) -> Option<(Frame, Option<tokio_sync::mpsc::Receiver<Piece>>)> {
+    let mut receiver = receiver?;
+    match receiver.recv().await {
+        Some(Piece::Frame(frame)) => Some((Ok(frame), Some(receiver))),
+        Some(Piece::End) => None,
+        None => {
+            let failure = http::BodyError::new("the answer could not be completed");
+            Some((Err(failure), None))
+        }
+    }
+}
--- /dev/null
+++ b/src/borders/callers/reply/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of answers that end and of answers that break off.
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body;
+
+use crate::borders::callers::reply;
+use crate::core::request;
+
+/// Starts an answer with one piece and returns its body beside it.
+async fn started() -> (reply::Reply, crate::borders::http::Body) {
+    let (mut reply, head) = reply::Reply::new(1);
+    reply.start(hyper::Response::new(())).expect("the caller waits");
+    reply.write(body::Frame::data(Bytes::from_static(b"piece"))).await.expect("the caller reads");
+    let response = head.await.expect("a head");
+    (reply, response.into_body())
+}
+
+#[tokio::test]
+async fn finished_body_is_whole() {
+    let (mut reply, body) = started().await;
+    reply.finish().await.expect("the caller reads");
+    drop(reply);
+    let whole = body.collect().await.expect("a whole body");
+    assert_eq!(whole.to_bytes(), "piece");
+}
+
+#[tokio::test]
+async fn body_whose_task_ended_early_is_broken_off() {
+    let (reply, body) = started().await;
+    drop(reply);
+    assert!(body.collect().await.is_err());
+}
+
+#[tokio::test]
+async fn refused_body_is_broken_off() {
+    let (mut reply, body) = started().await;
+    let reason = request::Reason::Deadline;
+    let refusal = request::Refusal { reason, ran: request::Ran::Unknown, retry_after_ms: None };
+    reply.refuse(&refusal, None).await;
+    assert!(body.collect().await.is_err());
+}
--- a/src/borders/http.rs
+++ b/src/borders/http.rs
@@ -11,8 +11,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use tokio::net as tokio_net;
-use tokio::time as tokio_time;
 
+use crate::borders::timer;
 use crate::core::request;
 
 mod pool;
@@ -106,7 +106,7 @@
         address: net::SocketAddr,
     ) -> Result<http1::SendRequest<Body>, request::Failure> {
         let connecting = tokio_net::TcpStream::connect(address);
-        let stream = match tokio_time::timeout(self.timeouts.connect, connecting).await {
+        let stream = match timer::timeout(self.timeouts.connect, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(not_run(request::Fault::Connect)),
         };
@@ -128,7 +128,7 @@
         first_byte: time::Duration,
     ) -> Result<Exchanged, request::Failure> {
         let sending = sender.try_send_request(request);
-        let answered = match tokio_time::timeout(first_byte, sending).await {
+        let answered = match timer::timeout(first_byte, sending).await {
             Ok(answered) => answered,
             Err(_) => return Err(maybe_run(request::Fault::FirstByte)),
         };
@@ -186,7 +186,7 @@
     gap: time::Duration,
 ) -> Result<Bytes, request::Fault> {
     let limited = http_body_util::Limited::new(body, limit_bytes);
-    match tokio_time::timeout(gap, limited.collect()).await {
+    match timer::timeout(gap, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(failure)) if failure.is::<http_body_util::LengthLimitError>() => {
             Err(request::Fault::Malformed)
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -131,7 +131,7 @@
     let ledgers = fleet.ledgers();
     fleet.keep("records.json", &(&events, &samples, &ledgers))?;
     let figures = judge::judge(workload, length, &samples, &ledgers, &events);
-    Ok((figures, fleet.cost(started.elapsed())))
+    Ok((figures, fleet.cost(started.elapsed()).await))
 }
 
 async fn run_target(
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -72,6 +72,7 @@
     operators: SocketAddr,
     settings: PathBuf,
     child: Option<Child>,
+    started: Instant,
 }
 
 impl Drop for Fleet {
@@ -95,6 +96,10 @@
     pub log_appends_per_s: f64,
     /// Bytes appended to the log in a second.
     pub log_bytes_per_s: f64,
+    /// Mean bytes of messages that an instance sent to its peers in a second, by its own count.
+    pub peer_bytes_per_s: f64,
+    /// Mean messages that an instance sent to its peers in a second, by its own count.
+    pub peer_messages_per_s: f64,
 }
 
 /// The key of a workspace in a started fleet.
@@ -178,6 +183,7 @@
             .kill_on_drop(true)
             .spawn()?;
         instance.child = Some(child);
+        instance.started = Instant::now();
         self.publish();
         Ok(())
     }
@@ -250,7 +256,7 @@
     }
 
     /// What the running instances and the log have cost in `time`.
-    pub fn cost(&self, time: Duration) -> Cost {
+    pub async fn cost(&self, time: Duration) -> Cost {
         let processes: Vec<u32> = self
             .instances
             .iter()
@@ -268,9 +274,24 @@
                 .unwrap_or(0),
             log_appends_per_s: records.appended as f64 / time.as_secs_f64(),
             log_bytes_per_s: records.appended_bytes as f64 / time.as_secs_f64(),
+            peer_bytes_per_s: self.mean_rate("galenayard_peer_sent_bytes").await,
+            peer_messages_per_s: self.mean_rate("galenayard_peer_sent_messages").await,
         }
     }
 
+    /// Returns the mean over the instances of a counter's rise in a second since their start.
+    async fn mean_rate(&self, counter: &str) -> f64 {
+        let client = http::client(Duration::from_secs(1));
+        let mut rates = Vec::new();
+        for instance in self.instances.iter().filter(|instance| instance.child.is_some()) {
+            let elapsed_s = instance.started.elapsed().as_secs_f64();
+            if let Ok(text) = read_metrics(&client, instance.operators).await {
+                rates.push(counter_value(&text, counter) / elapsed_s);
+            }
+        }
+        rates.iter().sum::<f64>() / rates.len().max(1) as f64
+    }
+
     /// Ends all processes.
     pub async fn stop(&mut self) -> Result<(), BoxError> {
         for instance in &mut self.instances {
@@ -307,6 +328,7 @@
             peers: free_address().await?,
             operators: free_address().await?,
             child: None,
+            started: Instant::now(),
         };
         std::fs::write(&instance.settings, self.settings_of(&instance, policy)?)?;
         Ok(instance)
@@ -447,6 +469,23 @@
     Duration::from_secs(fill_s.max().unwrap_or(0)) + SETTLE_TIME
 }
 
+/// Reads an instance's metrics in the Prometheus text format.
+async fn read_metrics(client: &http::Client, operators: SocketAddr) -> Result<String, BoxError> {
+    let request = Request::builder()
+        .uri(format!("http://{operators}/metrics"))
+        .header(header::AUTHORIZATION, format!("Bearer {OPERATOR_KEY}"))
+        .body(Full::default())?;
+    let answer = client.request(request).await?;
+    let body = http::read_body(answer.into_body()).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Returns the value of a counter without labels; 0 if it is not listed.
+fn counter_value(text: &str, counter: &str) -> f64 {
+    let value = text.lines().find_map(|line| line.strip_prefix(counter)?.trim().parse().ok());
+    value.unwrap_or(0.0)
+}
+
 /// Proposes a document on the version in force.
 async fn propose(
     client: &http::Client,
