--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -2,9 +2,7 @@
 
 use std::collections as std_collections;
 use std::net;
-
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use std::time;
 
 use crate::core::claims;
 use crate::core::collections;
@@ -15,523 +13,54 @@
 use crate::core::scheduler;
 use crate::document;
 
+mod call;
+mod command;
 pub mod constants;
+mod effect;
 mod estimator;
+mod event;
 mod language;
 mod plain;
+mod refusal;
+mod summary;
 #[cfg(test)]
 mod tests;
 
-/// A request that an instance has read from a caller.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Arrival {
-    /// The digest of the key that came with it.
-    pub key: Option<ids::Digest>,
-    /// What it asks for.
-    pub target: Target,
-}
-
-/// What a request asks for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Target {
-    /// A completion.
-    Language(LanguageCall),
-    /// A call of a plain service.
-    Plain(PlainCall),
-}
-
-/// A request for a completion.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LanguageCall {
-    /// The model that the caller names.
-    pub model: ids::ModelId,
-    /// The length of the prompt.
-    pub prompt_bytes: u64,
-    /// The chain of hashes of the prompt's whole blocks.
-    pub prefix: Vec<ids::BlockHash>,
-    /// The most tokens that may be generated.
-    pub output_limit_tokens: u32,
-    /// Whether a second run gives the same output.
-    pub deterministic: bool,
-}
-
-/// A call of a plain service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlainCall {
-    /// The method.
-    pub method: Bytes,
-    /// The path, without the query.
-    pub path: Bytes,
-    /// The idempotency key, if one came with the call.
-    pub idempotency_key: Option<Bytes>,
-    /// The digest of method, path, query and body; of method, path and query alone where the body
-    /// is not buffered.
-    pub fingerprint: ids::Digest,
-    /// Whether the body is buffered, so that the call can be sent again.
-    pub replayable: bool,
-}
-
-/// Whether a request ran, as far as the system can truthfully say.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Ran {
-    /// No byte of it can have reached a backend server that would run it.
-    No,
-    /// It may have run.
-    Unknown,
-}
-
-/// Why a request is refused.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reason {
-    /// The route needs a key and none came, or the key is not known.
-    Unauthenticated,
-    /// The workspace may not use the route.
-    Forbidden,
-    /// No route matches the model or the path.
-    NoRoute,
-    /// The route exists but not for this method.
-    Method,
-    /// The workspace has used its tokens.
-    Limit(escrow::Refusal),
-    /// No place was to be had.
-    Place(scheduler::Unplaced),
-    /// The instance's configuration or keys are not recent enough.
-    Stale,
-    /// The instance has no valid lease.
-    NotValid,
-    /// The instance has as many requests as it may hold.
-    TooManyRequests,
-    /// The instance is shutting down and takes no new requests.
-    Draining,
-    /// Every attempt at a backend server failed.
-    Failed(Fault),
-    /// The idempotency key was used with another request.
-    KeyReused,
-    /// The idempotency key could not be recorded.
-    ClaimUnavailable,
-    /// Another request with the same idempotency key ran and its answer is not to be had.
-    ClaimHeld,
-    /// The request took longer than it may.
-    Deadline,
-}
-
-/// A refusal as the caller is told it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// Whether the request ran.
-    pub ran: Ran,
-    /// When to come back, in milliseconds.
-    pub retry_after_ms: Option<u64>,
-}
-
-/// How an attempt at a backend server failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Fault {
-    /// No connection could be opened.
-    Connect,
-    /// No first byte came in time.
-    FirstByte,
-    /// The stream paused longer than it may.
-    Gap,
-    /// The connection ended early.
-    Closed,
-    /// The server answered with this status.
-    Status(u16),
-    /// The KV cache was gone on import.
-    KvGone,
-    /// The server had neither slot nor memory free.
-    Full,
-    /// The server does not know the request that was to be resumed.
-    UnknownRequest,
-    /// The answer belongs to another request.
-    Crossed,
-    /// The answer cannot be read.
-    Malformed,
-}
-
-/// A failed attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Failure {
-    /// How it failed.
-    pub fault: Fault,
-    /// Whether the server may have run the request.
-    pub ran: Ran,
-}
-
-/// Tokens as the engine counts them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Usage {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens of the prompt that the cache held.
-    pub cached_tokens: u32,
-    /// Tokens that were generated.
-    pub completion_tokens: u32,
-}
-
-/// What the request reducer is told.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// A document is in force.
-    Applied(configuration::SharedSnapshot),
-    /// Whether the known keys are recent enough to accept requests with.
-    Fresh(bool),
-    /// Whether this instance holds a valid lease.
-    Validity(bool),
-    /// The instance is shutting down.
-    Drain,
-    /// A caller's request was read.
-    Arrived {
-        /// The request.
-        request: ids::RequestId,
-        /// What came.
-        arrival: Arrival,
-    },
-    /// The caller has gone away.
-    Gone {
-        /// The request.
-        request: ids::RequestId,
-    },
-    /// The request's tokens are reserved.
-    Admitted {
-        /// The request.
-        request: ids::RequestId,
-    },
-    /// The request's tokens cannot be had.
-    Limited {
-        /// The request.
-        request: ids::RequestId,
-        /// When they would be there, in milliseconds.
-        retry_after_ms: u64,
-        /// Why.
-        reason: escrow::Refusal,
-    },
-    /// Candidates for a phase were chosen.
-    Chosen {
-        /// The request.
-        request: ids::RequestId,
-        /// The phase.
-        phase: scheduler::Phase,
-        /// The candidates, best first.
-        candidates: Vec<ids::ServerId>,
-        /// Prompt tokens that the best candidate's cache is believed to hold.
-        cached_tokens: u32,
-    },
-    /// A place was granted.
-    Placed {
-        /// The request.
-        request: ids::RequestId,
-        /// The phase.
-        phase: scheduler::Phase,
-        /// The server.
-        server: ids::ServerId,
-        /// How long it took, in milliseconds.
-        waited_ms: u32,
-    },
-    /// No place is to be had, or a granted one was lost.
-    Unplaced {
-        /// The request.
-        request: ids::RequestId,
-        /// The phase.
-        phase: scheduler::Phase,
-        /// Why.
-        reason: scheduler::Unplaced,
-    },
-    /// The claims reducer decided on the request's idempotency key.
-    Claimed {
-        /// The request.
-        request: ids::RequestId,
-        /// The decision.
-        outcome: ClaimOutcome,
-    },
-    /// A prefill ended.
-    Prefilled {
-        /// The request.
-        request: ids::RequestId,
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// What the engine counted.
-        usage: Usage,
-    },
-    /// The first token, or the head of a plain answer, came.
-    Started {
-        /// The request.
-        request: ids::RequestId,
-        /// The attempt.
-        attempt: ids::Attempt,
-    },
-    /// More tokens came.
-    Progressed {
-        /// The request.
-        request: ids::RequestId,
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// Tokens relayed to the caller so far, over all attempts.
-        relayed_tokens: u32,
-    },
-    /// The whole answer was relayed.
-    Ended {
-        /// The request.
-        request: ids::RequestId,
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// What the engine counted.
-        usage: Usage,
-        /// The answer to keep for callers that resend, if the request holds a claim.
-        answer: Option<claims::Answer>,
-    },
-    /// An attempt failed.
-    Failed {
-        /// The request.
-        request: ids::RequestId,
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// How.
-        failure: Failure,
-    },
-}
-
-/// What the claims reducer decided on a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimOutcome {
-    /// The request may run.
-    Granted,
-    /// Another request holds the claim and this is its answer.
-    Answered {
-        /// The request that holds the claim.
-        holder: ids::RequestId,
-        /// Its answer.
-        answer: claims::Answer,
-    },
-    /// The key was used with another request.
-    Mismatch,
-    /// The claim could not be recorded.
-    Unavailable,
-}
-
-/// What the task that serves a request is to do.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Command {
-    /// Fill the KV cache on a server and keep its transfer parameters.
-    Prefill {
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// The server.
-        server: ids::ServerId,
-        /// Its address.
-        address: net::SocketAddr,
-        /// The engine's priority; lower runs first.
-        priority: i32,
-    },
-    /// Generate tokens on a server, from the last prefill's KV cache if there is one.
-    Decode {
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// The server.
-        server: ids::ServerId,
-        /// Its address.
-        address: net::SocketAddr,
-        /// The engine's priority; lower runs first.
-        priority: i32,
-        /// How the attempt relates to earlier ones.
-        start: Start,
-    },
-    /// Forward a plain call.
-    Forward {
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// The server.
-        server: ids::ServerId,
-        /// Its address.
-        address: net::SocketAddr,
-        /// Whether only a connection may be used that is new or was in use a moment ago.
-        fresh: bool,
-        /// Whether the whole answer is to be reported for callers that resend.
-        keep_answer: bool,
-        /// When the call must no longer be sent, because its claim may run out.
-        send_before: Option<ids::Timestamp>,
-    },
-    /// Answer with what an earlier request with the same idempotency key got.
-    Replay {
-        /// The earlier request.
-        holder: ids::RequestId,
-        /// Its answer.
-        answer: claims::Answer,
-    },
-    /// Refuse the request, or end a stream that has begun with an error.
-    Refuse(Refusal),
-}
-
-/// How a decode attempt relates to earlier ones.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Start {
-    /// Import the KV cache of the last prefill.
-    Import,
-    /// Prefill in place.
-    Whole,
-    /// Resume the stream that the server holds at the first token not yet relayed.
-    Resume,
-}
-
-/// What the request reducer wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Effect {
-    /// Tell the request's task what to do.
-    Command {
-        /// The request.
-        request: ids::RequestId,
-        /// The command.
-        command: Command,
-    },
-    /// Cancel the request on a server, so that the server frees what it holds.
-    Cancel {
-        /// The request.
-        request: ids::RequestId,
-        /// The server.
-        server: ids::ServerId,
-        /// Its address.
-        address: net::SocketAddr,
-    },
-    /// Tell the escrow reducer.
-    Escrow(escrow::Event),
-    /// Tell the placement reducer.
-    Choose {
-        /// The request.
-        request: ids::RequestId,
-        /// The phase.
-        phase: scheduler::Phase,
-        /// The model.
-        model: ids::ModelId,
-        /// The chain of hashes of the prompt's blocks.
-        prefix: Vec<ids::BlockHash>,
-        /// The prompt's estimated length.
-        prompt_tokens: u32,
-        /// Servers to leave out.
-        avoid: Vec<ids::ServerId>,
-    },
-    /// Tell the scheduler reducer.
-    Scheduler(scheduler::Event),
-    /// Tell the claims reducer.
-    Claims(claims::Event),
-    /// A decision to keep for `galenayard explain`.
-    Explain {
-        /// The request.
-        request: ids::RequestId,
-        /// The decision.
-        step: Step,
-    },
-    /// The request is over and forgotten.
-    Closed {
-        /// The request.
-        request: ids::RequestId,
-        /// Its summary, for metrics.
-        summary: Summary,
-    },
-}
-
-/// One decision on a request, as `galenayard explain` shows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Step {
-    /// It arrived.
-    Arrived,
-    /// It was admitted for a workspace at an estimated cost.
-    Admitted {
-        /// The workspace.
-        workspace: ids::WorkspaceId,
-        /// The estimated cost.
-        tokens: u64,
-    },
-    /// Candidates were chosen.
-    Candidates {
-        /// The phase.
-        phase: scheduler::Phase,
-        /// The candidates.
-        servers: Vec<ids::ServerId>,
-        /// Tokens that the best one's cache is believed to hold.
-        cached_tokens: u32,
-    },
-    /// A place was granted.
-    Placed {
-        /// The phase.
-        phase: scheduler::Phase,
-        /// The server.
-        server: ids::ServerId,
-        /// How long it waited, in milliseconds.
-        waited_ms: u32,
-    },
-    /// An attempt began.
-    Attempted {
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// The server.
-        server: ids::ServerId,
-    },
-    /// An attempt failed.
-    Failed {
-        /// The attempt.
-        attempt: ids::Attempt,
-        /// How.
-        failure: Failure,
-    },
-    /// The first token or the head of the answer came.
-    Started,
-    /// The whole answer was relayed.
-    Ended {
-        /// What the engine counted.
-        usage: Usage,
-    },
-    /// It was refused.
-    Refused(Refusal),
-    /// The caller went away.
-    Gone,
-}
-
-/// How a request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The caller has the whole answer.
-    Answered,
-    /// The caller has a refusal.
-    Refused,
-    /// The caller went away.
-    Gone,
-}
-
-/// What the metrics keep of a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Summary {
-    /// The workspace, if a key named one.
-    pub workspace: Option<ids::WorkspaceId>,
-    /// The route, if one matched.
-    pub route: Option<ids::RouteId>,
-    /// How it ended.
-    pub outcome: Outcome,
-    /// Why it was refused.
-    pub refusal: Option<Refusal>,
-    /// Milliseconds from arrival to the first token or answer head.
-    pub first_token_ms: Option<u32>,
-    /// Milliseconds from arrival to the end.
-    pub whole_ms: u32,
-    /// What the engine counted.
-    pub usage: Usage,
-    /// Attempts at backend servers.
-    pub attempts: ids::Attempt,
-}
+pub use call::{Arrival, LanguageCall, PlainCall, Target};
+pub use command::{Command, Start};
+pub use effect::Effect;
+pub use event::{ClaimOutcome, Event};
+pub use refusal::{Failure, Fault, Ran, Reason, Refusal};
+pub use summary::{Outcome, Step, Summary, Usage};
 
 /// All requests of this instance that have not ended.
 #[derive(Debug, Default)]
 pub struct Requests {
+    bounds: Bounds,
     context: Context,
     language: collections::Map<ids::RequestId, language::Language>,
     plain: collections::Map<ids::RequestId, plain::Plain>,
     deadlines: std_collections::BTreeSet<(ids::Timestamp, ids::RequestId)>,
 }
 
+/// What an operator may set for requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bounds {
+    /// Requests that the instance holds at once.
+    pub max_live_requests: usize,
+    /// The longest that a request may take from its arrival to its end.
+    pub request_timeout: time::Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            max_live_requests: constants::MAX_LIVE_REQUESTS,
+            request_timeout: constants::REQUEST_TIMEOUT,
+        }
+    }
+}
+
 /// What every request may consult.
 #[derive(Debug, Default)]
 struct Context {
@@ -553,9 +82,9 @@
 
 impl Requests {
     /// Creates the state of an instance without requests.
-    pub fn new(environment: document::Environment) -> Self {
+    pub fn new(environment: document::Environment, bounds: Bounds) -> Self {
         let context = Context { environment: Some(environment), ..Context::default() };
-        Self { context, ..Self::default() }
+        Self { context, bounds, ..Self::default() }
     }
 
     /// Returns the number of requests that have not ended.
@@ -571,7 +100,7 @@
         effects: &mut Vec<Effect>,
     ) {
         effects.push(Effect::Explain { request, step: Step::Arrived });
-        if self.live() >= constants::MAX_LIVE_REQUESTS {
+        if self.live() >= self.bounds.max_live_requests {
             return refuse_at_once(request, Reason::TooManyRequests, effects);
         }
         if let Some(reason) = self.context.unready() {
@@ -593,7 +122,7 @@
                 }
             }
         }
-        self.deadlines.insert((now + constants::REQUEST_TIMEOUT, request));
+        self.deadlines.insert((now + self.bounds.request_timeout, request));
     }
 
     fn on_tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
@@ -648,7 +177,7 @@
     ) {
         if let Some(language) = self.language.get_mut(&request) {
             if language.apply(input, &mut self.context, now, effects) == Flow::Close {
-                let deadline = language.arrived_at() + constants::REQUEST_TIMEOUT;
+                let deadline = language.arrived_at() + self.bounds.request_timeout;
                 self.language.remove(&request);
                 self.deadlines.remove(&(deadline, request));
             }
@@ -670,7 +199,7 @@
 
     fn forget_plain(&mut self, request: ids::RequestId) {
         if let Some(plain) = self.plain.remove(&request) {
-            let deadline = plain.arrived_at() + constants::REQUEST_TIMEOUT;
+            let deadline = plain.arrived_at() + self.bounds.request_timeout;
             self.deadlines.remove(&(deadline, request));
         }
     }
@@ -799,61 +328,3 @@
     effects.push(Effect::Command { request, command: Command::Refuse(refusal) });
     effects.push(Effect::Closed { request, summary });
 }
-
-impl Reason {
-    /// Returns the name that metrics, logs and callers see.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Reason::Unauthenticated => "unauthenticated",
-            Reason::Forbidden => "forbidden",
-            Reason::NoRoute => "no_route",
-            Reason::Method => "method_not_allowed",
-            Reason::Limit(escrow::Refusal::OverRate) => "over_rate",
-            Reason::Limit(escrow::Refusal::OverBurst) => "over_burst",
-            Reason::Limit(escrow::Refusal::Unreachable) => "limits_unreachable",
-            Reason::Limit(escrow::Refusal::QueueFull) => "limit_queue_full",
-            Reason::Limit(escrow::Refusal::Unlimited) => "no_limit_configured",
-            Reason::Place(scheduler::Unplaced::NoServer) => "no_server",
-            Reason::Place(scheduler::Unplaced::QueueFull) => "server_queue_full",
-            Reason::Place(scheduler::Unplaced::WaitedTooLong) => "waited_too_long",
-            Reason::Place(scheduler::Unplaced::Lost) => "place_lost",
-            Reason::Stale => "configuration_stale",
-            Reason::NotValid => "no_lease",
-            Reason::TooManyRequests => "instance_full",
-            Reason::Draining => "draining",
-            Reason::Failed(_) => "backend_server_failed",
-            Reason::KeyReused => "idempotency_key_reused",
-            Reason::ClaimUnavailable => "claim_unavailable",
-            Reason::ClaimHeld => "claim_held",
-            Reason::Deadline => "deadline",
-        }
-    }
-
-    /// Returns when a caller should come back, where that does not depend on the workspace.
-    fn retry_after_ms(&self) -> Option<u64> {
-        match self {
-            Reason::Place(_) | Reason::TooManyRequests | Reason::Failed(_) => {
-                Some(constants::RETRY_AFTER_BUSY_MS)
-            }
-            Reason::Stale | Reason::NotValid | Reason::Draining | Reason::ClaimUnavailable => {
-                Some(constants::RETRY_AFTER_ELSEWHERE_MS)
-            }
-            _ => None,
-        }
-    }
-}
-
-impl Summary {
-    fn refused(refusal: Refusal) -> Self {
-        Self {
-            workspace: None,
-            route: None,
-            outcome: Outcome::Refused,
-            refusal: Some(refusal),
-            first_token_ms: None,
-            whole_ms: 0,
-            usage: Usage::default(),
-            attempts: 0,
-        }
-    }
-}
--- /dev/null
+++ b/src/core/request/refusal.rs
@@ -0,0 +1,140 @@
+//! Refusals, failures, and whether a request ran.
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::escrow;
+use crate::core::request::constants;
+use crate::core::scheduler;
+
+/// Whether a request ran, as far as the system can truthfully say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No byte of it can have reached a backend server that would run it.
+    No,
+    /// It may have run.
+    Unknown,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// The route needs a key and none came, or the key is not known.
+    Unauthenticated,
+    /// The workspace may not use the route.
+    Forbidden,
+    /// No route matches the model or the path.
+    NoRoute,
+    /// The route exists but not for this method.
+    Method,
+    /// The workspace has used its tokens.
+    Limit(escrow::Refusal),
+    /// No place was to be had.
+    Place(scheduler::Unplaced),
+    /// The instance's configuration or keys are not recent enough.
+    Stale,
+    /// The instance has no valid lease.
+    NotValid,
+    /// The instance has as many requests as it may hold.
+    TooManyRequests,
+    /// The instance is shutting down and takes no new requests.
+    Draining,
+    /// Every attempt at a backend server failed.
+    Failed(Fault),
+    /// The idempotency key was used with another request.
+    KeyReused,
+    /// The idempotency key could not be recorded.
+    ClaimUnavailable,
+    /// Another request with the same idempotency key ran and its answer is not to be had.
+    ClaimHeld,
+    /// The request took longer than it may.
+    Deadline,
+}
+
+/// A refusal as the caller is told it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// How an attempt at a backend server failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Fault {
+    /// No connection could be opened.
+    Connect,
+    /// No first byte came in time.
+    FirstByte,
+    /// The stream paused longer than it may.
+    Gap,
+    /// The connection ended early.
+    Closed,
+    /// The server answered with this status.
+    Status(u16),
+    /// The KV cache was gone on import.
+    KvGone,
+    /// The server had neither slot nor memory free.
+    Full,
+    /// The server does not know the request that was to be resumed.
+    UnknownRequest,
+    /// The answer belongs to another request.
+    Crossed,
+    /// The answer cannot be read.
+    Malformed,
+}
+
+/// A failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// How it failed.
+    pub fault: Fault,
+    /// Whether the server may have run the request.
+    pub ran: Ran,
+}
+
+impl Reason {
+    /// Returns the name that metrics, logs and callers see.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reason::Unauthenticated => "unauthenticated",
+            Reason::Forbidden => "forbidden",
+            Reason::NoRoute => "no_route",
+            Reason::Method => "method_not_allowed",
+            Reason::Limit(escrow::Refusal::OverRate) => "over_rate",
+            Reason::Limit(escrow::Refusal::OverBurst) => "over_burst",
+            Reason::Limit(escrow::Refusal::Unreachable) => "limits_unreachable",
+            Reason::Limit(escrow::Refusal::QueueFull) => "limit_queue_full",
+            Reason::Limit(escrow::Refusal::Unlimited) => "no_limit_configured",
+            Reason::Place(scheduler::Unplaced::NoServer) => "no_server",
+            Reason::Place(scheduler::Unplaced::QueueFull) => "server_queue_full",
+            Reason::Place(scheduler::Unplaced::WaitedTooLong) => "waited_too_long",
+            Reason::Place(scheduler::Unplaced::Lost) => "place_lost",
+            Reason::Stale => "configuration_stale",
+            Reason::NotValid => "no_lease",
+            Reason::TooManyRequests => "instance_full",
+            Reason::Draining => "draining",
+            Reason::Failed(_) => "backend_server_failed",
+            Reason::KeyReused => "idempotency_key_reused",
+            Reason::ClaimUnavailable => "claim_unavailable",
+            Reason::ClaimHeld => "claim_held",
+            Reason::Deadline => "deadline",
+        }
+    }
+
+    /// Returns when a caller should come back, where that does not depend on the workspace.
+    pub(super) fn retry_after_ms(&self) -> Option<u64> {
+        match self {
+            Reason::Place(_) | Reason::TooManyRequests | Reason::Failed(_) => {
+                Some(constants::RETRY_AFTER_BUSY_MS)
+            }
+            Reason::Stale | Reason::NotValid | Reason::Draining | Reason::ClaimUnavailable => {
+                Some(constants::RETRY_AFTER_ELSEWHERE_MS)
+            }
+            _ => None,
+        }
+    }
+}
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -56,6 +56,8 @@
     pub membership: membership::settings::Settings,
     /// Settings of the limits.
     pub escrow: escrow::settings::Settings,
+    /// Bounds on requests.
+    pub requests: request::Bounds,
     /// How engines are chosen.
     pub placement: placement::Policy,
     /// How places on engines are given.
@@ -88,6 +90,7 @@
             escrow,
             placement,
             scheduler,
+            requests,
         } = options;
         let (id, incarnation) = (own.id.clone(), own.incarnation);
         Self {
@@ -97,7 +100,7 @@
             claims: claims::Claims::new(incarnation),
             placement: placement::Placement::with_policy(seed, placement),
             scheduler: scheduler::Scheduler::with_discipline(id, incarnation, scheduler),
-            requests: request::Requests::new(environment),
+            requests: request::Requests::new(environment, requests),
             peers: collections::Map::default(),
             listed: collections::Map::default(),
             servers: collections::Map::default(),
--- a/src/settings/shape.rs
+++ b/src/settings/shape.rs
@@ -12,8 +12,9 @@
 /// The largest number of connections or requests at once.
 const MAX_COUNT: u64 = 1_000_000;
 
-/// The shortest time for which the log may keep records, in milliseconds.
-const MIN_RETENTION_MS: u64 = 10_000;
+/// The shortest time for which the log may keep records, in milliseconds: twice the time for which
+/// a claim on an idempotency key holds.
+const MIN_RETENTION_MS: u64 = 30 * 60 * 1_000;
 
 /// The longest time for which the log may keep records, in milliseconds.
 const MAX_RETENTION_MS: u64 = 366 * 24 * HOUR_MS;
--- a/src/shell/runtime.rs
+++ b/src/shell/runtime.rs
@@ -24,6 +24,7 @@
 use crate::core::log;
 use crate::core::membership;
 use crate::core::placement;
+use crate::core::request;
 use crate::core::scheduler;
 use crate::core::state;
 use crate::settings;
@@ -44,7 +45,7 @@
 const LIST_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// How long a read of the configuration and claims streams waits for a record.
-const READ_WAIT: time::Duration = time::Duration::from_millis(1_000);
+const READ_WAIT: time::Duration = time::Duration::from_millis(500);
 
 /// How long handing over rights and the leave's record may take.
 const LEAVE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -192,7 +193,12 @@
         settings::LimitPolicy::Escrow => escrow::settings::Policy::Escrow,
         settings::LimitPolicy::RateOverN => escrow::settings::Policy::EqualSplit,
     };
+    let requests = request::Bounds {
+        max_live_requests: settings.limits.max_requests,
+        request_timeout: settings.timeouts.request(),
+    };
     state::Options {
+        requests,
         own: own_member(settings, incarnation),
         environment: settings.instance.environment,
         log_retention: settings.platform.log_retention(),
--- a/tests/sessions/bench.rs
+++ b/tests/sessions/bench.rs
@@ -211,6 +211,7 @@
         seed: 1,
         membership: membership::settings::Settings::default(),
         escrow: escrow::settings::Settings::default(),
+        requests: request::Bounds::default(),
         placement: placement::Policy::Affinity,
         scheduler: scheduler::Discipline::Fair,
     }
