Give each instance of the load tool ports of its own; name the instance in each log line

Cause: ports were drawn by opening and closing a listener, so one of 24 instances got another's port and the run did not start (seen once).

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -11,7 +11,14 @@
 /// Runs an instance until it is told to stop.
 pub fn serve(file: &path::Path) -> Result<exit::Exit, exit::Failure> {
     let settings = read(file)?;
-    let tokio = tokio::runtime::Runtime::new()
+    let instance = settings.instance.id.clone();
+    log_mdc::insert("instance", instance.clone());
+    let tokio = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .on_thread_start(move || {
+            log_mdc::insert("instance", instance.clone());
+        })
+        .build()
         .map_err(|source| exit::Failure::File { path: file.to_path_buf(), source })?;
     tokio.block_on(runtime::serve(settings))?;
     Ok(exit::Exit::Done)
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,6 +28,18 @@
 /// Key of the operator in a started fleet.
 const OPERATOR_KEY: &str = "operator-key-of-the-load-tool";
 
+/// First port for instances.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports for instances.
+const PORT_COUNT: u32 = 20_000;
+
+/// Ports that one process uses before those of the next one.
+const PORTS_PER_PROCESS: u32 = 97;
+
+/// The port that is tried next, counted from the process's first one.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Secret that the started instances share.
 const CREDENTIAL: &str = "credential-of-the-load-tool";
 
@@ -515,8 +528,20 @@
 }
 
 /// An address that is free at this moment.
+/// Returns an address that nothing listens on and that is not returned again.
+///
+/// Its port lies below those that the system gives to outgoing connections.
 async fn free_address() -> Result<SocketAddr, BoxError> {
-    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+    for _ in 0..PORT_COUNT {
+        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+        let port = FIRST_PORT + u16::try_from(start.wrapping_add(offset) % PORT_COUNT)?;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).await.is_ok() {
+            return Ok(address);
+        }
+    }
+    Err("no free port".into())
 }
 
 fn sha256(text: &str) -> String {
