Share the waiting of the tasks that serve requests

Cause: the tasks of completions and of plain calls each had the same loop for commands and departed callers. Change: borders/callers/turn.rs serves both. Behaviour as before: library, session and plain_http tests pass unchanged.

--- a/src/borders/callers.rs
+++ b/src/borders/callers.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod reply;
 mod routes;
+mod turn;
 
 /// The pause after the operating system refused to accept a connection.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
--- a/src/borders/callers/language.rs
+++ b/src/borders/callers/language.rs
@@ -12,6 +12,7 @@
 use crate::borders::callers::read;
 use crate::borders::callers::relay;
 use crate::borders::callers::reply;
+use crate::borders::callers::turn;
 use crate::borders::engines;
 use crate::borders::http;
 use crate::core::ids;
@@ -61,14 +62,6 @@
     completion::parse(api, &body)
 }
 
-/// What the task does next.
-enum Turn {
-    Command(request::Command),
-    Wait,
-    Gone,
-    Over,
-}
-
 /// The task's state.
 struct Session {
     context: sync::Arc<callers::Context>,
@@ -96,31 +89,26 @@
         let arrival = request::Arrival { key, target };
         let handle = self.context.handle.clone();
         self.commands = Some(handle.open(self.request, arrival).await);
-        let mut turn = Turn::Wait;
+        let mut next = turn::Turn::Wait;
         loop {
-            turn = match turn {
-                Turn::Wait => self.wait().await,
-                Turn::Command(command) => self.perform(command).await,
-                Turn::Gone => {
+            next = match next {
+                turn::Turn::Wait => self.wait().await,
+                turn::Turn::Command(command) => self.perform(command).await,
+                turn::Turn::Gone => {
                     handle.request_event(request::Event::Gone { request: self.request }).await;
                     return;
                 }
-                Turn::Over => return,
+                turn::Turn::Over => return,
             };
         }
     }
 
     /// Waits for a command or for the caller to go away.
-    async fn wait(&mut self) -> Turn {
-        let Some(commands) = &mut self.commands else { return Turn::Over };
-        tokio::select! {
-            biased;
-            command = commands.recv() => command.map_or(Turn::Over, Turn::Command),
-            () = self.reply.closed() => Turn::Gone,
-        }
+    async fn wait(&mut self) -> turn::Turn {
+        turn::next(self.commands.as_mut(), &mut self.reply, true).await
     }
 
-    async fn perform(&mut self, command: request::Command) -> Turn {
+    async fn perform(&mut self, command: request::Command) -> turn::Turn {
         match command {
             request::Command::Prefill { attempt, address, priority, .. } => {
                 let call = self.call(address, priority);
@@ -133,9 +121,9 @@
             request::Command::Refuse(refusal) => {
                 let event = self.relay.error_event(&refusal);
                 self.reply.refuse(&refusal, event).await;
-                Turn::Over
+                turn::Turn::Over
             }
-            request::Command::Forward { .. } | request::Command::Replay { .. } => Turn::Wait,
+            request::Command::Forward { .. } | request::Command::Replay { .. } => turn::Turn::Wait,
         }
     }
 
@@ -149,12 +137,12 @@
         }
     }
 
-    async fn prefill(&mut self, attempt: ids::Attempt, call: engines::Call) -> Turn {
+    async fn prefill(&mut self, attempt: ids::Attempt, call: engines::Call) -> turn::Turn {
         let context = sync::Arc::clone(&self.context);
         let prefill = context.engines.prefill(call);
         let outcome = tokio::select! {
             outcome = prefill => outcome,
-            turn = self.wait() => return turn,
+            next = self.wait() => return next,
         };
         let request = self.request;
         let event = match outcome {
@@ -165,7 +153,7 @@
             Err(failure) => request::Event::Failed { request, attempt, failure },
         };
         context.handle.request_event(event).await;
-        Turn::Wait
+        turn::Turn::Wait
     }
 
     async fn decode(
@@ -173,7 +161,7 @@
         attempt: ids::Attempt,
         call: engines::Call,
         start: request::Start,
-    ) -> Turn {
+    ) -> turn::Turn {
         let source = match (start, &self.transfer) {
             (request::Start::Import, Some(transfer)) => engines::Source::Import(transfer.clone()),
             (request::Start::Resume, _) => {
@@ -185,7 +173,7 @@
         let decode = context.engines.decode(call, source);
         let opened = tokio::select! {
             opened = decode => opened,
-            turn = self.wait() => return turn,
+            next = self.wait() => return next,
         };
         match opened {
             Ok(stream) => self.follow(attempt, stream, start).await,
@@ -199,7 +187,7 @@
         attempt: ids::Attempt,
         mut stream: Box<dyn engines::Stream>,
         start: request::Start,
-    ) -> Turn {
+    ) -> turn::Turn {
         self.relay.begin_attempt(start);
         let mut begun = false;
         let mut reported_tokens = self.relay.relayed_tokens();
@@ -207,7 +195,7 @@
         loop {
             let next = tokio::select! {
                 next = stream.next() => next,
-                turn = self.wait() => return turn,
+                next = self.wait() => return next,
             };
             let chunk = match next {
                 Ok(Some(chunk)) => chunk,
@@ -220,7 +208,7 @@
                 self.context.handle.request_event(event).await;
             }
             if self.relay.take(chunk, &mut self.reply).await.is_err() {
-                return Turn::Gone;
+                return turn::Turn::Gone;
             }
             let relayed_tokens = self.relay.relayed_tokens();
             let due = reported_at.elapsed() >= PROGRESS_INTERVAL;
@@ -232,7 +220,7 @@
         }
     }
 
-    async fn finish(&mut self, attempt: ids::Attempt) -> Turn {
+    async fn finish(&mut self, attempt: ids::Attempt) -> turn::Turn {
         if !self.relay.is_complete() {
             let fault = match self.relay.is_finished() {
                 true => request::Fault::Malformed,
@@ -242,7 +230,7 @@
             return self.fail(attempt, failure).await;
         }
         if self.relay.finish(&mut self.reply).await.is_err() {
-            return Turn::Gone;
+            return turn::Turn::Gone;
         }
         let event = request::Event::Ended {
             request: self.request,
@@ -251,14 +239,14 @@
             answer: None,
         };
         self.context.handle.request_event(event).await;
-        Turn::Over
+        turn::Turn::Over
     }
 
-    async fn fail(&mut self, attempt: ids::Attempt, failure: request::Failure) -> Turn {
+    async fn fail(&mut self, attempt: ids::Attempt, failure: request::Failure) -> turn::Turn {
         self.report_progress(attempt).await;
         let event = request::Event::Failed { request: self.request, attempt, failure };
         self.context.handle.request_event(event).await;
-        Turn::Wait
+        turn::Turn::Wait
     }
 
     async fn report_progress(&self, attempt: ids::Attempt) {
--- a/src/borders/callers/plain.rs
+++ b/src/borders/callers/plain.rs
@@ -14,6 +14,7 @@
 use crate::borders::callers::errors;
 use crate::borders::callers::read;
 use crate::borders::callers::reply;
+use crate::borders::callers::turn;
 use crate::borders::http;
 use crate::borders::services;
 use crate::borders::timer;
@@ -115,13 +116,6 @@
     hasher.finalize().into()
 }
 
-enum Turn {
-    Command(request::Command),
-    Wait,
-    Gone,
-    Over,
-}
-
 struct Session {
     context: sync::Arc<callers::Context>,
     request: ids::RequestId,
@@ -138,31 +132,25 @@
     async fn run(mut self, arrival: request::Arrival) {
         let handle = self.context.handle.clone();
         self.commands = Some(handle.open(self.request, arrival).await);
-        let mut turn = Turn::Wait;
+        let mut next = turn::Turn::Wait;
         loop {
-            turn = match turn {
-                Turn::Wait => self.wait().await,
-                Turn::Command(command) => self.perform(command).await,
-                Turn::Gone => {
+            next = match next {
+                turn::Turn::Wait => self.wait().await,
+                turn::Turn::Command(command) => self.perform(command).await,
+                turn::Turn::Gone => {
                     handle.request_event(request::Event::Gone { request: self.request }).await;
                     return;
                 }
-                Turn::Over => return,
+                turn::Turn::Over => return,
             };
         }
     }
 
-    async fn wait(&mut self) -> Turn {
-        let Some(commands) = &mut self.commands else { return Turn::Over };
-        let keep_answer = self.keep_answer;
-        tokio::select! {
-            biased;
-            command = commands.recv() => command.map_or(Turn::Over, Turn::Command),
-            () = self.reply.closed(), if !keep_answer => Turn::Gone,
-        }
+    async fn wait(&mut self) -> turn::Turn {
+        turn::next(self.commands.as_mut(), &mut self.reply, !self.keep_answer).await
     }
 
-    async fn perform(&mut self, command: request::Command) -> Turn {
+    async fn perform(&mut self, command: request::Command) -> turn::Turn {
         match command {
             request::Command::Forward { attempt, send_before, .. }
                 if send_before.is_some_and(|before| self.context.handle.now() >= before) =>
@@ -175,13 +163,13 @@
             }
             request::Command::Replay { answer, .. } => {
                 self.reply.send_whole(replayed(answer));
-                Turn::Over
+                turn::Turn::Over
             }
             request::Command::Refuse(refusal) => {
                 self.reply.refuse(&refusal, None).await;
-                Turn::Over
+                turn::Turn::Over
             }
-            request::Command::Prefill { .. } | request::Command::Decode { .. } => Turn::Wait,
+            request::Command::Prefill { .. } | request::Command::Decode { .. } => turn::Turn::Wait,
         }
     }
 
@@ -190,7 +178,7 @@
         attempt: ids::Attempt,
         address: net::SocketAddr,
         fresh: bool,
-    ) -> Turn {
+    ) -> turn::Turn {
         let Some(body) = self.upload.take() else {
             return self.fail(attempt, not_run(request::Fault::Closed)).await;
         };
@@ -201,7 +189,7 @@
         let context = sync::Arc::clone(&self.context);
         let forwarded = tokio::select! {
             forwarded = context.services.forward(call) => forwarded,
-            turn = self.wait() => return turn,
+            next = self.wait() => return next,
         };
         match forwarded {
             Ok(response) => {
@@ -222,18 +210,18 @@
     }
 
     /// Relays an answer; one that is kept is read to its end even if the caller goes away.
-    async fn relay(&mut self, attempt: ids::Attempt, response: http::Response) -> Turn {
+    async fn relay(&mut self, attempt: ids::Attempt, response: http::Response) -> turn::Turn {
         let (parts, mut body) = response.into_parts();
         let mut kept = self.keep_answer.then(|| Kept::new(&parts));
         let started = self.reply.start(hyper::Response::from_parts(parts, ()));
         if started.is_err() && kept.is_none() {
-            return Turn::Gone;
+            return turn::Turn::Gone;
         }
         loop {
             let gap = self.context.gap;
             let next = tokio::select! {
                 next = timer::timeout(gap, body.frame()) => next,
-                turn = self.wait() => return turn,
+                next = self.wait() => return next,
             };
             let frame = match next {
                 Ok(Some(Ok(frame))) => frame,
@@ -247,7 +235,7 @@
                 kept.push(data);
             }
             if self.reply.write(frame).await.is_err() && kept.is_none() {
-                return Turn::Gone;
+                return turn::Turn::Gone;
             }
         }
         let event = request::Event::Ended {
@@ -260,13 +248,13 @@
         if self.reply.finish().await.is_err() {
             log::debug!("the caller of an answered call has gone away");
         }
-        Turn::Over
+        turn::Turn::Over
     }
 
-    async fn fail(&mut self, attempt: ids::Attempt, failure: request::Failure) -> Turn {
+    async fn fail(&mut self, attempt: ids::Attempt, failure: request::Failure) -> turn::Turn {
         let event = request::Event::Failed { request: self.request, attempt, failure };
         self.context.handle.request_event(event).await;
-        Turn::Wait
+        turn::Turn::Wait
     }
 }
 
