--- a/src/borders/timer.rs
+++ b/src/borders/timer.rs
@@ -12,6 +12,9 @@
 use hyper::rt;
 use tokio::time as tokio_time;
 
+#[cfg(test)]
+mod tests;
+
 /// A timer that fires later than this after its deadline counts as delayed by a pause.
 const MAX_LATENESS: time::Duration = time::Duration::from_millis(250);
 
