Build failures of attempts in one place

Cause: the HTTP client, the engines' adapter and the task of plain calls each had their own not_run and maybe_run. Change: constructors on request::Failure serve all three. Behaviour as before.

--- a/src/borders/callers/plain.rs
+++ b/src/borders/callers/plain.rs
@@ -155,7 +155,7 @@
             request::Command::Forward { attempt, send_before, .. }
                 if send_before.is_some_and(|before| self.context.handle.now() >= before) =>
             {
-                self.fail(attempt, not_run(request::Fault::Connect)).await
+                self.fail(attempt, request::Failure::not_run(request::Fault::Connect)).await
             }
             request::Command::Forward { attempt, address, fresh, keep_answer, .. } => {
                 self.keep_answer = keep_answer;
@@ -180,7 +180,7 @@
         fresh: bool,
     ) -> turn::Turn {
         let Some(body) = self.upload.take() else {
-            return self.fail(attempt, not_run(request::Fault::Closed)).await;
+            return self.fail(attempt, request::Failure::not_run(request::Fault::Closed)).await;
         };
         let message = hyper::Request::from_parts(self.parts.clone(), body);
         let upload = self.upload_time();
@@ -227,9 +227,15 @@
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => break,
                 Ok(Some(Err(_))) => {
-                    return self.fail(attempt, maybe_run(request::Fault::Closed)).await;
+                    return self
+                        .fail(attempt, request::Failure::maybe_run(request::Fault::Closed))
+                        .await;
+                }
+                Err(_) => {
+                    return self
+                        .fail(attempt, request::Failure::maybe_run(request::Fault::Gap))
+                        .await;
                 }
-                Err(_) => return self.fail(attempt, maybe_run(request::Fault::Gap)).await,
             };
             if let (Some(kept), Some(data)) = (&mut kept, frame.data_ref()) {
                 kept.push(data);
@@ -318,11 +324,3 @@
         claims::Answer::NotRun => refuse(request::Reason::ClaimHeld, request::Ran::No),
     }
 }
-
-fn not_run(fault: request::Fault) -> request::Failure {
-    request::Failure { fault, ran: request::Ran::No }
-}
-
-fn maybe_run(fault: request::Fault) -> request::Failure {
-    request::Failure { fault, ran: request::Ran::Unknown }
-}
--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -70,13 +70,15 @@
         let response = accept(response).await?;
         let bytes = http::read_body(response.into_body(), MAX_ANSWER_BYTES, limit)
             .await
-            .map_err(maybe_run)?;
-        let answer: wire::PrefillAnswer =
-            serde_json::from_slice(&bytes).map_err(|_| maybe_run(request::Fault::Malformed))?;
+            .map_err(request::Failure::maybe_run)?;
+        let answer: wire::PrefillAnswer = serde_json::from_slice(&bytes)
+            .map_err(|_| request::Failure::maybe_run(request::Fault::Malformed))?;
         if !wire::is_own(&answer.id, call.request) {
-            return Err(maybe_run(request::Fault::Crossed));
+            return Err(request::Failure::maybe_run(request::Fault::Crossed));
         }
-        let transfer = answer.kv_transfer_params.ok_or(maybe_run(request::Fault::Malformed))?;
+        let transfer = answer
+            .kv_transfer_params
+            .ok_or(request::Failure::maybe_run(request::Fault::Malformed))?;
         Ok(engines::Prefilled { usage: answer.usage.into(), transfer: sync::Arc::from(transfer) })
     }
 
@@ -116,7 +118,7 @@
             .header(hyper::header::CONTENT_TYPE, "application/json")
             .header("x-request-id", ids::request_text(call.request))
             .body(http::full(Bytes::from(body)))
-            .map_err(|_| not_run(request::Fault::Malformed))?;
+            .map_err(|_| request::Failure::not_run(request::Fault::Malformed))?;
         self.client.send(call.address, request, http::Reuse::Never, limit).await
     }
 
@@ -278,8 +280,10 @@
         loop {
             let event = match timer::timeout(self.timeout, self.events.next()).await {
                 Ok(Some(Ok(event))) => event,
-                Ok(Some(Err(_)) | None) => return Err(maybe_run(request::Fault::Closed)),
-                Err(_) => return Err(maybe_run(request::Fault::Gap)),
+                Ok(Some(Err(_)) | None) => {
+                    return Err(request::Failure::maybe_run(request::Fault::Closed));
+                }
+                Err(_) => return Err(request::Failure::maybe_run(request::Fault::Gap)),
             };
             self.timeout = self.gap;
             let Some(data) = event.data else { continue };
@@ -294,7 +298,7 @@
                 Err(request::Fault::Crossed) if self.strays < MAX_CONSECUTIVE_STRAYS => {
                     self.drop_stray();
                 }
-                Err(fault) => return Err(maybe_run(fault)),
+                Err(fault) => return Err(request::Failure::maybe_run(fault)),
             }
         }
     }
@@ -331,17 +335,9 @@
         .unwrap_or_default();
     let refused: Refused = serde_json::from_slice(&bytes).unwrap_or_default();
     Err(match refused.error.kind.as_str() {
-        "engine_full" | "loading" => not_run(request::Fault::Full),
-        "kv_gone" => not_run(request::Fault::KvGone),
-        "unknown_request" => maybe_run(request::Fault::UnknownRequest),
-        _ => maybe_run(request::Fault::Status(status.as_u16())),
+        "engine_full" | "loading" => request::Failure::not_run(request::Fault::Full),
+        "kv_gone" => request::Failure::not_run(request::Fault::KvGone),
+        "unknown_request" => request::Failure::maybe_run(request::Fault::UnknownRequest),
+        _ => request::Failure::maybe_run(request::Fault::Status(status.as_u16())),
     })
 }
-
-fn not_run(fault: request::Fault) -> request::Failure {
-    request::Failure { fault, ran: request::Ran::No }
-}
-
-fn maybe_run(fault: request::Fault) -> request::Failure {
-    request::Failure { fault, ran: request::Ran::Unknown }
-}
--- a/src/borders/http.rs
+++ b/src/borders/http.rs
@@ -97,7 +97,7 @@
         let sender = self.connect(address).await?;
         match self.exchange(address, sender, request, first_byte).await? {
             Exchanged::Answered(response) => Ok(response),
-            Exchanged::NotSent(_) => Err(not_run(request::Fault::Connect)),
+            Exchanged::NotSent(_) => Err(request::Failure::not_run(request::Fault::Connect)),
         }
     }
 
@@ -108,14 +108,14 @@
         let connecting = tokio_net::TcpStream::connect(address);
         let stream = match timer::timeout(self.timeouts.connect, connecting).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(not_run(request::Fault::Connect)),
+            Ok(Err(_)) | Err(_) => return Err(request::Failure::not_run(request::Fault::Connect)),
         };
         if stream.set_nodelay(true).is_err() {
-            return Err(not_run(request::Fault::Connect));
+            return Err(request::Failure::not_run(request::Fault::Connect));
         }
         let (sender, connection) = http1::handshake(rt::TokioIo::new(stream))
             .await
-            .map_err(|_| not_run(request::Fault::Connect))?;
+            .map_err(|_| request::Failure::not_run(request::Fault::Connect))?;
         tokio::spawn(connection);
         Ok(sender)
     }
@@ -130,7 +130,7 @@
         let sending = sender.try_send_request(request);
         let answered = match timer::timeout(first_byte, sending).await {
             Ok(answered) => answered,
-            Err(_) => return Err(maybe_run(request::Fault::FirstByte)),
+            Err(_) => return Err(request::Failure::maybe_run(request::Fault::FirstByte)),
         };
         match answered {
             Ok(response) => {
@@ -141,7 +141,7 @@
             }
             Err(mut failure) => match failure.take_message() {
                 Some(request) => Ok(Exchanged::NotSent(request)),
-                None => Err(maybe_run(request::Fault::Closed)),
+                None => Err(request::Failure::maybe_run(request::Fault::Closed)),
             },
         }
     }
@@ -157,14 +157,6 @@
     !sender.is_closed() && sender.ready().await.is_ok()
 }
 
-fn not_run(fault: request::Fault) -> request::Failure {
-    request::Failure { fault, ran: request::Ran::No }
-}
-
-fn maybe_run(fault: request::Fault) -> request::Failure {
-    request::Failure { fault, ran: request::Ran::Unknown }
-}
-
 /// Returns a body with these bytes.
 pub fn full(bytes: Bytes) -> Body {
     http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/src/core/request/refusal.rs
+++ b/src/core/request/refusal.rs
@@ -138,3 +138,15 @@
         }
     }
 }
+
+impl Failure {
+    /// A failure before any byte of the request can have left.
+    pub fn not_run(fault: Fault) -> Self {
+        Self { fault, ran: Ran::No }
+    }
+
+    /// A failure after which the server may have run the request.
+    pub fn maybe_run(fault: Fault) -> Self {
+        Self { fault, ran: Ran::Unknown }
+    }
+}
