Hold limits over the platform's window, and through the loss of the whole fleet

Spending is now kept by age; the first live instance writes it to the store each second, and a fleet that starts again reads it. Without it, the rate and burst count as spent. Tests: a window never gives more than rate and burst; a fleet without memory adds nothing to it.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -108,6 +108,8 @@
     Heard(peers::Digest),
     /// The store names an instance.
     Introduced(peers::Member),
+    /// The store or a peer tells what workspaces have spent lately.
+    PastSpending(Vec<quota::Spending>),
     /// A request is read whole.
     Arrived {
         /// Its number.
@@ -193,6 +195,8 @@
     pub domain: String,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
+    /// The span over which limits hold.
+    pub quota_window: time::Duration,
     /// The bounds on retries.
     pub retries: budget::RetryBounds,
     /// Seeds the choices that spread load.
@@ -207,6 +211,7 @@
     servers: servers::Directory,
     peers: peers::Peers,
     quotas: quota::Quotas,
+    past: Option<(Vec<quota::Spending>, ids::Timestamp)>,
     budget: budget::RetryBudget,
     requests: collections::Map<call::RequestNumber, live::Live>,
     waiting: Vec<call::RequestNumber>,
@@ -225,7 +230,8 @@
             catalog: None,
             servers: servers::Directory::default(),
             peers: peers::Peers::default(),
-            quotas: quota::Quotas::new(options.is_first_start),
+            quotas: quota::Quotas::new(options.quota_window, options.is_first_start),
+            past: None,
             budget: budget::RetryBudget::new(options.retries),
             requests: collections::Map::default(),
             waiting: Vec::new(),
@@ -250,6 +256,10 @@
                     self.peers.introduce(&member, now);
                 }
             }
+            Event::PastSpending(spending) => {
+                self.past.get_or_insert((spending, now));
+                self.learn_past(now, &mut effects);
+            }
             Event::Arrived { request, call } => self.arrive(request, call, now, &mut effects),
             Event::Progressed { request, outcome } => {
                 self.progress(request, outcome, now, &mut effects);
@@ -275,6 +285,7 @@
         }
         self.quotas.configure(&catalog, now);
         self.catalog = Some(catalog);
+        self.learn_past(now, effects);
         effects.push(Effect::Log(decision::Decision::Configured { version, previous }));
         effects.push(Effect::Publish);
     }
@@ -309,9 +320,8 @@
             let peer = digest.from.name.clone();
             effects.push(Effect::Log(decision::Decision::PeerHeard { peer }));
         }
-        for (workspace, spent, level) in &digest.spending {
-            let peer = digest.from.incarnation;
-            self.quotas.heard(peer, workspace, *spent, *level, now);
+        for (workspace, spent) in &digest.spending {
+            self.quotas.heard(digest.from.incarnation, workspace, *spent, now);
         }
         for member in &digest.members {
             if member.incarnation != self.own.incarnation {
@@ -322,6 +332,17 @@
         self.pump(now, effects);
     }
 
+    fn learn_past(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let Some((spending, told)) = self.past.take() else { return };
+        let age_ms = waiting::millis(now.saturating_sub(told));
+        if self.quotas.learn_past(&spending, age_ms, now) {
+            let workspaces = spending.len();
+            effects.push(Effect::Log(decision::Decision::PastLearned { workspaces, age_ms }));
+        } else if self.catalog.is_none() {
+            self.past = Some((spending, told));
+        }
+    }
+
     fn refresh_peers(&mut self, now: ids::Timestamp) {
         for gone in self.peers.refresh(now) {
             self.quotas.forget(gone);
@@ -334,7 +355,7 @@
         self.last_tick = now;
         let members = self.peers.members(now);
         for (peer, silence) in self.peers.silent(now) {
-            self.quotas.assume_spending(peer, members, step.min(silence));
+            self.quotas.assume_spending(peer, members, step.min(silence), now);
         }
         for server in self.servers.expire(now) {
             effects.push(Effect::Log(decision::Decision::server_gone(&server)));
@@ -413,12 +434,8 @@
         self.sequence += 1;
         let mut from = self.own.clone();
         from.is_ready = self.is_ready();
-        let spending = self
-            .quotas
-            .published()
-            .into_iter()
-            .map(|(name, spent, level)| (name.to_string(), spent, level))
-            .collect();
+        let spending =
+            self.quotas.own().into_iter().map(|(name, spent)| (name.to_string(), spent)).collect();
         let members =
             if with_members { self.peers.live(now).cloned().collect() } else { Vec::new() };
         peers::Digest {
@@ -431,6 +448,21 @@
         }
     }
 
+    /// Returns whether it is known what was spent before this instance started.
+    pub fn knows_past(&self) -> bool {
+        self.quotas.knows_past()
+    }
+
+    /// Returns what the whole fleet has spent within the window.
+    pub fn spending(&mut self, now: ids::Timestamp) -> Vec<quota::Spending> {
+        self.quotas.spending(now)
+    }
+
+    /// Returns whether this instance writes for the whole fleet: the first of those that live.
+    pub fn is_first(&self, now: ids::Timestamp) -> bool {
+        self.peers.live(now).all(|member| member.caller_address > self.own.caller_address)
+    }
+
     /// Returns this instance as it is announced in the store.
     pub fn announcement(&self) -> peers::Member {
         let mut own = self.own.clone();
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -38,6 +38,13 @@
         /// How long.
         pause_ms: u64,
     },
+    /// What workspaces spent before this instance started is known.
+    PastLearned {
+        /// How many workspaces were named.
+        workspaces: usize,
+        /// How long ago it was told.
+        age_ms: u64,
+    },
     /// A peer is heard for the first time, or again.
     PeerHeard {
         /// Its name.
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -34,8 +34,8 @@
     pub version: u64,
     /// The sender's work at servers.
     pub loads: Vec<(ids::ServerId, servers::Load)>,
-    /// Each workspace's spending at the sender, and the level it believes in.
-    pub spending: Vec<(String, f64, f64)>,
+    /// What each workspace has spent at the sender since it started.
+    pub spending: Vec<(String, f64)>,
     /// Other members the sender hears.
     pub members: Vec<Member>,
 }
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -1,33 +1,82 @@
 //! Each workspace's rate and burst over the fleet, kept exact by what the instances tell each other.
 //!
-//! Load pattern: one workspace sends many times its rate at all instances at once.
+//! Load patterns: one workspace sends many times its rate at all instances at once; the whole fleet
+//! ends while it does, and starts again without memory.
 
+use std::collections::VecDeque;
 use std::sync;
 use std::time;
 
 use crate::core::collections;
 use crate::core::fleet::catalog;
-use crate::core::fleet::constants;
 use crate::core::ids;
 
 /// A workspace's name as its limit is kept.
 pub type WorkspaceName = sync::Arc<str>;
 
+/// The grain in which spending is remembered.
+const SLOT: time::Duration = time::Duration::from_millis(250);
+
+/// Spending of one workspace by age.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Spending {
+    /// The workspace.
+    pub workspace: String,
+    /// Ages in milliseconds, and what was spent then.
+    pub spent: Vec<(u64, f64)>,
+}
+
+/// What was spent, by the time at which it leaves the window.
+#[derive(Debug, Default, Clone)]
+struct Window {
+    slots: VecDeque<(ids::Timestamp, f64)>,
+    total: f64,
+}
+
+impl Window {
+    fn expire(&mut self, now: ids::Timestamp) {
+        while let Some((leaves, amount)) = self.slots.front().copied() {
+            if now < leaves {
+                return;
+            }
+            self.slots.pop_front();
+            self.total -= amount;
+        }
+        self.total = 0.0;
+    }
+
+    fn add(&mut self, amount: f64, leaves: ids::Timestamp) {
+        self.total += amount;
+        match self.slots.back_mut() {
+            Some((last, sum)) if leaves < *last + SLOT => *sum += amount,
+            _ => self.slots.push_back((leaves, amount)),
+        }
+    }
+
+    /// Returns the time until `excess` has left the window; `None` if it holds less.
+    fn wait(&self, excess: f64, now: ids::Timestamp) -> Option<time::Duration> {
+        let mut left = excess;
+        for (leaves, amount) in &self.slots {
+            left -= amount;
+            if left <= 0.0 {
+                return Some(leaves.saturating_sub(now));
+            }
+        }
+        None
+    }
+}
+
 #[derive(Debug, Clone)]
-struct Bucket {
+struct Account {
     limit: catalog::Limit,
-    level: f64,
-    refilled: ids::Timestamp,
+    window: Window,
     /// What this instance has spent since it started, refunds subtracted.
-    spent: f64,
+    own: f64,
 }
 
-impl Bucket {
-    fn refill(&mut self, now: ids::Timestamp) {
-        let elapsed_s = now.saturating_sub(self.refilled).as_secs_f64();
-        self.refilled = now;
-        self.level = (self.level + elapsed_s * self.limit.rate_per_s * constants::QUOTA_SHARE)
-            .min(self.limit.burst * constants::QUOTA_SHARE);
+impl Account {
+    fn allowed(&self, length: time::Duration) -> f64 {
+        self.limit.rate_per_s * length.as_secs_f64() + self.limit.burst
     }
 }
 
@@ -38,118 +87,172 @@
     assumed: f64,
 }
 
-/// The buckets of all workspaces.
-#[derive(Debug, Default)]
+/// The accounts of all workspaces.
+#[derive(Debug)]
 pub struct Quotas {
-    buckets: collections::Map<WorkspaceName, Bucket>,
+    window: time::Duration,
+    accounts: collections::Map<WorkspaceName, Account>,
     peers: collections::Map<(u64, WorkspaceName), PeerSpending>,
-    starts_full: bool,
+    /// Spending before this instance started is not known.
+    is_past_unknown: bool,
+    started: Option<ids::Timestamp>,
 }
 
 impl Quotas {
-    /// Buckets start full only if the whole system starts for the first time: otherwise instances
-    /// that ended just now may have spent the burst already.
-    pub fn new(starts_full: bool) -> Self {
-        Self { starts_full, ..Self::default() }
+    /// Limits hold over each span of `window`.
+    ///
+    /// Unless the whole system starts for the first time, instances that ended just now may have
+    /// spent everything; it counts as spent until somebody tells.
+    pub fn new(window: time::Duration, is_first_start: bool) -> Self {
+        Self {
+            window,
+            accounts: collections::Map::default(),
+            peers: collections::Map::default(),
+            is_past_unknown: !is_first_start,
+            started: None,
+        }
     }
 
     /// Takes the limits of a new configuration.
     pub fn configure(&mut self, catalog: &catalog::Catalog, now: ids::Timestamp) {
+        let started = *self.started.get_or_insert(now);
         let workspaces = catalog.content.workspaces.as_deref().unwrap_or_default();
         let mut kept = collections::Map::default();
         for workspace in workspaces {
             let Some(limit) = workspace.limit else { continue };
-            let bucket = match self.buckets.remove(&workspace.name) {
-                Some(mut bucket) => {
-                    bucket.refill(now);
-                    bucket.limit = limit;
-                    bucket.level = bucket.level.min(limit.burst);
-                    bucket
-                }
-                None => {
-                    let level = if self.starts_full { limit.burst } else { 0.0 };
-                    Bucket { limit, level, refilled: now, spent: 0.0 }
-                }
+            let account = match self.accounts.remove(&workspace.name) {
+                Some(account) => Account { limit, ..account },
+                None => self.open(limit, started, now),
             };
-            kept.insert(sync::Arc::clone(&workspace.name), bucket);
+            kept.insert(sync::Arc::clone(&workspace.name), account);
+        }
+        self.accounts = kept;
+    }
+
+    fn open(&self, limit: catalog::Limit, started: ids::Timestamp, now: ids::Timestamp) -> Account {
+        let mut account = Account { limit, window: Window::default(), own: 0.0 };
+        let is_just_started = now.saturating_sub(started) < self.window;
+        if self.is_past_unknown && is_just_started {
+            fill(&mut account, self.window, now);
         }
-        self.buckets = kept;
+        account
     }
 
-    /// Takes `amount` from a workspace's bucket, or tells how long until it is there.
+    /// Takes `amount` from a workspace's limit, or tells how long until it is there.
     ///
     /// # Errors
     ///
-    /// Returns the wait if the bucket holds less.
+    /// Returns the wait if less is left.
     pub fn take(
         &mut self,
         workspace: &WorkspaceName,
         amount: f64,
         now: ids::Timestamp,
     ) -> Result<(), time::Duration> {
-        let Some(bucket) = self.buckets.get_mut(workspace) else { return Ok(()) };
-        bucket.refill(now);
-        if bucket.level < amount {
-            let wait_s = (amount - bucket.level) / bucket.limit.rate_per_s.max(0.001);
-            return Err(time::Duration::from_secs_f64(wait_s.min(60.0)));
+        let Some(account) = self.accounts.get_mut(workspace) else { return Ok(()) };
+        account.window.expire(now);
+        let excess = account.window.total + amount - account.allowed(self.window);
+        if excess > 0.0 {
+            return Err(account.window.wait(excess, now).unwrap_or(self.window));
         }
-        bucket.level -= amount;
-        bucket.spent += amount;
+        account.window.add(amount, now + self.window);
+        account.own += amount;
         Ok(())
     }
 
     /// Gives back what a request that did not run has taken.
     pub fn refund(&mut self, workspace: &WorkspaceName, amount: f64, now: ids::Timestamp) {
-        if let Some(bucket) = self.buckets.get_mut(workspace) {
-            bucket.refill(now);
-            bucket.level = (bucket.level + amount).min(bucket.limit.burst);
-            bucket.spent -= amount;
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.window.add(-amount, now + self.window);
+            account.own -= amount;
         }
     }
 
-    /// Returns what this instance has spent, and the level it believes in.
-    pub fn published(&self) -> Vec<(WorkspaceName, f64, f64)> {
-        self.buckets
-            .iter()
-            .map(|(name, bucket)| (sync::Arc::clone(name), bucket.spent, bucket.level))
-            .collect()
+    /// Returns what this instance has spent since it started.
+    pub fn own(&self) -> Vec<(WorkspaceName, f64)> {
+        self.accounts.iter().map(|(name, account)| (sync::Arc::clone(name), account.own)).collect()
     }
 
-    /// Takes what a peer says of its spending.
-    pub fn heard(
+    /// Returns what the whole fleet has spent within the window.
+    pub fn spending(&mut self, now: ids::Timestamp) -> Vec<Spending> {
+        let window = self.window;
+        let spending = self.accounts.iter_mut().map(|(name, account)| {
+            account.window.expire(now);
+            let age_ms = |leaves: ids::Timestamp| {
+                let age = window.saturating_sub(leaves.saturating_sub(now));
+                u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+            };
+            let slots = account.window.slots.iter();
+            let spent = slots.map(|(leaves, amount)| (age_ms(*leaves), *amount)).collect();
+            Spending { workspace: name.to_string(), spent }
+        });
+        spending.collect()
+    }
+
+    /// Learns what was spent before this instance started, as told some time ago.
+    ///
+    /// Returns whether that was unknown until now.
+    pub fn learn_past(
         &mut self,
-        peer: u64,
-        workspace: &str,
-        spent: f64,
-        level: f64,
+        spending: &[Spending],
+        told_ms_ago: u64,
         now: ids::Timestamp,
-    ) {
-        let Some((name, bucket)) = self.buckets.get_key_value(workspace) else { return };
-        let name = sync::Arc::clone(name);
-        let mut bucket = bucket.clone();
-        bucket.refill(now);
-        let key = (peer, sync::Arc::clone(&name));
-        match self.peers.get(&key) {
-            // The level of a peer holds what ended instances have spent; its own spending until
-            // now is part of it.
-            None => bucket.level = bucket.level.min(level),
-            Some(known) => {
-                bucket.level -= spent - known.spent - known.assumed;
-                bucket.level = bucket.level.min(bucket.limit.burst);
+    ) -> bool {
+        if !self.is_past_unknown || self.accounts.is_empty() {
+            return false;
+        }
+        self.is_past_unknown = false;
+        for past in spending {
+            let Some(account) = self.accounts.get_mut(past.workspace.as_str()) else { continue };
+            let mut window = Window::default();
+            for (age_ms, amount) in &past.spent {
+                let age = time::Duration::from_millis(age_ms.saturating_add(told_ms_ago));
+                window.add(*amount, now + self.window.saturating_sub(age));
             }
+            window.add(account.own, now + self.window);
+            account.window = window;
+        }
+        true
+    }
+
+    /// Returns whether it is known what was spent before this instance started.
+    pub fn knows_past(&self) -> bool {
+        !self.is_past_unknown
+    }
+
+    /// Takes what a peer says of its spending.
+    pub fn heard(&mut self, peer: u64, workspace: &str, spent: f64, now: ids::Timestamp) {
+        let Some((name, _)) = self.accounts.get_key_value(workspace) else { return };
+        let name = sync::Arc::clone(name);
+        let known = self
+            .peers
+            .insert((peer, sync::Arc::clone(&name)), PeerSpending { spent, assumed: 0.0 });
+        let is_new_here = self.started.is_none_or(|at| now.saturating_sub(at) < self.window);
+        let counted = match known {
+            Some(known) => known.spent + known.assumed,
+            // What a peer spent before this instance started is part of the past that others tell.
+            None if is_new_here => spent,
+            None => 0.0,
+        };
+        if let Some(account) = self.accounts.get_mut(&name) {
+            account.window.add(spent - counted, now + self.window);
         }
-        self.peers.insert(key, PeerSpending { spent, assumed: 0.0 });
-        self.buckets.insert(name, bucket);
     }
 
-    /// Debits the share that a silent peer may have spent during `silence_step`.
-    pub fn assume_spending(&mut self, peer: u64, members: usize, silence_step: time::Duration) {
+    /// Counts the share that a silent peer may have spent during `silence_step`.
+    pub fn assume_spending(
+        &mut self,
+        peer: u64,
+        members: usize,
+        silence_step: time::Duration,
+        now: ids::Timestamp,
+    ) {
         let share = silence_step.as_secs_f64() / members.max(1) as f64;
-        for (name, bucket) in &mut self.buckets {
+        for (name, account) in &mut self.accounts {
             let Some(known) = self.peers.get_mut(&(peer, sync::Arc::clone(name))) else { continue };
-            let amount = bucket.limit.rate_per_s * share;
+            let amount = account.limit.rate_per_s * share;
             known.assumed += amount;
-            bucket.level -= amount;
+            account.window.add(amount, now + self.window);
         }
     }
 
@@ -158,3 +261,16 @@
         self.peers.retain(|(known, _), _| *known != peer);
     }
 }
+
+/// Counts rate and burst as spent, so that no more than the rate is free from now on.
+fn fill(account: &mut Account, length: time::Duration, now: ids::Timestamp) {
+    let steps = u32::try_from(length.as_millis() / SLOT.as_millis()).unwrap_or(1).max(1);
+    let each = account.limit.rate_per_s * length.as_secs_f64() / f64::from(steps);
+    for step in 1..=steps {
+        account.window.add(each, now + SLOT * step);
+    }
+    account.window.add(account.limit.burst, now + length);
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -60,6 +60,8 @@
 pub struct Bounds {
     /// From the request to stop until the process is killed, in seconds.
     pub grace_s: f64,
+    /// The span over which limits hold, in seconds.
+    pub quota_window_s: f64,
     /// Retries for each request.
     pub retry_budget_ratio: f64,
     /// The window of the retry budget, in seconds.
@@ -158,6 +160,7 @@
                 own,
                 domain: self.zone.clone(),
                 is_first_start: self.bootstrap,
+                quota_window: time::Duration::from_secs_f64(self.bounds.quota_window_s),
                 retries: budget::RetryBounds {
                     ratio: self.bounds.retry_budget_ratio,
                     slack: self.bounds.budget_slack,
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -9,11 +9,13 @@
 use crate::core::fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::peers;
+use crate::core::fleet::quota;
 use crate::core::ids;
 use crate::platform::configuration;
 use crate::platform::entries;
 use crate::platform::settings;
 use crate::platform::store;
+use crate::router::clock;
 use crate::router::context;
 
 /// The operator's topic and the key of the configuration.
@@ -24,6 +26,13 @@
 /// The topic in which instances announce themselves.
 const MEMBERS_TOPIC: &str = "keyed.members";
 
+/// The topic that keeps what workspaces have spent lately, and its only key.
+const SPENDING_TOPIC: &str = "keyed.spending";
+const SPENDING_KEY: &str = "fleet";
+
+/// How often spending is written: what is lost with the whole fleet stays within the limits' slack.
+const SPENDING_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
 /// How long a reading waits for a change of the configuration; a silent connection is noticed
 /// after it at the latest, and earlier through peers.
 const CONFIGURATION_WAIT: time::Duration = time::Duration::from_millis(3_000);
@@ -46,6 +55,7 @@
     let address = node.platform.address;
     tokio::task::spawn_local(follow_configuration(address, rc::Rc::clone(&context)));
     tokio::task::spawn_local(follow_servers(address, rc::Rc::clone(&context)));
+    tokio::task::spawn_local(keep_spending(address, rc::Rc::clone(&context)));
     tokio::task::spawn_local(follow_members(address, context));
 }
 
@@ -196,3 +206,60 @@
         tokio::time::sleep(RETRY_PAUSE * 4).await;
     }
 }
+
+/// What workspaces had spent when it was written.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct SpendingRecord {
+    written_ms: u64,
+    spending: Vec<quota::Spending>,
+}
+
+/// Reads once what was spent before this instance started; writes it for the whole fleet.
+async fn keep_spending(address: net::SocketAddr, context: rc::Rc<context::Context>) {
+    let mut store = store::Store::new(address);
+    if !context.read(|fleet| fleet.knows_past()) {
+        match store.newest(SPENDING_TOPIC).await {
+            Ok(records) => tell_past(&context, &records.records),
+            Err(failure) => log::warn!("past spending is not known: {failure}"),
+        }
+    }
+    let mut last = Vec::new();
+    loop {
+        tokio::time::sleep(SPENDING_INTERVAL).await;
+        let now = context.now();
+        if !context.read(|fleet| fleet.is_first(now) && fleet.knows_past()) {
+            continue;
+        }
+        let spending = context.read(|fleet| fleet.spending(now));
+        if spending.iter().all(|it| it.spent.is_empty()) && last.is_empty() {
+            continue;
+        }
+        let record = SpendingRecord { written_ms: clock::unix_ms(), spending };
+        match serde_json::to_vec(&record) {
+            // The next record replaces one that was not written.
+            Ok(value) => {
+                if let Err(failure) = store.append(SPENDING_TOPIC, SPENDING_KEY, &value).await {
+                    log::debug!("spending is not written: {failure}");
+                }
+            }
+            Err(failure) => log::error!("spending cannot be written: {failure}"),
+        }
+        last = record.spending;
+    }
+}
+
+fn tell_past(context: &context::Context, records: &[store::Record]) {
+    let Some(value) = records.iter().find_map(|record| record.value.as_ref()) else { return };
+    match serde_json::from_slice::<SpendingRecord>(value) {
+        Ok(mut record) => {
+            let passed_ms = clock::unix_ms().saturating_sub(record.written_ms);
+            for spending in &mut record.spending {
+                for (age_ms, _) in &mut spending.spent {
+                    *age_ms = age_ms.saturating_add(passed_ms);
+                }
+            }
+            context.apply(fleet::Event::PastSpending(record.spending));
+        }
+        Err(failure) => log::warn!("past spending cannot be read: {failure}"),
+    }
+}
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -12,6 +12,7 @@
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
+use crate::core::fleet::quota;
 use crate::core::fleet::servers;
 use crate::core::ids;
 use crate::router::callers;
@@ -33,6 +34,8 @@
     content: Option<catalog::Content>,
     entries: Vec<servers::Entry>,
     servers_end: ids::Offset,
+    knows_past: bool,
+    spending: Vec<quota::Spending>,
 }
 
 /// Writes the last reading to each peer that connects.
@@ -63,6 +66,8 @@
         content: fleet.catalog().map(|catalog| catalog.content.clone()),
         entries: fleet.server_entries(),
         servers_end: context.servers_end.get(),
+        knows_past: fleet.knows_past(),
+        spending: fleet.spending(now),
     })
 }
 
@@ -99,6 +104,9 @@
         let catalog = catalog::Catalog::new(content);
         context.apply(fleet::Event::Configured(sync::Arc::new(catalog)));
     }
+    if reading.knows_past {
+        context.apply(fleet::Event::PastSpending(reading.spending));
+    }
     // A peer that cannot read the store either knows of no removals.
     let is_fresh = reading.age_ms.is_some_and(|age_ms| u128::from(age_ms) < STALE.as_millis());
     let is_newer = reading.servers_end > context.servers_end.get();
