--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -14,14 +14,18 @@
 pub mod budget;
 pub mod call;
 pub mod catalog;
+pub mod claim;
 pub mod constants;
 pub mod decision;
+pub mod ledger;
+pub mod message;
 pub mod peers;
 pub mod placement;
 pub mod quota;
 pub mod refusal;
 pub mod servers;
 
+mod broker;
 mod live;
 mod outcomes;
 mod waiting;
@@ -103,9 +107,16 @@
         complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
         /// Whether the store could not be read just before.
         is_after_outage: bool,
+        /// The position of the teller's last change, if a peer tells.
+        told_at: Option<ids::Offset>,
     },
     /// A peer has spoken.
-    Heard(peers::Digest),
+    Told {
+        /// Where it is reached.
+        from: net::SocketAddr,
+        /// What it said.
+        message: message::Message,
+    },
     /// The store names an instance.
     Introduced(peers::Member),
     /// The store or a peer tells what workspaces have spent lately.
@@ -182,6 +193,13 @@
     },
     /// Tell peers of changed load.
     Publish,
+    /// Tell one peer something.
+    Tell {
+        /// Where it is reached.
+        to: net::SocketAddr,
+        /// What it is told.
+        message: message::Message,
+    },
     /// Write a line about a decision.
     Log(decision::Decision),
 }
@@ -215,6 +233,11 @@
     budget: budget::RetryBudget,
     requests: collections::Map<call::RequestNumber, live::Live>,
     waiting: Vec<call::RequestNumber>,
+    claims: collections::Map<ledger::Ticket, broker::RemoteClaim>,
+    grants: collections::Map<ledger::Ticket, (placement::Place, u64)>,
+    ledger: ledger::Ledger,
+    servers_at: ids::Offset,
+    reads_store: bool,
     sequence: u64,
     last_tick: ids::Timestamp,
     is_leaving: bool,
@@ -235,6 +258,11 @@
             budget: budget::RetryBudget::new(options.retries),
             requests: collections::Map::default(),
             waiting: Vec::new(),
+            claims: collections::Map::default(),
+            grants: collections::Map::default(),
+            ledger: ledger::Ledger::default(),
+            servers_at: 0,
+            reads_store: false,
             sequence: 0,
             last_tick: ids::Timestamp::ZERO,
             is_leaving: false,
@@ -247,10 +275,11 @@
         let mut effects = Vec::new();
         match event {
             Event::Configured(catalog) => self.configure(catalog, now, &mut effects),
-            Event::Listed { listings, complete, is_after_outage } => {
-                self.list(listings, complete, is_after_outage, now, &mut effects);
+            Event::Listed { listings, complete, is_after_outage, told_at } => {
+                let changed = self.list(listings, complete, is_after_outage, now, &mut effects);
+                self.note_change(told_at.or(changed), now, &mut effects);
             }
-            Event::Heard(digest) => self.hear(&digest, now, &mut effects),
+            Event::Told { from, message } => self.told(from, message, now, &mut effects),
             Event::Introduced(member) => {
                 if member.incarnation != self.own.incarnation {
                     self.peers.introduce(&member, now);
@@ -290,6 +319,7 @@
         effects.push(Effect::Publish);
     }
 
+    /// Takes what was listed; returns the position of the last change.
     fn list(
         &mut self,
         listings: Vec<servers::Listing>,
@@ -297,17 +327,36 @@
         is_after_outage: bool,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
-    ) {
+    ) -> Option<ids::Offset> {
+        let mut changed = None;
         for listing in listings {
             let told = decision::Decision::listed(&listing);
+            let offset = listing.offset();
             if self.servers.apply(listing, is_after_outage, now) {
                 effects.push(Effect::Log(told));
+                changed = changed.max(Some(offset));
             }
         }
         if let Some((listed, offset)) = complete {
-            self.servers.retain_listed(&listed, offset, is_after_outage, now);
+            for server in self.servers.retain_listed(&listed, offset, is_after_outage, now) {
+                effects.push(Effect::Log(decision::Decision::server_gone(&server)));
+                changed = changed.max(Some(offset));
+            }
+        }
+        changed
+    }
+
+    fn note_change(
+        &mut self,
+        changed: Option<ids::Offset>,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(offset) = changed {
+            self.servers_at = self.servers_at.max(offset);
+            self.ledger.recount(&mut self.servers);
+            effects.push(Effect::Publish);
         }
-        self.servers.set_others(&self.peers);
         self.pump(now, effects);
     }
 
@@ -328,7 +377,8 @@
                 self.peers.introduce(member, now);
             }
         }
-        self.refresh_peers(now);
+        let holder = digest.from.incarnation;
+        self.ledger.reconcile(holder, &digest.work, &mut self.servers, now);
         self.pump(now, effects);
     }
 
@@ -343,13 +393,6 @@
         }
     }
 
-    fn refresh_peers(&mut self, now: ids::Timestamp) {
-        for gone in self.peers.refresh(now) {
-            self.quotas.forget(gone);
-        }
-        self.servers.set_others(&self.peers);
-    }
-
     fn tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let step = now.saturating_sub(self.last_tick);
         self.last_tick = now;
@@ -360,7 +403,11 @@
         for server in self.servers.expire(now) {
             effects.push(Effect::Log(decision::Decision::server_gone(&server)));
         }
-        self.refresh_peers(now);
+        for gone in self.peers.forget_silent(now) {
+            self.quotas.forget(gone);
+        }
+        self.forget_gone(now);
+        self.chase_asks(now, effects);
         self.drop_hopeless(now, effects);
         self.pump(now, effects);
     }
@@ -401,6 +448,28 @@
         (version > self.version()).then_some(peer)
     }
 
+    /// Returns the position of the last change of the list of servers.
+    pub fn servers_at(&self) -> ids::Offset {
+        self.servers_at
+    }
+
+    /// Returns the peer whose list of servers has a newer change than this instance's.
+    pub fn peer_with_newer_servers(&self, now: ids::Timestamp) -> Option<net::SocketAddr> {
+        let (offset, peer) = self.peers.newest_servers(now)?;
+        (offset > self.servers_at).then_some(peer)
+    }
+
+    /// Returns whether this instance should read the store itself: some do for all, and everyone
+    /// does who does not hear of them.
+    pub fn should_read_store(&self, now: ids::Timestamp) -> bool {
+        self.peers.readers_before(self.own.caller_address, now) < constants::STORE_READERS
+    }
+
+    /// Notes whether this instance reads the store, for its peers.
+    pub fn set_reads_store(&mut self, reads_store: bool) {
+        self.reads_store = reads_store;
+    }
+
     /// Returns where the live peers are reached, in a random order.
     pub fn live_peers(&mut self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
         let mut peers: Vec<_> = self.peers.live(now).map(|member| member.peer_address).collect();
@@ -414,19 +483,18 @@
         self.peers.known().map(|member| member.peer_address).collect()
     }
 
-    /// Returns where callers may connect: every ready instance that was heard lately.
+    /// Returns where callers may connect: the ready instances that were heard lately, the largest
+    /// first where they are too many for one answer.
     pub fn caller_addresses(&self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
-        let own = self.is_ready().then_some(self.own.caller_address);
-        let mut addresses: Vec<_> = self
-            .peers
-            .live(now)
-            .filter(|member| member.is_ready)
-            .map(|member| member.caller_address)
-            .chain(own)
-            .collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
+        let own = Some(&self.own).filter(|_| self.is_ready());
+        let mut members: Vec<_> =
+            self.peers.live(now).filter(|member| member.is_ready).chain(own).collect();
+        members.sort_by(|one, other| {
+            let by_size = other.capacity_cores.total_cmp(&one.capacity_cores);
+            by_size.then(one.caller_address.cmp(&other.caller_address))
+        });
+        members.truncate(constants::ADDRESSES_AT_MOST);
+        members.into_iter().map(|member| member.caller_address).collect()
     }
 
     /// Returns what peers are told now.
@@ -436,18 +504,36 @@
         from.is_ready = self.is_ready();
         let spending =
             self.quotas.own().into_iter().map(|(name, spent)| (name.to_string(), spent)).collect();
-        let members =
-            if with_members { self.peers.live(now).cloned().collect() } else { Vec::new() };
+        let members = if with_members { self.sample_members(now) } else { Vec::new() };
+        let work = self.requests.iter().filter_map(|(request, live)| {
+            let ticket = ledger::Ticket {
+                holder: self.own.incarnation,
+                request: *request,
+                attempt: live.attempt,
+            };
+            Some((ticket, live.places()?))
+        });
         peers::Digest {
             from,
             sequence: self.sequence,
             version: self.version(),
-            loads: self.servers.own_loads(),
+            servers_at: self.servers_at,
+            reads_store: self.reads_store,
+            work: work.collect(),
             spending,
             members,
         }
     }
 
+    /// Returns some live members, so that digests stay short in a large fleet.
+    fn sample_members(&mut self, now: ids::Timestamp) -> Vec<peers::Member> {
+        let mut members: Vec<_> = self.peers.live(now).cloned().collect();
+        let turn = self.rng.random_range(0..members.len().max(1));
+        members.rotate_left(turn);
+        members.truncate(constants::MEMBERS_TOLD);
+        members
+    }
+
     /// Returns whether it is known what was spent before this instance started.
     pub fn knows_past(&self) -> bool {
         self.quotas.knows_past()
--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -10,7 +10,7 @@
 pub type RequestNumber = u64;
 
 /// The tokens of a language request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tokens {
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
@@ -20,6 +20,13 @@
     pub expected_tokens: u32,
 }
 
+impl Default for Tokens {
+    /// The tokens of a request that names none.
+    fn default() -> Self {
+        Self { prompt_tokens: 200, output_tokens: 50, expected_tokens: 50 }
+    }
+}
+
 impl Tokens {
     /// Returns the memory that the request is expected to take, averaged over its run: its prompt
     /// and a part of its output.
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -9,9 +9,6 @@
 /// How long a silent peer is remembered, so that it is still told where this instance is.
 pub const PEER_MEMORY: time::Duration = time::Duration::from_secs(20);
 
-/// How old a peer's load may be before it is ignored in placement.
-pub const LOAD_FRESHNESS: time::Duration = time::Duration::from_millis(1_500);
-
 /// Silence after which a peer is assumed to spend its share of each rate: above the gossip interval.
 pub const ASSUMED_SPENDING_AFTER: time::Duration = time::Duration::from_millis(600);
 
@@ -19,8 +16,25 @@
 /// promise is that a live server is back within 2 s.
 pub const LAPSED_ENTRY_GRACE: time::Duration = time::Duration::from_secs(2);
 
-/// The share of the rate and burst that is handed out, below the exact limit by the gossip's delay.
-pub const QUOTA_SHARE: f64 = 1.0;
+/// Members from which on places are granted by one owner for each service. In smaller fleets each
+/// instance hears of all work within some 20 ms and decides itself.
+pub const BROKERED_MEMBERS: usize = 16;
+
+/// Owners have at least this share of the processor time of the largest instance.
+pub const OWNER_CAPACITY_SHARE: f64 = 0.5;
+
+/// How long an owner may take to answer before an instance decides itself: a tenth of the shortest
+/// objectives, and many round trips.
+pub const ASK_SILENCE: time::Duration = time::Duration::from_millis(90);
+
+/// How long an owner may not confirm that a request waits there.
+pub const QUEUED_SILENCE: time::Duration = time::Duration::from_millis(900);
+
+/// Live peers that read the store before an instance leaves it to them.
+pub const STORE_READERS: usize = 3;
+
+/// Silence after which a peer no longer counts as a reader of the store.
+pub const READER_SILENCE: time::Duration = time::Duration::from_millis(1_200);
 
 /// The share of the fleet's retry budget that an instance spends; the rest covers retries of
 /// instances that ended within the window.
@@ -125,3 +139,12 @@
 /// Prompts that a decode server is given at once to read itself: engines read a piece of each
 /// between two tokens, so that more prompts slow down every stream there.
 pub const DECODE_READERS: u32 = 1;
+
+/// Members that one digest names.
+pub const MEMBERS_TOLD: usize = 6;
+
+/// Addresses in one answer to callers: they read no more.
+pub const ADDRESSES_AT_MOST: usize = 64;
+
+/// The time between digests of a peer, for each member of the fleet; see `router::gossip`.
+pub const DIGEST_AGE_PER_MEMBER: time::Duration = time::Duration::from_millis(8);
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -50,6 +50,15 @@
         /// Its name.
         peer: String,
     },
+    /// The owner of a service did not answer; this instance decides.
+    OwnerSilent {
+        /// The caller's id of the request.
+        request: String,
+        /// The incarnation of the owner.
+        owner: ids::Incarnation,
+        /// The time since it was asked.
+        waited_ms: u64,
+    },
     /// A request is sent to a server.
     Sent {
         /// The caller's id of the request.
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -1,10 +1,14 @@
 //! A request from its arrival to exactly one end.
 
+use std::net;
 use std::sync;
 
 use crate::core::fleet::Step;
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
+use crate::core::fleet::claim;
+use crate::core::fleet::constants;
+use crate::core::fleet::ledger;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -27,11 +31,28 @@
     pub is_started: bool,
 }
 
+/// A question to the owner of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asking {
+    /// The owner.
+    pub owner: ids::Incarnation,
+    /// Where it is reached.
+    pub to: net::SocketAddr,
+    /// When it was asked first.
+    pub since: ids::Timestamp,
+    /// When it was asked last.
+    pub asked: ids::Timestamp,
+    /// When it said last that the request waits there.
+    pub heard: Option<ids::Timestamp>,
+}
+
 /// Where a request is.
 #[derive(Debug, Clone)]
 pub enum Phase {
     /// It waits for a server.
     Waiting,
+    /// The owner of its service is asked for a place.
+    Asking(Asking),
     /// It is at a server.
     AtServer(AtServer),
     /// A failed answer is kept, or the request has been ended.
@@ -45,10 +66,8 @@
     pub call: call::Call,
     /// Its route.
     pub route: sync::Arc<catalog::Route>,
-    /// The service that was chosen among the route's.
-    pub service: catalog::ServiceId,
-    /// The engine's shape if engines serve it.
-    pub engine: Option<catalog::EngineShape>,
+    /// What placement has to know.
+    pub claim: claim::Claim,
     /// The workspace it runs for.
     pub workspace: Option<sync::Arc<catalog::Workspace>>,
     /// What was taken from the workspace's bucket.
@@ -57,14 +76,12 @@
     pub arrived: ids::Timestamp,
     /// When its time is over.
     pub expires: ids::Timestamp,
-    /// When its answer must have begun, or its caller leaves.
-    pub begin_by: ids::Timestamp,
-    /// When its objective is missed.
-    pub objective_at: ids::Timestamp,
     /// Where it is.
     pub phase: Phase,
-    /// Servers that it has tried.
-    pub tried: Vec<ids::ServerId>,
+    /// Counts the places that were asked for it.
+    pub attempt: u32,
+    /// The owner that granted its place, and is told how it goes.
+    pub granted_by: Option<net::SocketAddr>,
     /// Servers at which a run has arrived.
     pub arrivals: u32,
     /// Calls that only had the prompt read.
@@ -78,35 +95,20 @@
 }
 
 impl Live {
-    /// Returns the rank, 0 first.
-    pub fn priority(&self) -> u8 {
-        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        workspace.unwrap_or(self.route.priority)
-    }
-
-    /// Returns its place in the order of waiting: requests that can still meet their objective go
-    /// first, by rank and objective; late ones follow by the end of their callers' patience.
-    pub fn order(&self, now: ids::Timestamp) -> (bool, u8, ids::Timestamp) {
-        let is_late = now >= self.objective_at;
-        (is_late, self.priority(), if is_late { self.begin_by } else { self.objective_at })
-    }
-
     /// Returns whether the request may run again.
     pub fn is_idempotent(&self) -> bool {
         self.route.repeat == catalog::Repeat::Idempotent
     }
 
-    /// Returns its tokens; a small prompt if it names none.
-    pub fn tokens(&self) -> call::Tokens {
-        self.call.tokens.unwrap_or(call::Tokens {
-            prompt_tokens: 200,
-            output_tokens: 50,
-            expected_tokens: 50,
-        })
-    }
-
     /// Returns whether another server may be tried.
     pub fn has_tries_left(&self) -> bool {
-        (self.tried.len() as u32) < crate::core::fleet::constants::TRIES
+        (self.claim.tried.len() as u32) < constants::TRIES
+    }
+
+    /// Returns its work at servers.
+    pub fn places(&self) -> Option<ledger::Places> {
+        let Phase::AtServer(at) = &self.phase else { return None };
+        let first = (at.server.clone(), at.load);
+        Some(std::iter::once(first).chain(at.reserved.clone()).collect())
     }
 }
--- /dev/null
+++ b/src/core/fleet/message.rs
@@ -0,0 +1,90 @@
+//! What instances tell each other.
+
+use crate::core::fleet::call;
+use crate::core::fleet::catalog;
+use crate::core::fleet::ledger;
+use crate::core::fleet::peers;
+use crate::core::fleet::placement;
+use crate::core::fleet::servers;
+use crate::core::ids;
+
+/// A request for a place, to the owner of a service.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Ask {
+    /// What the answer refers to.
+    pub ticket: ledger::Ticket,
+    /// The service.
+    pub service: catalog::ServiceId,
+    /// Its tokens.
+    pub tokens: call::Tokens,
+    /// The rank, 0 first.
+    pub priority: u8,
+    /// The time until its objective is missed.
+    pub objective_left_ms: u64,
+    /// The time until its caller leaves.
+    pub begin_left_ms: u64,
+    /// Servers that it has tried.
+    pub tried: Vec<ids::ServerId>,
+    /// The failure domain of the sender.
+    pub domain: String,
+}
+
+/// How a request went at its place.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// Its prompt is read.
+    Read {
+        /// The server.
+        server: ids::ServerId,
+        /// Prompt tokens that the server has read for it and before it.
+        tokens: u32,
+        /// The time since it was sent.
+        elapsed_ms: u64,
+    },
+    /// It has ended, or needs no place any more.
+    Ended {
+        /// The server and what its end tells of it.
+        evidence: Option<(ids::ServerId, servers::Evidence)>,
+        /// The time since it was sent.
+        elapsed_ms: u64,
+    },
+}
+
+/// A message between instances.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// What all peers are told.
+    Digest(peers::Digest),
+    /// A place is asked for.
+    Ask(Ask),
+    /// A place is granted.
+    Grant {
+        /// The ask's ticket.
+        ticket: ledger::Ticket,
+        /// The place.
+        place: placement::Place,
+        /// The expected time to the first event or whole answer.
+        expected_ms: u64,
+    },
+    /// The ask waits at its owner.
+    Queue {
+        /// The ask's ticket.
+        ticket: ledger::Ticket,
+    },
+    /// No place will be had in time.
+    Decline {
+        /// The ask's ticket.
+        ticket: ledger::Ticket,
+        /// When the caller may come back.
+        retry_after_ms: u64,
+    },
+    /// A request at its place went on.
+    Progress {
+        /// The grant's ticket.
+        ticket: ledger::Ticket,
+        /// How.
+        progress: Progress,
+    },
+}
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -7,9 +7,11 @@
 use crate::core::fleet::Fleet;
 use crate::core::fleet::Outcome;
 use crate::core::fleet::Step;
+use crate::core::fleet::broker;
 use crate::core::fleet::call;
 use crate::core::fleet::decision;
 use crate::core::fleet::live;
+use crate::core::fleet::message;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
@@ -54,10 +56,11 @@
             elapsed_ms: waiting::millis(now.saturating_sub(at.sent)),
         }));
         self.learn(&at, &outcome, now, effects);
+        self.report_outcome(request, &at, &outcome, now, effects);
         match outcome {
             Outcome::Started => {}
             Outcome::Prefilled { handle } => self.hand_over(request, &at, handle, now, effects),
-            Outcome::Finished { .. } => self.finish(request, now),
+            Outcome::Finished { .. } => self.finish(request, now, effects),
             Outcome::Failed { .. } => self.retry_failed(request, &at, now, effects),
             Outcome::Rejected => self.retry_rejected(request, &at, now, effects),
             Outcome::Unsent => self.retry_unsent(request, &at, now, effects),
@@ -83,20 +86,58 @@
             at.load.unread_tokens = 0;
         }
         self.servers.subtract_load(&at.server, read);
+        let elapsed = now.saturating_sub(at.sent);
         if at.load.unread_tokens > 0 {
-            let elapsed = now.saturating_sub(at.sent);
             self.servers.note_reading(&at.server, at.tokens_to_read, elapsed);
         }
         effects.push(Effect::Publish);
         effects.push(Effect::Log(decision::Decision::Started {
             request: fleet::text(&live.call.id),
             server: fleet::text(&at.server),
-            elapsed_ms: waiting::millis(now.saturating_sub(at.sent)),
+            elapsed_ms: waiting::millis(elapsed),
             since_arrival_ms: waiting::millis(now.saturating_sub(live.arrived)),
         }));
+        if at.load.unread_tokens > 0 {
+            self.report_read(request, at, elapsed, effects);
+        }
         self.pump(now, effects);
     }
 
+    fn report_read(
+        &self,
+        request: call::RequestNumber,
+        at: &live::AtServer,
+        elapsed: time::Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let progress = message::Progress::Read {
+            server: at.server.clone(),
+            tokens: at.tokens_to_read,
+            elapsed_ms: waiting::millis(elapsed),
+        };
+        self.report(request, progress, effects);
+    }
+
+    /// Tells the owner that granted the place how it went there.
+    fn report_outcome(
+        &mut self,
+        request: call::RequestNumber,
+        at: &live::AtServer,
+        outcome: &Outcome,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let elapsed = now.saturating_sub(at.sent);
+        if matches!(outcome, Outcome::Prefilled { .. }) {
+            return self.report_read(request, at, elapsed, effects);
+        }
+        let evidence = evidence(outcome).map(|evidence| (at.server.clone(), evidence));
+        self.report(request, broker::ended(evidence, elapsed), effects);
+        if let Some(live) = self.requests.get_mut(&request) {
+            live.granted_by = None;
+        }
+    }
+
     fn learn(
         &mut self,
         at: &live::AtServer,
@@ -105,20 +146,14 @@
         effects: &mut Vec<Effect>,
     ) {
         let elapsed = now.saturating_sub(at.sent);
-        let evidence = match outcome {
-            Outcome::Started | Outcome::Rejected => return,
+        match outcome {
             Outcome::Prefilled { .. } => {
                 self.servers.note_reading(&at.server, at.tokens_to_read, elapsed);
-                servers::Evidence::Answered
-            }
-            Outcome::Finished { .. } => {
-                self.servers.note_work(&at.server, elapsed);
-                servers::Evidence::Answered
             }
-            Outcome::Failed { .. } => servers::Evidence::Failed,
-            Outcome::Broken | Outcome::Cut => servers::Evidence::Failed,
-            Outcome::Unsent => servers::Evidence::Unreachable,
-        };
+            Outcome::Finished { .. } => self.servers.note_work(&at.server, elapsed),
+            _ => {}
+        }
+        let Some(evidence) = evidence(outcome) else { return };
         let Some(pause) = self.servers.note_evidence(&at.server, evidence, now) else { return };
         let failure_share = self.servers.get(&at.server).map_or(1.0, |server| server.failure_share);
         effects.push(Effect::Log(decision::Decision::ServerEjected {
@@ -142,15 +177,13 @@
         let Some(source) = self.servers.get(&at.server).map(|server| server.entry.address) else {
             return self.wait_again(request, now, effects);
         };
-        let view = placement::View { domain: &self.domain, tried: &live.tried, now };
         let reserved = at.reserved.as_ref().map(|(decode, _)| decode);
         let reserved = reserved.and_then(|decode| self.servers.get(decode));
         let reserved =
             reserved.filter(|server| server.is_usable(now)).map(|server| server.entry.id.clone());
         let found = reserved.or_else(|| {
-            let tokens = live.tokens();
-            let engine = live.engine?;
-            placement::decode(&self.servers, &live.service, engine, tokens, 1.0, view)
+            let view = placement::View { claim: &live.claim, memory_share: 1.0, now };
+            placement::decode(&self.servers, live.claim.engine?, view)
         });
         match found {
             Some(server) => {
@@ -163,11 +196,16 @@
         }
     }
 
-    fn finish(&mut self, request: call::RequestNumber, now: ids::Timestamp) {
+    fn finish(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
         if let Some(live) = self.requests.get_mut(&request) {
             live.may_have_run = true;
         }
-        self.end(request, now);
+        self.end(request, now, effects);
     }
 
     fn retry_failed(
@@ -186,7 +224,7 @@
             return self.retry_elsewhere(request, at, now, effects);
         }
         effects.push(Effect::Deliver { request });
-        self.end(request, now);
+        self.end(request, now, effects);
     }
 
     fn retry_rejected(
@@ -202,7 +240,7 @@
             self.servers.pause_handover(&source, now);
         }
         let Some(live) = self.requests.get(&request) else { return };
-        let service = live.service.clone();
+        let service = live.claim.service.clone();
         let is_free = at.step == Step::Prefill && live.prefills <= 1;
         let members = self.peers.members(now);
         let has_time = live.expires > now + LEAST_TIME_FOR_RETRY && live.has_tries_left();
@@ -254,7 +292,7 @@
         let Some(live) = self.requests.get(&request) else { return false };
         let has_time = live.expires > now + LEAST_TIME_FOR_RETRY;
         let may = live.is_idempotent() && live.arrivals < live.route.attempts && has_time;
-        let service = live.service.clone();
+        let service = live.claim.service.clone();
         let members = self.peers.members(now);
         may && self.budget.spend(&service, members, now)
     }
@@ -267,7 +305,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if let Some(live) = self.requests.get_mut(&request) {
-            live.tried.push(at.server.clone());
+            live.claim.tried.push(at.server.clone());
         }
         self.wait_again(request, now, effects);
     }
@@ -346,7 +384,7 @@
         if matches!(&live.phase, live::Phase::AtServer(at) if at.step != Step::Prefill) {
             live.may_have_run = true;
         }
-        self.end(request, now)
+        self.end(request, now, effects)
     }
 
     /// Frees memory of a prompt that the decode server may not have taken.
@@ -361,6 +399,16 @@
     }
 }
 
+/// Returns what an outcome tells of the server's health.
+fn evidence(outcome: &Outcome) -> Option<servers::Evidence> {
+    match outcome {
+        Outcome::Started | Outcome::Rejected => None,
+        Outcome::Prefilled { .. } | Outcome::Finished { .. } => Some(servers::Evidence::Answered),
+        Outcome::Failed { .. } | Outcome::Broken | Outcome::Cut => Some(servers::Evidence::Failed),
+        Outcome::Unsent => Some(servers::Evidence::Unreachable),
+    }
+}
+
 fn describe(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Prefilled { .. } => "prefilled".to_string(),
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -1,15 +1,15 @@
-//! The other instances: who is live, and the load they have put on servers.
+//! The other instances: who is live, and what they have told last.
 
 use std::net;
 use std::time;
 
 use crate::core::collections;
 use crate::core::fleet::constants;
-use crate::core::fleet::servers;
+use crate::core::fleet::ledger;
 use crate::core::ids;
 
 /// An instance of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: String,
@@ -21,6 +21,8 @@
     pub caller_address: net::SocketAddr,
     /// Whether callers may be sent to it.
     pub is_ready: bool,
+    /// The processor time that it has, in cores.
+    pub capacity_cores: f64,
 }
 
 /// What an instance tells its peers.
@@ -32,8 +34,12 @@
     pub sequence: u64,
     /// The configuration version in force at the sender.
     pub version: u64,
+    /// Counts the changes of the sender's list of servers, by the position of the last one.
+    pub servers_at: ids::Offset,
+    /// Whether the sender reads the store itself.
+    pub reads_store: bool,
     /// The sender's work at servers.
-    pub loads: Vec<(ids::ServerId, servers::Load)>,
+    pub work: Vec<(ledger::Ticket, ledger::Places)>,
     /// What each workspace has spent at the sender since it started.
     pub spending: Vec<(String, f64)>,
     /// Other members the sender hears.
@@ -47,7 +53,8 @@
     added: ids::Timestamp,
     sequence: u64,
     version: u64,
-    loads: Vec<(ids::ServerId, servers::Load)>,
+    servers_at: ids::Offset,
+    reads_store: bool,
 }
 
 /// What hearing a digest has changed.
@@ -63,7 +70,6 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: collections::Map<ids::Incarnation, Peer>,
-    totals: collections::Map<ids::ServerId, servers::Load>,
 }
 
 impl Peers {
@@ -76,7 +82,8 @@
             added: now,
             sequence: 0,
             version: 0,
-            loads: Vec::new(),
+            servers_at: 0,
+            reads_store: false,
         });
     }
 
@@ -93,7 +100,8 @@
         peer.sequence = digest.sequence;
         peer.version = digest.version;
         peer.member = digest.from.clone();
-        peer.loads = digest.loads.clone();
+        peer.servers_at = digest.servers_at;
+        peer.reads_store = digest.reads_store;
         if is_first {
             let incarnation = digest.from.incarnation;
             let address = digest.from.peer_address;
@@ -103,10 +111,8 @@
         Some(Heard { is_first, is_back })
     }
 
-    /// Adds up the loads of live peers, and forgets peers that have been silent for long.
-    ///
-    /// Returns the incarnations that were forgotten.
-    pub fn refresh(&mut self, now: ids::Timestamp) -> Vec<ids::Incarnation> {
+    /// Forgets peers that have been silent for long, and returns their incarnations.
+    pub fn forget_silent(&mut self, now: ids::Timestamp) -> Vec<ids::Incarnation> {
         let gone: Vec<_> = self
             .peers
             .iter()
@@ -118,23 +124,9 @@
         for incarnation in &gone {
             self.peers.remove(incarnation);
         }
-        self.totals.clear();
-        for peer in self.peers.values() {
-            if !peer.is_heard_within(constants::LOAD_FRESHNESS, now) {
-                continue;
-            }
-            for (server, load) in &peer.loads {
-                self.totals.entry(server.clone()).or_default().add(*load);
-            }
-        }
         gone
     }
 
-    /// Returns the load that live peers have put on a server.
-    pub fn load(&self, server: &ids::ServerId) -> servers::Load {
-        self.totals.get(server).copied().unwrap_or_default()
-    }
-
     /// Returns the peers that were heard lately.
     pub fn live(&self, now: ids::Timestamp) -> impl Iterator<Item = &Member> {
         self.peers
@@ -157,6 +149,25 @@
             .max_by_key(|(version, _)| *version)
     }
 
+    /// Returns the live reader of the store whose list of servers has the newest change.
+    pub fn newest_servers(&self, now: ids::Timestamp) -> Option<(ids::Offset, net::SocketAddr)> {
+        self.peers
+            .values()
+            .filter(|peer| peer.reads_store)
+            .filter(|peer| peer.is_heard_within(constants::PEER_SILENCE, now))
+            .map(|peer| (peer.servers_at, peer.member.peer_address))
+            .max_by_key(|(offset, _)| *offset)
+    }
+
+    /// Returns how many live peers before `address` read the store.
+    pub fn readers_before(&self, address: net::SocketAddr, now: ids::Timestamp) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard_within(constants::READER_SILENCE, now))
+            .filter(|peer| peer.reads_store && peer.member.caller_address < address)
+            .count()
+    }
+
     /// Returns the peers that have been silent for a while, with the silence.
     pub fn silent(&self, now: ids::Timestamp) -> Vec<(ids::Incarnation, time::Duration)> {
         self.peers
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -17,6 +17,9 @@
 /// The grain in which spending is remembered.
 const SLOT: time::Duration = time::Duration::from_millis(250);
 
+/// The span over which the rate of peers' spending is taken.
+const TOLD_WINDOW: time::Duration = time::Duration::from_millis(1_000);
+
 /// Spending of one workspace by age.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Spending {
@@ -70,6 +73,8 @@
 struct Account {
     limit: catalog::Limit,
     window: Window,
+    /// What peers have told lately.
+    told: Window,
     /// What this instance has spent since it started, refunds subtracted.
     own: f64,
 }
@@ -130,7 +135,8 @@
     }
 
     fn open(&self, limit: catalog::Limit, started: ids::Timestamp, now: ids::Timestamp) -> Account {
-        let mut account = Account { limit, window: Window::default(), own: 0.0 };
+        let mut account =
+            Account { limit, window: Window::default(), told: Window::default(), own: 0.0 };
         let is_just_started = now.saturating_sub(started) < self.window;
         if self.is_past_unknown && is_just_started {
             fill(&mut account, self.window, now);
@@ -140,6 +146,9 @@
 
     /// Takes `amount` from a workspace's limit, or tells how long until it is there.
     ///
+    /// What peers have spent since their last digests, which are of `digest_age`, is estimated from
+    /// what they spent before.
+    ///
     /// # Errors
     ///
     /// Returns the wait if less is left.
@@ -147,11 +156,14 @@
         &mut self,
         workspace: &WorkspaceName,
         amount: f64,
+        digest_age: time::Duration,
         now: ids::Timestamp,
     ) -> Result<(), time::Duration> {
         let Some(account) = self.accounts.get_mut(workspace) else { return Ok(()) };
         account.window.expire(now);
-        let excess = account.window.total + amount - account.allowed(self.window);
+        account.told.expire(now);
+        let untold = account.told.total * digest_age.as_secs_f64() / TOLD_WINDOW.as_secs_f64();
+        let excess = account.window.total + untold + amount - account.allowed(self.window);
         if excess > 0.0 {
             return Err(account.window.wait(excess, now).unwrap_or(self.window));
         }
@@ -236,6 +248,7 @@
         };
         if let Some(account) = self.accounts.get_mut(&name) {
             account.window.add(spent - counted, now + self.window);
+            account.told.add((spent - counted).max(0.0), now + TOLD_WINDOW);
         }
     }
 
--- a/src/core/fleet/quota/tests.rs
+++ b/src/core/fleet/quota/tests.rs
@@ -36,7 +36,7 @@
 fn press(quotas: &mut Quotas, from_ms: u64, to_ms: u64) -> f64 {
     let name = sync::Arc::from("w");
     let requests = (from_ms..to_ms).step_by(10);
-    requests.filter(|ms| quotas.take(&name, 100.0, at(*ms)).is_ok()).count() as f64 * 100.0
+    requests.filter(|ms| quotas.take(&name, 100.0, at(0), at(*ms)).is_ok()).count() as f64 * 100.0
 }
 
 fn fresh(is_first_start: bool, now_ms: u64) -> Quotas {
@@ -74,12 +74,12 @@
     let name = sync::Arc::from("w");
     quotas.heard(1, "w", 0.0, at(0));
     quotas.heard(1, "w", ALLOWED, at(100));
-    assert!(quotas.take(&name, 100.0, at(200)).is_err());
+    assert!(quotas.take(&name, 100.0, at(0), at(200)).is_err());
     quotas.heard(1, "w", ALLOWED - 500.0, at(300));
-    assert!(quotas.take(&name, 500.0, at(400)).is_ok());
+    assert!(quotas.take(&name, 500.0, at(0), at(400)).is_ok());
     quotas.refund(&name, 500.0, at(500));
-    assert!(quotas.take(&name, 500.0, at(600)).is_ok());
-    let wait = quotas.take(&name, 100.0, at(700)).expect_err("nothing is left");
+    assert!(quotas.take(&name, 500.0, at(0), at(600)).is_ok());
+    let wait = quotas.take(&name, 100.0, at(0), at(700)).expect_err("nothing is left");
     assert!(wait <= WINDOW && wait >= at(7_000), "{wait:?}");
 }
 
@@ -89,8 +89,20 @@
     let name = sync::Arc::from("w");
     quotas.heard(1, "w", 0.0, at(0));
     quotas.assume_spending(1, 2, at(4_000), at(4_000));
-    assert!(quotas.take(&name, ALLOWED - 2_000.0, at(4_000)).is_ok());
-    assert!(quotas.take(&name, 100.0, at(4_000)).is_err());
+    assert!(quotas.take(&name, ALLOWED - 2_000.0, at(0), at(4_000)).is_ok());
+    assert!(quotas.take(&name, 100.0, at(0), at(4_000)).is_err());
     quotas.heard(1, "w", 0.0, at(4_100));
-    assert!(quotas.take(&name, 2_000.0, at(4_200)).is_ok());
+    assert!(quotas.take(&name, 2_000.0, at(0), at(4_200)).is_ok());
+}
+
+#[test]
+fn what_many_peers_have_not_told_yet_is_estimated() {
+    let mut quotas = fresh(true, 0);
+    let name = sync::Arc::from("w");
+    quotas.heard(1, "w", 0.0, at(0));
+    for step in 1..=8_u32 {
+        quotas.heard(1, "w", f64::from(step) * 500.0, at(u64::from(step) * 100));
+    }
+    assert!(quotas.take(&name, 4_500.0, at(500), at(800)).is_err(), "2,000 more may be spent");
+    assert!(quotas.take(&name, 3_000.0, at(500), at(800)).is_ok());
 }
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -6,7 +6,6 @@
 use crate::core::collections;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
-use crate::core::fleet::peers;
 use crate::core::ids;
 
 /// What an engine does for the requests it is sent.
@@ -58,8 +57,7 @@
 }
 
 impl Load {
-    /// Adds work.
-    pub fn add(&mut self, other: Self) {
+    fn add(&mut self, other: Self) {
         self.requests = self.requests.saturating_add(other.requests);
         self.reading = self.reading.saturating_add(other.reading);
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
@@ -142,7 +140,7 @@
 }
 
 /// How a request at a server ended, as evidence of the server's health.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Evidence {
     /// It answered.
@@ -167,6 +165,16 @@
     },
 }
 
+impl Listing {
+    /// Returns the position of the change.
+    pub fn offset(&self) -> ids::Offset {
+        match self {
+            Self::Present(entry) => entry.offset,
+            Self::Removed { offset, .. } => *offset,
+        }
+    }
+}
+
 /// All servers.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -186,23 +194,22 @@
         }
     }
 
-    /// Removes what a complete listing, which ends at `offset`, does not name.
+    /// Removes what a complete listing, which ends at `offset`, does not name, and returns it.
     pub fn retain_listed(
         &mut self,
         listed: &collections::Set<ids::ServerId>,
         offset: ids::Offset,
         is_after_outage: bool,
         now: ids::Timestamp,
-    ) {
-        let missing: Vec<_> = self
+    ) -> Vec<ids::ServerId> {
+        let mut missing: Vec<_> = self
             .servers
             .iter()
             .filter(|(id, server)| !listed.contains(*id) && server.entry.offset < offset)
             .map(|(id, _)| id.clone())
             .collect();
-        for id in missing {
-            self.remove(&id, offset, is_after_outage, now);
-        }
+        missing.retain(|id| self.remove(id, offset, is_after_outage, now));
+        missing
     }
 
     fn insert(&mut self, entry: Entry) -> bool {
@@ -248,7 +255,8 @@
         if server.entry.offset > offset {
             return false;
         }
-        if is_after_outage {
+        // A server that was leaving is not expected back.
+        if is_after_outage && !server.entry.is_draining {
             server.lapsed.get_or_insert(now);
             return true;
         }
@@ -316,20 +324,25 @@
         }
     }
 
-    /// Takes the totals that live peers report.
-    pub fn set_others(&mut self, totals: &peers::Peers) {
-        for (id, server) in &mut self.servers {
-            server.others = totals.load(id);
+    /// Counts work of other instances at a server.
+    pub fn add_others(&mut self, id: &ids::ServerId, load: Load) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.others.add(load);
         }
     }
 
-    /// Returns the work of this instance at each server that has some.
-    pub fn own_loads(&self) -> Vec<(ids::ServerId, Load)> {
-        self.servers
-            .values()
-            .filter(|server| server.own != Load::default())
-            .map(|server| (server.entry.id.clone(), server.own))
-            .collect()
+    /// Counts work of other instances as ended.
+    pub fn subtract_others(&mut self, id: &ids::ServerId, load: Load) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.others.subtract(load);
+        }
+    }
+
+    /// Forgets the work of other instances, before it is counted anew.
+    pub fn clear_others(&mut self) {
+        for server in self.servers.values_mut() {
+            server.others = Load::default();
+        }
     }
 
     /// Learns from how a request ended; returns the pause if the server is ejected.
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -14,8 +14,10 @@
 use crate::core::fleet::Fleet;
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
+use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::decision;
+use crate::core::fleet::ledger;
 use crate::core::fleet::live;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
@@ -25,26 +27,13 @@
 /// Failed placements of a service after which the rest of its queue is not tried.
 const FRUITLESS_PLACEMENTS: u32 = 4;
 
-/// What was found for a waiting request.
-enum Place {
-    Language(placement::Placed<placement::Plan>),
-    Plain(placement::Placed<ids::ServerId>),
-}
-
-impl Place {
-    fn expected_ms(&self) -> f64 {
-        match self {
-            Self::Language(placed) => placed.expected_ms,
-            Self::Plain(placed) => placed.expected_ms,
-        }
-    }
-
-    fn backlog_ms(&self) -> f64 {
-        match self {
-            Self::Language(placed) => placed.backlog_ms,
-            Self::Plain(placed) => placed.backlog_ms,
-        }
-    }
+/// Who waits for a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Waiter {
+    /// A request of this instance.
+    Local(call::RequestNumber),
+    /// A claim of another instance.
+    Remote(ledger::Ticket),
 }
 
 impl Fleet {
@@ -70,18 +59,42 @@
             is_resumable: live.route.is_stream && live.is_idempotent(),
             is_stream: live.route.is_stream,
         });
-        self.budget.note_request(&live.service, now);
+        self.budget.note_request(&live.claim.service, now);
         self.requests.insert(request, live);
-        if self.try_place(request, now, effects) {
+        self.seek_place(request, now, effects);
+    }
+
+    /// Finds a place for a request, lets it wait, or refuses it.
+    pub(super) fn seek_place(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.ask_owner(request, now, effects) || self.try_place(request, now, effects) {
             return;
         }
-        if let Some(refusal) = self.hopeless(request, now) {
-            self.refuse(request, refusal, now, effects);
-        } else {
+        if !self.refuse_hopeless(request, now, effects) {
             self.waiting.push(request);
         }
     }
 
+    /// Refuses a request whose time cannot suffice.
+    fn refuse_hopeless(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(live) = self.requests.get(&request) else { return false };
+        let (claim, third) = (live.claim.clone(), live.expires.saturating_sub(now) / 3);
+        let Some(wait) = self.hopeless(Waiter::Local(request), &claim, now) else { return false };
+        let reason = refusal::Reason::NoCapacity;
+        let refusal = refusal::Refusal::retry_after(reason, wait.min(third));
+        self.refuse(request, refusal, now, effects);
+        true
+    }
+
     /// Checks key, route and limit.
     fn admit(
         &mut self,
@@ -113,18 +126,26 @@
         let expires = now + patience.saturating_sub(constants::ANSWER_MARGIN);
         let begin_by =
             if route.is_stream { expires.min(now + route.event_patience) } else { expires };
+        let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
         Ok(live::Live {
-            begin_by,
             call: call.clone(),
-            engine: catalog.engine(&service),
-            service,
+            claim: claim::Claim {
+                engine: catalog.engine(&service),
+                service,
+                tokens: call.tokens.unwrap_or_default(),
+                priority: priority.unwrap_or(route.priority),
+                objective_at: now + route.objective,
+                begin_by,
+                tried: Vec::new(),
+                domain: self.domain.clone(),
+            },
             workspace,
             charge,
             arrived: now,
             expires,
-            objective_at: now + route.objective,
             phase: live::Phase::Waiting,
-            tried: Vec::new(),
+            attempt: 0,
+            granted_by: None,
             arrivals: 0,
             prefills: 0,
             prefilled_at: None,
@@ -148,7 +169,9 @@
             (true, None) => limit.plain_tokens,
             (true, Some(tokens)) => f64::from(tokens.total_tokens()),
         };
-        self.quotas.take(&workspace.name, charge, now).map_err(|wait| {
+        let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
+        let digest_age = constants::DIGEST_AGE_PER_MEMBER.saturating_mul(members);
+        self.quotas.take(&workspace.name, charge, digest_age, now).map_err(|wait| {
             let wait = self.spread(wait).min(patience / 3);
             let reason = refusal::Reason::OverLimit;
             let name = workspace.name.to_string();
@@ -175,38 +198,47 @@
         wait.mul_f64(stretch).clamp(constants::RETRY_AFTER_LEAST, constants::RETRY_AFTER_MOST)
     }
 
-    /// Sends waiting requests to servers with room: first those that can meet their objective, by
-    /// rank and objective, then late ones by the end of their time.
+    /// Gives places to those that wait: first those that can meet their objective, by rank and
+    /// objective, then late ones by the end of their time.
     pub(super) fn pump(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        if self.waiting.is_empty() {
+        if self.waiting.is_empty() && self.claims.is_empty() {
             return;
         }
-        let mut queue = std::mem::take(&mut self.waiting);
-        queue.sort_by_cached_key(|request| self.requests.get(request).map(|live| live.order(now)));
         let mut fruitless: Vec<(catalog::ServiceId, u32)> = Vec::new();
-        for request in queue {
-            let Some(live) = self.requests.get(&request) else { continue };
-            if !matches!(live.phase, live::Phase::Waiting) {
+        for (waiter, service) in self.queue(now) {
+            let known = fruitless.iter().position(|(known, _)| *known == service);
+            let index = known.unwrap_or_else(|| {
+                fruitless.push((service, 0));
+                fruitless.len() - 1
+            });
+            if fruitless[index].1 >= FRUITLESS_PLACEMENTS {
                 continue;
             }
-            let service = live.service.clone();
-            let failures = match fruitless.iter_mut().find(|(known, _)| *known == service) {
-                Some((_, failures)) => failures,
-                None => {
-                    fruitless.push((service, 0));
-                    &mut fruitless.last_mut().expect("it was pushed just now").1
-                }
+            let is_placed = match waiter {
+                Waiter::Local(request) => self.try_place(request, now, effects),
+                Waiter::Remote(ticket) => self.try_grant(ticket, now, effects),
             };
-            if *failures >= FRUITLESS_PLACEMENTS {
-                self.waiting.push(request);
-                continue;
-            }
-            if self.try_place(request, now, effects) {
-                continue;
+            if !is_placed {
+                fruitless[index].1 += 1;
             }
-            *failures += 1;
-            self.waiting.push(request);
         }
+        let requests = &self.requests;
+        self.waiting.retain(|request| {
+            requests.get(request).is_some_and(|live| matches!(live.phase, live::Phase::Waiting))
+        });
+    }
+
+    /// Returns all that wait, in their order.
+    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, catalog::ServiceId)> {
+        let local = self.waiting.iter().filter_map(|request| {
+            let live = self.requests.get(request)?;
+            Some((Waiter::Local(*request), &live.claim))
+        });
+        let remote =
+            self.claims.iter().map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim));
+        let mut queue: Vec<_> = local.chain(remote).collect();
+        queue.sort_by_key(|(_, claim)| claim.order(now));
+        queue.into_iter().map(|(waiter, claim)| (waiter, claim.service.clone())).collect()
     }
 
     /// Puts a request back into the queue, or refuses it if it cannot be served.
@@ -219,105 +251,101 @@
         if let Some(live) = self.requests.get_mut(&request) {
             live.phase = live::Phase::Waiting;
         }
-        if self.try_place(request, now, effects) {
-            return;
-        }
-        match self.hopeless(request, now) {
-            Some(refusal) => self.refuse(request, refusal, now, effects),
-            None => self.waiting.push(request),
-        }
+        self.seek_place(request, now, effects);
     }
 
-    /// Refuses waiting requests whose time cannot suffice any more.
+    /// Refuses all that wait and whose time cannot suffice any more.
     pub(super) fn drop_hopeless(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         for request in self.waiting.clone() {
-            if let Some(refusal) = self.hopeless(request, now) {
-                self.refuse(request, refusal, now, effects);
-            }
+            self.refuse_hopeless(request, now, effects);
+        }
+        let tickets: Vec<_> = self.claims.keys().copied().collect();
+        for ticket in tickets {
+            self.decline(ticket, now, effects);
         }
-        let requests = &self.requests;
-        self.waiting.retain(|request| requests.contains_key(request));
     }
 
-    /// Returns a refusal if no server can begin the answer while the caller waits.
-    fn hopeless(
+    /// Returns when the caller may come back if no server can begin the answer while it waits.
+    pub(super) fn hopeless(
         &mut self,
-        request: call::RequestNumber,
+        waiter: Waiter,
+        claim: &claim::Claim,
         now: ids::Timestamp,
-    ) -> Option<refusal::Refusal> {
-        let live = self.requests.get(&request)?;
-        let left = live.begin_by.saturating_sub(now);
-        let drain_ms = match live.engine {
-            Some(engine) => self.engine_drain_ms(request, live, engine, now),
-            None => self.plain_drain_ms(request, live, now),
+    ) -> Option<time::Duration> {
+        let left = claim.begin_by.saturating_sub(now);
+        let drain_ms = match claim.engine {
+            Some(engine) => self.engine_drain_ms(waiter, claim, engine, now),
+            None => self.plain_drain_ms(waiter, claim, now),
         };
-        let is_full = self.waiting.len() >= constants::WAITING_REQUESTS;
+        let is_full = self.waiting.len() + self.claims.len() >= constants::WAITING_REQUESTS;
         // Without usable servers the time is infinite or undefined.
         if drain_ms <= left.as_secs_f64() * 1_000.0 && !is_full {
             return None;
         }
-        let third = live.expires.saturating_sub(now) / 3;
         let drain = if drain_ms.is_finite() { drain_ms } else { 0.0 };
-        let wait = self.spread(time::Duration::from_secs_f64(drain / 1_000.0)).min(third);
-        Some(refusal::Refusal::retry_after(refusal::Reason::NoCapacity, wait))
+        Some(self.spread(time::Duration::from_secs_f64(drain / 1_000.0)))
     }
 
-    /// Returns the requests that go before one, if they all are placed.
+    /// Returns the claims that go before one, if they all are placed.
     fn ahead<'a>(
         &'a self,
-        request: call::RequestNumber,
-        live: &'a live::Live,
+        waiter: Waiter,
+        claim: &'a claim::Claim,
         now: ids::Timestamp,
-    ) -> impl Iterator<Item = &'a live::Live> {
-        let order = live.order(now);
-        self.waiting
+    ) -> impl Iterator<Item = &'a claim::Claim> {
+        let order = claim.order(now);
+        let local = self
+            .waiting
             .iter()
-            .filter(move |other| **other != request)
+            .filter(move |other| waiter != Waiter::Local(**other))
             .filter_map(|other| self.requests.get(other))
-            .filter(move |other| other.service == live.service && other.order(now) <= order)
+            .map(|other| &other.claim);
+        let remote = self
+            .claims
+            .iter()
+            .filter(move |(other, _)| waiter != Waiter::Remote(**other))
+            .map(|(_, other)| &other.claim);
+        local
+            .chain(remote)
+            .filter(move |other| other.service == claim.service && other.order(now) <= order)
     }
 
     /// Returns the time until the engines have read the prompts ahead and freed the memory that
     /// they need.
     fn engine_drain_ms(
         &self,
-        request: call::RequestNumber,
-        live: &live::Live,
+        waiter: Waiter,
+        claim: &claim::Claim,
         engine: catalog::EngineShape,
         now: ids::Timestamp,
     ) -> f64 {
         let (mut unread, mut memory) = (0.0, 0.0);
-        for other in self.ahead(request, live, now) {
-            unread += f64::from(other.tokens().prompt_tokens);
-            memory += f64::from(other.tokens().memory_tokens());
+        for other in self.ahead(waiter, claim, now) {
+            unread += f64::from(other.tokens.prompt_tokens);
+            memory += f64::from(other.tokens.memory_tokens());
         }
         let (mut rate, mut capacity) = (0.0, 0.0);
-        for server in self.servers.of(&live.service).filter(|server| server.is_usable(now)) {
+        for server in self.servers.of(&claim.service).filter(|server| server.is_usable(now)) {
             rate += server.tokens_per_ms;
             if server.entry.stage != Some(servers::Stage::Prefill) {
                 capacity += f64::from(engine.memory_tokens);
             }
         }
-        let own_ms = f64::from(live.tokens().prompt_tokens) / constants::PREFILL_TOKENS_PER_MS;
+        let own_ms = f64::from(claim.tokens.prompt_tokens) / constants::PREFILL_TOKENS_PER_MS;
         (unread / rate).max(memory / capacity * constants::STREAM_MS) + own_ms
     }
 
     /// Returns the time until the plain servers have worked off the requests ahead.
-    fn plain_drain_ms(
-        &self,
-        request: call::RequestNumber,
-        live: &live::Live,
-        now: ids::Timestamp,
-    ) -> f64 {
+    fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
-        for server in self.servers.of(&live.service).filter(|server| server.is_usable(now)) {
+        for server in self.servers.of(&claim.service).filter(|server| server.is_usable(now)) {
             slots += f64::from(server.entry.slots);
             work_ms = work_ms.max(server.work_ms);
         }
-        self.ahead(request, live, now).count() as f64 * work_ms / slots + work_ms / 2.0
+        self.ahead(waiter, claim, now).count() as f64 * work_ms / slots + work_ms / 2.0
     }
 
-    /// Sends a request to the best server if one has room and the time is right.
+    /// Sends a request to the best place if there is one and the time is right.
     pub(super) fn try_place(
         &mut self,
         request: call::RequestNumber,
@@ -325,37 +353,57 @@
         effects: &mut Vec<Effect>,
     ) -> bool {
         let Some(live) = self.requests.get(&request) else { return false };
-        let is_late = now >= live.objective_at;
-        let memory_share =
-            if is_late { constants::LATE_MEMORY_SHARE } else { constants::MEMORY_SHARE };
-        let Some(place) = self.find_place(live, memory_share, now) else { return false };
-        let to_objective_ms = live.objective_at.saturating_sub(now).as_secs_f64() * 1_000.0;
-        let will_be_late = place.expected_ms() > to_objective_ms * constants::OBJECTIVE_SHARE;
-        let has_backlog = place.backlog_ms() > constants::LATE_BACKLOG_MS;
-        if live.engine.is_some() && will_be_late && has_backlog {
+        if !matches!(live.phase, live::Phase::Waiting) {
             return false;
         }
-        let expected_ms = place.expected_ms();
-        let (server, step, decode) = match place {
-            Place::Language(placed) => match placed.place {
-                placement::Plan::Direct(server) => (server, fleet::Step::Run, None),
-                placement::Plan::Handover { prefill, decode } => {
-                    (prefill, fleet::Step::Prefill, Some(decode))
-                }
-            },
-            Place::Plain(placed) => (placed.place, fleet::Step::Run, None),
-        };
-        self.send(request, &server, step, expected_ms, now, effects);
-        if let Some(decode) = decode {
-            self.reserve(request, decode);
-        }
+        let Some((place, expected_ms)) = self.choose(&live.claim, now) else { return false };
+        self.use_place(request, place, expected_ms, now, effects);
         true
     }
 
+    /// Returns the best place for a claim. Late ones get one only where on-time ones have plenty.
+    pub(super) fn choose(
+        &self,
+        claim: &claim::Claim,
+        now: ids::Timestamp,
+    ) -> Option<(placement::Place, f64)> {
+        let memory_share =
+            if claim.is_late(now) { constants::LATE_MEMORY_SHARE } else { constants::MEMORY_SHARE };
+        let view = placement::View { claim, memory_share, now };
+        let placed = placement::best(&self.servers, view)?;
+        let to_objective_ms = claim.objective_at.saturating_sub(now).as_secs_f64() * 1_000.0;
+        let will_be_late = placed.expected_ms > to_objective_ms * constants::OBJECTIVE_SHARE;
+        let has_backlog = placed.backlog_ms > constants::LATE_BACKLOG_MS;
+        if claim.engine.is_some() && will_be_late && has_backlog {
+            return None;
+        }
+        Some((placed.place, placed.expected_ms))
+    }
+
+    /// Sends a request to its place.
+    pub(super) fn use_place(
+        &mut self,
+        request: call::RequestNumber,
+        place: placement::Place,
+        expected_ms: f64,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        match place {
+            placement::Place::Plain(server) | placement::Place::Direct(server) => {
+                self.send(request, &server, fleet::Step::Run, expected_ms, now, effects);
+            }
+            placement::Place::Handover { prefill, decode } => {
+                self.send(request, &prefill, fleet::Step::Prefill, expected_ms, now, effects);
+                self.reserve(request, decode);
+            }
+        }
+    }
+
     /// Sets memory aside at the decode server until the prompt is read.
     fn reserve(&mut self, request: call::RequestNumber, decode: ids::ServerId) {
         let Some(live) = self.requests.get_mut(&request) else { return };
-        let memory_tokens = live.tokens().memory_tokens();
+        let memory_tokens = live.claim.tokens.memory_tokens();
         let live::Phase::AtServer(at) = &mut live.phase else { return };
         let load = servers::Load { requests: 1, memory_tokens, ..servers::Load::default() };
         self.servers.add_load(&decode, load);
@@ -370,24 +418,6 @@
         }
     }
 
-    fn find_place(
-        &self,
-        live: &live::Live,
-        memory_share: f64,
-        now: ids::Timestamp,
-    ) -> Option<Place> {
-        let view = placement::View { domain: &self.domain, tried: &live.tried, now };
-        match live.engine {
-            Some(engine) => {
-                let tokens = live.tokens();
-                let servers = &self.servers;
-                placement::language(servers, &live.service, engine, tokens, memory_share, view)
-                    .map(Place::Language)
-            }
-            None => placement::plain(&self.servers, &live.service, view).map(Place::Plain),
-        }
-    }
-
     /// Sends a request to a server and counts its load there.
     pub(super) fn send(
         &mut self,
@@ -400,21 +430,15 @@
     ) {
         let Some(live) = self.requests.get_mut(&request) else { return };
         let Some(known) = self.servers.get(server) else { return };
-        let tokens = live.tokens();
-        let load = match (&step, live.engine) {
-            (_, None) => servers::Load { requests: 1, ..servers::Load::default() },
-            (fleet::Step::Decode { .. }, Some(_)) => servers::Load {
-                requests: 1,
-                reading: 0,
-                unread_tokens: 0,
-                memory_tokens: tokens.memory_tokens(),
-            },
-            (_, Some(_)) => servers::Load {
-                requests: 1,
-                reading: 1,
-                unread_tokens: tokens.prompt_tokens,
-                memory_tokens: tokens.memory_tokens(),
-            },
+        let tokens = live.claim.tokens;
+        let one = servers::Load { requests: 1, ..servers::Load::default() };
+        let memory_tokens = tokens.memory_tokens();
+        let unread = servers::Load { reading: 1, unread_tokens: tokens.prompt_tokens, ..one };
+        let load = match (&step, live.claim.engine) {
+            (_, None) => one,
+            (fleet::Step::Decode { .. }, Some(_)) => servers::Load { memory_tokens, ..one },
+            (fleet::Step::Prefill, Some(_)) => unread,
+            (fleet::Step::Run, Some(_)) => servers::Load { memory_tokens, ..unread },
         };
         if step == fleet::Step::Prefill {
             live.prefills += 1;
@@ -464,7 +488,7 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(live) = self.end(request, now) else { return };
+        let Some(live) = self.end(request, now, effects) else { return };
         let id = fleet::text(&live.call.id);
         let workspace = live.workspace.as_ref().map(|workspace| workspace.name.to_string());
         self.log_refusal(&id, refusal, workspace, Some(&live), now, effects);
@@ -476,8 +500,10 @@
         &mut self,
         request: call::RequestNumber,
         now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
     ) -> Option<live::Live> {
         let live = self.requests.remove(&request)?;
+        self.report_end(request, &live, effects);
         self.waiting.retain(|waiting| *waiting != request);
         if let live::Phase::AtServer(at) = &live.phase {
             self.free(at);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -34,6 +34,8 @@
     pub bootstrap: bool,
     /// Where this process listens.
     pub listen_addrs: ListenAddrs,
+    /// What the machine has.
+    pub limits: Limits,
     /// The figures of the rules.
     pub bounds: Bounds,
     /// The store.
@@ -54,6 +56,16 @@
     pub directory_addr: Option<net::SocketAddr>,
 }
 
+/// What the machine has.
+#[derive(Debug, Clone, PartialEq, serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Limits {
+    /// The share of a core.
+    pub cpu_fraction: f64,
+    /// How many times as fast as a plain core it is.
+    pub cpu_cores: f64,
+}
+
 /// The figures of the rules that the product needs.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -148,6 +160,7 @@
             peer_address: peers,
             caller_address: self.listen_addrs.frontend,
             is_ready: false,
+            capacity_cores: self.limits.cpu_fraction * self.limits.cpu_cores,
         };
         let listen = &self.listen_addrs;
         let discovery = [Some(listen.ready), listen.control_plane, listen.directory_addr];
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -44,6 +44,9 @@
 /// How often announcements of instances are read; peers tell each other sooner.
 const MEMBERS_INTERVAL: time::Duration = time::Duration::from_millis(5_000);
 
+/// How often it is checked whether peers still read the store.
+const READER_CHECK: time::Duration = time::Duration::from_millis(200);
+
 /// The pause after a failed call.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
 
@@ -110,6 +113,7 @@
 async fn follow_configuration(address: net::SocketAddr, context: rc::Rc<context::Context>) {
     let mut follower = Follower::new(address, OPERATOR_TOPIC);
     loop {
+        leave_to_others(&context).await;
         let Some(reading) = follower.read(CONFIGURATION_WAIT).await else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
@@ -136,7 +140,12 @@
 async fn follow_servers(address: net::SocketAddr, context: rc::Rc<context::Context>) {
     let mut follower = Follower::new(address, SERVERS_TOPIC);
     loop {
-        let Some(reading) = follower.read(time::Duration::ZERO).await else {
+        if leave_to_others(&context).await {
+            context.store_read.set(None);
+        }
+        let reading = follower.read(time::Duration::ZERO).await;
+        context.read(|fleet| fleet.set_reads_store(reading.is_some()));
+        let Some(reading) = reading else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -155,6 +164,20 @@
     }
 }
 
+/// Waits while enough peers read the store for all; returns whether it waited.
+async fn leave_to_others(context: &context::Context) -> bool {
+    let mut has_waited = false;
+    loop {
+        let now = context.now();
+        if context.read(|fleet| fleet.should_read_store(now)) {
+            return has_waited;
+        }
+        has_waited = true;
+        context.read(|fleet| fleet.set_reads_store(false));
+        tokio::time::sleep(READER_CHECK).await;
+    }
+}
+
 fn tell_servers(context: &context::Context, reading: Reading, is_after_outage: bool) {
     let names: collections::Set<_> = reading
         .records
@@ -171,7 +194,8 @@
         return;
     }
     let complete = reading.is_complete.then_some((names, reading.next));
-    context.apply(fleet::Event::Listed { listings, complete, is_after_outage });
+    let told_at = None;
+    context.apply(fleet::Event::Listed { listings, complete, is_after_outage, told_at });
 }
 
 async fn follow_members(address: net::SocketAddr, context: rc::Rc<context::Context>) {
@@ -179,6 +203,7 @@
     let own = context.read(|fleet| fleet.announcement());
     announce(&mut follower.store, &own).await;
     loop {
+        leave_to_others(&context).await;
         if let Some(reading) = follower.read(time::Duration::ZERO).await {
             for record in reading.records {
                 let Some(value) = record.value else { continue };
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -8,6 +8,7 @@
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::message;
 use crate::core::fleet::refusal;
 use crate::core::ids;
 use crate::router::clock;
@@ -61,6 +62,7 @@
         collections::Map<call::RequestNumber, tokio::sync::mpsc::UnboundedSender<Command>>,
     >,
     next: cell::Cell<call::RequestNumber>,
+    speaker: cell::OnceCell<rc::Rc<tokio::net::UdpSocket>>,
 }
 
 impl Context {
@@ -76,6 +78,7 @@
             fleet: cell::RefCell::new(fleet::Fleet::new(options)),
             mailboxes: cell::RefCell::default(),
             next: cell::Cell::new(0),
+            speaker: cell::OnceCell::new(),
         }
     }
 
@@ -125,6 +128,7 @@
             }
             fleet::Effect::Deliver { request } => self.tell(request, Command::Deliver),
             fleet::Effect::Release { address, handle } => self.release(address, &handle),
+            fleet::Effect::Tell { to, message } => self.say(to, &message),
             fleet::Effect::Publish => self.publish.notify_one(),
             fleet::Effect::Log(decision) => {
                 meters::note(&decision);
@@ -133,6 +137,26 @@
         }
     }
 
+    /// Names the socket for messages to peers.
+    pub fn set_speaker(&self, socket: rc::Rc<tokio::net::UdpSocket>) {
+        if self.speaker.set(socket).is_err() {
+            log::error!("the socket for peers was named twice; the first one stays");
+        }
+    }
+
+    /// Sends a message to a peer; what must arrive is said again by the decisions.
+    fn say(&self, to: net::SocketAddr, message: &message::Message) {
+        let Some(socket) = self.speaker.get() else { return };
+        match rmp_serde::to_vec(message) {
+            Ok(datagram) => {
+                if let Err(failure) = socket.try_send_to(&datagram, to) {
+                    log::debug!("a message to {to} was not sent: {failure}");
+                }
+            }
+            Err(failure) => log::error!("a message cannot be written: {failure}"),
+        }
+    }
+
     fn tell(&self, request: call::RequestNumber, command: Command) {
         if let Some(mailbox) = self.mailboxes.borrow().get(&request) {
             // A request that has ended meanwhile has dropped its mailbox.
--- a/src/router/gossip.rs
+++ b/src/router/gossip.rs
@@ -6,15 +6,19 @@
 
 use crate::core::collections;
 use crate::core::fleet;
-use crate::core::fleet::peers;
+use crate::core::fleet::message;
 use crate::router;
 use crate::router::context;
 
 /// The longest time between two digests: a peer counts as silent after several of them.
 const INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// The shortest time between two digests, for each peer: bounds the datagrams of a large fleet.
-const SPACING_PER_PEER: time::Duration = time::Duration::from_millis(4);
+/// The shortest time between two digests, for each peer: bounds the datagrams of a large fleet to
+/// 125 a second in each direction.
+const SPACING_PER_PEER: time::Duration = time::Duration::from_millis(8);
+
+/// The longest such time, below the silence after which a peer no longer counts as live.
+const SPACING_AT_MOST: time::Duration = time::Duration::from_millis(700);
 
 /// Digests between two that name the members.
 const MEMBERS_EVERY: u64 = 4;
@@ -50,6 +54,7 @@
 
     /// Sends and receives digests for as long as the instance runs.
     pub async fn run(self, context: rc::Rc<context::Context>) {
+        context.set_speaker(rc::Rc::clone(&self.socket));
         let receiving = receive(rc::Rc::clone(&self.socket), rc::Rc::clone(&context));
         tokio::task::spawn_local(receiving);
         let mut round = 0_u64;
@@ -57,6 +62,7 @@
             round += 1;
             let targets = self.send(&context, round.is_multiple_of(MEMBERS_EVERY)).await;
             let spacing = SPACING_PER_PEER * u32::try_from(targets).unwrap_or(u32::MAX).max(1);
+            let spacing = spacing.min(SPACING_AT_MOST);
             tokio::time::sleep(spacing).await;
             let rest = INTERVAL.saturating_sub(spacing);
             // Without news, the next digest follows after the interval.
@@ -73,7 +79,7 @@
             .chain(self.seeds.iter().copied())
             .filter(|target| *target != self.own)
             .collect();
-        match rmp_serde::to_vec(&digest) {
+        match rmp_serde::to_vec(&message::Message::Digest(digest)) {
             Ok(datagram) => {
                 for target in &targets {
                     // A peer that has just ended refuses; its silence tells.
@@ -90,9 +96,8 @@
     let mut datagram = vec![0; DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut datagram).await {
-            Ok((length, from)) => match rmp_serde::from_slice::<peers::Digest>(&datagram[..length])
-            {
-                Ok(digest) => context.apply(fleet::Event::Heard(digest)),
+            Ok((length, from)) => match rmp_serde::from_slice(&datagram[..length]) {
+                Ok(message) => context.apply(fleet::Event::Told { from, message }),
                 Err(failure) => log::warn!("a datagram of {from} cannot be read: {failure}"),
             },
             Err(failure) => {
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -37,6 +37,9 @@
         decision::Decision::CallerLeft { .. } => {
             metrics::counter!("callers_left_total").increment(1)
         }
+        decision::Decision::OwnerSilent { .. } => {
+            metrics::counter!("owner_silent_total").increment(1)
+        }
         decision::Decision::ServerListed { .. }
         | decision::Decision::PastLearned { .. }
         | decision::Decision::PeerHeard { .. } => {}
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -19,9 +19,9 @@
 use crate::router::context;
 
 /// How often it is checked whether a peer must be asked.
-const CHECK: time::Duration = time::Duration::from_millis(300);
+const CHECK: time::Duration = time::Duration::from_millis(150);
 
-/// Age of the last reading of the store beyond which peers are asked: two readings have failed.
+/// Age of a peer's last reading of the store beyond which it tells of no removals.
 const STALE: time::Duration = time::Duration::from_millis(1_600);
 
 /// The longest time that a peer's answer may take.
@@ -34,6 +34,7 @@
     content: Option<catalog::Content>,
     entries: Vec<servers::Entry>,
     servers_end: ids::Offset,
+    servers_at: ids::Offset,
     knows_past: bool,
     spending: Vec<quota::Spending>,
 }
@@ -66,23 +67,19 @@
         content: fleet.catalog().map(|catalog| catalog.content.clone()),
         entries: fleet.server_entries(),
         servers_end: context.servers_end.get(),
+        servers_at: fleet.servers_at(),
         knows_past: fleet.knows_past(),
         spending: fleet.spending(now),
     })
 }
 
-/// Asks peers while the store cannot be read, and whenever one has a newer configuration.
+/// Asks peers that know of newer changes of the configuration or of servers.
 pub async fn follow(context: rc::Rc<context::Context>) {
     loop {
         tokio::time::sleep(CHECK).await;
         let now = context.now();
-        let newer = context.read(|fleet| fleet.newer_peer(now));
-        let is_stale = context.store_read.get().is_none_or(|at| now.saturating_sub(at) > STALE);
-        let peer = match newer {
-            Some(peer) => Some(peer),
-            None if is_stale => context.read(|fleet| fleet.live_peers(now)).first().copied(),
-            None => None,
-        };
+        let peer = context
+            .read(|fleet| fleet.newer_peer(now).or_else(|| fleet.peer_with_newer_servers(now)));
         let Some(peer) = peer else { continue };
         match tokio::time::timeout(TIMEOUT, ask(peer)).await {
             Ok(Ok(reading)) => take(&context, reading),
@@ -107,11 +104,16 @@
     if reading.knows_past {
         context.apply(fleet::Event::PastSpending(reading.spending));
     }
-    // A peer that cannot read the store either knows of no removals.
+    // A peer that does not read the store knows of no removals.
     let is_fresh = reading.age_ms.is_some_and(|age_ms| u128::from(age_ms) < STALE.as_millis());
     let is_newer = reading.servers_end > context.servers_end.get();
     let names: collections::Set<_> = reading.entries.iter().map(|entry| entry.id.clone()).collect();
     let listings = reading.entries.into_iter().map(servers::Listing::Present).collect();
     let complete = (is_fresh && is_newer).then_some((names, reading.servers_end));
-    context.apply(fleet::Event::Listed { listings, complete, is_after_outage: false });
+    if complete.is_some() {
+        context.servers_end.set(reading.servers_end);
+    }
+    let told_at = is_fresh.then_some(reading.servers_at);
+    let is_after_outage = false;
+    context.apply(fleet::Event::Listed { listings, complete, is_after_outage, told_at });
 }
