Free slots of ended work at once; count what was spent while nobody wrote

An entry that a digest has listed ends with the next one that does not; only an owner's unconfirmed grant stands for two seconds. Written every 0.5 s; a limit that is nearly reached waits for most peers; what was spent after the record is added at the rate.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -406,12 +406,22 @@
         for gone in self.peers.forget_silent(now) {
             self.quotas.forget(gone);
         }
+        self.settle(now);
         self.forget_gone(now);
         self.chase_asks(now, effects);
         self.drop_hopeless(now, effects);
         self.pump(now, effects);
     }
 
+    fn settle(&mut self, now: ids::Timestamp) {
+        let known = self.peers.known().count() as f64;
+        let live = self.peers.live(now).count() as f64;
+        let is_heard = known > 0.0 && live >= known * constants::SETTLED_PEERS;
+        if is_heard || now >= constants::SETTLING {
+            self.quotas.settle();
+        }
+    }
+
     /// Returns the version in force; 0 if none is known.
     pub fn version(&self) -> u64 {
         self.catalog.as_ref().map_or(0, |catalog| catalog.content.version)
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -160,3 +160,16 @@
 
 /// The time between digests of a peer, for each member of the fleet; see `router::gossip`.
 pub const DIGEST_AGE_PER_MEMBER: time::Duration = time::Duration::from_millis(8);
+
+/// How long an instance that starts waits for most peers before it hands out what is left of a
+/// limit that is nearly reached: peers hear of each other within a few digests.
+pub const SETTLING: time::Duration = time::Duration::from_millis(2_000);
+
+/// The share of known peers that must be heard before that.
+pub const SETTLED_PEERS: f64 = 0.8;
+
+/// The share of a limit above which that applies.
+pub const UNSETTLED_SHARE: f64 = 0.6;
+
+/// How often the fleet's spending is written to the store.
+pub const TOLD_EVERY: time::Duration = time::Duration::from_millis(500);
--- a/src/core/fleet/ledger.rs
+++ b/src/core/fleet/ledger.rs
@@ -36,6 +36,8 @@
 struct Entry {
     places: Places,
     since: ids::Timestamp,
+    /// A digest of the holder has listed it; the next one that does not tells of its end.
+    is_confirmed: bool,
 }
 
 /// The work of all other instances.
@@ -57,7 +59,8 @@
         for (server, load) in &places {
             directory.add_others(server, *load);
         }
-        if let Some(old) = self.entries.insert(ticket, Entry { places, since: now }) {
+        let entry = Entry { places, since: now, is_confirmed: false };
+        if let Some(old) = self.entries.insert(ticket, entry) {
             subtract(&old.places, directory);
         }
     }
@@ -90,7 +93,7 @@
             .filter(|(ticket, entry)| {
                 ticket.holder == holder
                     && !listed.contains(*ticket)
-                    && now >= entry.since + UNCONFIRMED_FOR
+                    && (entry.is_confirmed || now >= entry.since + UNCONFIRMED_FOR)
             })
             .map(|(ticket, _)| *ticket)
             .collect();
@@ -101,6 +104,9 @@
             if !self.ended.contains_key(ticket) && self.places(ticket) != Some(places) {
                 self.enter(*ticket, places.clone(), directory, now);
             }
+            if let Some(entry) = self.entries.get_mut(ticket) {
+                entry.is_confirmed = true;
+            }
         }
     }
 
--- a/src/core/fleet/ledger/tests.rs
+++ b/src/core/fleet/ledger/tests.rs
@@ -80,3 +80,11 @@
     ledger.retain_holders(|holder| holder != 7, &mut directory, at(10));
     assert_eq!(requests(&directory), 0);
 }
+
+#[test]
+fn work_that_a_digest_listed_ends_with_the_next_digest_that_does_not() {
+    let (mut ledger, mut directory) = (Ledger::default(), directory());
+    ledger.reconcile(7, &[(ticket(1), places())], &mut directory, at(0));
+    ledger.reconcile(7, &[], &mut directory, at(20));
+    assert_eq!(requests(&directory), 0, "short requests would fill the servers' slots");
+}
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -99,6 +99,8 @@
     window: time::Duration,
     accounts: collections::Map<WorkspaceName, Account>,
     peers: collections::Map<(u64, WorkspaceName), PeerSpending>,
+    /// Most peers have been heard. Until then all that start together would spend the same rest.
+    is_settled: bool,
     /// Spending before this instance started is not known.
     is_past_unknown: bool,
     started: Option<ids::Timestamp>,
@@ -114,11 +116,17 @@
             window,
             accounts: collections::Map::default(),
             peers: collections::Map::default(),
+            is_settled: is_first_start,
             is_past_unknown: !is_first_start,
             started: None,
         }
     }
 
+    /// Notes that most peers have been heard.
+    pub fn settle(&mut self) {
+        self.is_settled = true;
+    }
+
     /// Takes the limits of a new configuration.
     pub fn configure(&mut self, catalog: &catalog::Catalog, now: ids::Timestamp) {
         let started = *self.started.get_or_insert(now);
@@ -164,7 +172,11 @@
         account.window.expire(now);
         account.told.expire(now);
         let untold = account.told.total * digest_age.as_secs_f64() / TOLD_WINDOW.as_secs_f64();
-        let excess = account.window.total + untold + amount - account.allowed(self.window);
+        let allowed = account.allowed(self.window);
+        if !self.is_settled && account.window.total > allowed * constants::UNSETTLED_SHARE {
+            return Err(constants::SETTLING);
+        }
+        let excess = account.window.total + untold + amount - allowed;
         if excess > 0.0 {
             return Err(account.window.wait(excess, now).unwrap_or(self.window));
         }
@@ -233,6 +245,11 @@
                 window.add(*amount, now + self.window.saturating_sub(age));
             }
             window.add(account.own, now + self.window);
+            if window.total > account.allowed(self.window) * constants::UNSETTLED_SHARE {
+                // What was spent after it was told, at the workspace's rate.
+                let untold = account.limit.rate_per_s * constants::TOLD_EVERY.as_secs_f64();
+                window.add(untold, now + self.window);
+            }
             account.window = window;
         }
         true
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -8,6 +8,7 @@
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
+use crate::core::fleet::constants;
 use crate::core::fleet::peers;
 use crate::core::fleet::quota;
 use crate::core::ids;
@@ -30,9 +31,6 @@
 const SPENDING_TOPIC: &str = "keyed.spending";
 const SPENDING_KEY: &str = "fleet";
 
-/// How often spending is written: what is lost with the whole fleet stays within the limits' slack.
-const SPENDING_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
-
 /// How long a reading waits for a change of the configuration; a silent connection is noticed
 /// after it at the latest, and earlier through peers.
 const CONFIGURATION_WAIT: time::Duration = time::Duration::from_millis(3_000);
@@ -250,7 +248,7 @@
     }
     let mut last = Vec::new();
     loop {
-        tokio::time::sleep(SPENDING_INTERVAL).await;
+        tokio::time::sleep(constants::TOLD_EVERY).await;
         let now = context.now();
         if !context.read(|fleet| fleet.is_first(now) && fleet.knows_past()) {
             continue;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -93,6 +93,15 @@
     assert_eq!((summary.run_twice, summary.ended_not_once), (0, 0));
 }
 
+#[test]
+fn short_plain_requests_free_their_slots_at_all_instances_at_once() {
+    let mut world = World::new(6, FAST_DIGESTS, &world::servers());
+    press(&mut world, "order", 6, 250, ms(4_000));
+    world.run(ms(6_000));
+    let summary = summary(&world, ms(150));
+    assert_eq!(summary.on_time, summary.requests, "{summary:?}");
+}
+
 #[test]
 fn an_owner_that_ends_is_passed_over_and_replaced() {
     for killed in 0..20 {
