Do not eject servers for failures that they answer

The log showed server_ejected with evidence 'failed' for all three order servers, at a failure share that grows with enquiries that fail wherever they are sent (14 % of them). An answer, a failed one too, is no strike now; it lengthens the expected wait, and old failures fade with a half-life of 3 s. Ruled out: full servers (the wait before was 0 ms), draining servers. Test failed before: servers_whose_requests_fail_by_themselves_keep_their_work.

--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -51,10 +51,14 @@
 pub const SPEED_WEIGHT: f64 = 0.2;
 
 /// The weight of a new outcome in a server's share of failures.
-pub const FAILURE_WEIGHT: f64 = 0.2;
+pub const FAILURE_WEIGHT: f64 = 0.1;
 
-/// How strongly a server's share of failures lengthens its expected wait.
-pub const FAILURE_PENALTY_MS: f64 = 1_500.0;
+/// How strongly a server's share of failures lengthens its expected wait: one that fails two of
+/// five requests counts as behind a full queue, the usual errors of requests do not.
+pub const FAILURE_PENALTY_MS: f64 = 300.0;
+
+/// The time after which a failure counts half.
+pub const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_secs(3);
 
 /// Consecutive failures after which a server gets no work for a while.
 pub const EJECT_AFTER: u32 = 3;
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -432,7 +432,8 @@
     match outcome {
         Outcome::Started | Outcome::Rejected => None,
         Outcome::Prefilled { .. } | Outcome::Finished { .. } => Some(servers::Evidence::Answered),
-        Outcome::Failed { .. } | Outcome::Broken | Outcome::Cut => Some(servers::Evidence::Failed),
+        Outcome::Failed { .. } => Some(servers::Evidence::Erred),
+        Outcome::Broken | Outcome::Cut => Some(servers::Evidence::Failed),
         Outcome::Unsent | Outcome::Silent => Some(servers::Evidence::Unreachable),
     }
 }
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -90,7 +90,7 @@
         let is_near = server.entry.domain == self.claim.domain;
         let distance_ms = if is_near { 0.0 } else { constants::OTHER_DOMAIN_MS };
         let cold_ms = if server.entry.cold_ms > 0 { constants::PLAIN_WORK_MS } else { 0.0 };
-        server.failure_ms() + distance_ms + cold_ms
+        server.failure_ms(self.now) + distance_ms + cold_ms
     }
 }
 
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -81,8 +81,9 @@
     pub own: Load,
     /// Work that live peers report.
     pub others: Load,
-    /// The share of recent requests that failed.
+    /// The share of recent requests that failed, when the last one was noted.
     pub failure_share: f64,
+    failure_noted: ids::Timestamp,
     /// Prompt tokens read in a millisecond, learned from first events.
     pub tokens_per_ms: f64,
     /// The time a plain request takes, learned.
@@ -105,6 +106,7 @@
             own: Load::default(),
             others: Load::default(),
             failure_share: 0.0,
+            failure_noted: ids::Timestamp::ZERO,
             tokens_per_ms,
             work_ms: constants::PLAIN_WORK_MS,
             consecutive_failures: 0,
@@ -134,8 +136,14 @@
     }
 
     /// Returns how much its failures lengthen the expected wait.
-    pub fn failure_ms(&self) -> f64 {
-        self.failure_share * constants::FAILURE_PENALTY_MS
+    pub fn failure_ms(&self, now: ids::Timestamp) -> f64 {
+        self.failure_share_at(now) * constants::FAILURE_PENALTY_MS
+    }
+
+    /// Old failures count less, or a server that is avoided would never be tried again.
+    fn failure_share_at(&self, now: ids::Timestamp) -> f64 {
+        let age_s = now.saturating_sub(self.failure_noted).as_secs_f64();
+        self.failure_share * 0.5_f64.powf(age_s / constants::FAILURE_HALF_LIFE.as_secs_f64())
     }
 }
 
@@ -145,7 +153,9 @@
 pub enum Evidence {
     /// It answered.
     Answered,
-    /// It answered that it failed.
+    /// It answered that it failed; that may be the request's fault.
+    Erred,
+    /// Its answer broke off or belongs to another request.
     Failed,
     /// It could not be reached or fell silent.
     Unreachable,
@@ -354,13 +364,19 @@
     ) -> Option<time::Duration> {
         let server = self.servers.get_mut(id)?;
         let failed = if evidence == Evidence::Answered { 0.0 } else { 1.0 };
-        server.failure_share += constants::FAILURE_WEIGHT * (failed - server.failure_share);
-        if evidence == Evidence::Answered {
-            server.consecutive_failures = 0;
-            server.ejections = 0;
-            return None;
+        let share = server.failure_share_at(now);
+        server.failure_share = share + constants::FAILURE_WEIGHT * (failed - share);
+        server.failure_noted = now;
+        match evidence {
+            Evidence::Answered => {
+                server.consecutive_failures = 0;
+                server.ejections = 0;
+                return None;
+            }
+            Evidence::Erred => return None,
+            Evidence::Failed => server.consecutive_failures += 1,
+            Evidence::Unreachable => server.consecutive_failures += 2,
         }
-        server.consecutive_failures += if evidence == Evidence::Unreachable { 2 } else { 1 };
         if server.consecutive_failures < constants::EJECT_AFTER {
             return None;
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -102,6 +102,19 @@
     assert_eq!(summary.on_time, summary.requests, "{summary:?}");
 }
 
+#[test]
+fn servers_whose_requests_fail_by_themselves_keep_their_work() {
+    let mut world = World::new(6, FAST_DIGESTS, &world::servers());
+    for index in 0..3 {
+        world.set_health(ms(0), &format!("desk-{index}"), Health::Errs);
+    }
+    press(&mut world, "query", 6, 40, ms(6_000));
+    press(&mut world, "order", 6, 60, ms(6_000));
+    world.run(ms(9_000));
+    let refused = world.records.values().filter(|record| record.refused.is_some()).count();
+    assert_eq!(refused, 0, "no server is ejected for the answers that it gives");
+}
+
 #[test]
 fn an_owner_that_ends_is_passed_over_and_replaced() {
     for killed in 0..20 {
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -36,6 +36,8 @@
     Breaks,
     /// Requests are rejected.
     Full,
+    /// Every other request is answered with a failure.
+    Errs,
 }
 
 #[derive(Debug)]
@@ -358,6 +360,11 @@
         let health = self.backends[&dispatch.server].health;
         let unhealthy = match health {
             Health::Sound => None,
+            Health::Errs if request % 2 == 0 => None,
+            Health::Errs => {
+                self.record(instance, request).runs += 1;
+                Some((WORK, fleet::Outcome::Failed { status: 500 }))
+            }
             Health::Unreachable => Some((Duration::from_millis(2), fleet::Outcome::Unsent)),
             Health::Full => Some((Duration::from_millis(2), fleet::Outcome::Rejected)),
             Health::Breaks => {
