Never promise that a request has not run after a server ran it

A refusal of a request that may have run is now the server's own failed answer if there is one, else 502. Admission has a module of its own; a refusal for the limit logs charge, spent and allowed.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -25,6 +25,7 @@
 pub mod refusal;
 pub mod servers;
 
+mod admission;
 mod broker;
 mod live;
 mod outcomes;
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -136,6 +136,8 @@
         may_have_run: bool,
         /// When the caller may come back.
         retry_after_ms: Option<u64>,
+        /// What the workspace's limit was compared with, if that is why.
+        spending: Option<refusal::SpendingView>,
     },
     /// The caller has left.
     CallerLeft {
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -88,6 +88,8 @@
     pub prefilled_at: Option<ids::ServerId>,
     /// Whether a server may have run it.
     pub may_have_run: bool,
+    /// Whether a failed answer of a server is kept.
+    pub has_failed_answer: bool,
     /// Whether a part of the answer was passed on.
     pub is_relaying: bool,
 }
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -229,6 +229,7 @@
         }
         let Some(live) = self.requests.get_mut(&request) else { return };
         live.may_have_run = true;
+        live.has_failed_answer = true;
         if self.may_run_again(request, now) {
             return self.retry_elsewhere(request, at, now, effects);
         }
@@ -338,7 +339,7 @@
         self.wait_again(request, now, effects);
     }
 
-    /// Refuses a request that no server took; one that may have run is not called unserved.
+    /// Refuses a request that no server took.
     fn refuse_unserved(
         &mut self,
         request: call::RequestNumber,
@@ -346,13 +347,9 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(live) = self.requests.get(&request) else { return };
-        let refusal = if live.may_have_run {
-            refusal::Refusal::new(refusal::Reason::OutcomeUnknown)
-        } else {
-            let third = live.expires.saturating_sub(now) / 3;
-            let wait = fleet::constants::RETRY_AFTER_LEAST.min(third);
-            refusal::Refusal::retry_after(refusal::Reason::NoRetry, wait)
-        };
+        let third = live.expires.saturating_sub(now) / 3;
+        let wait = fleet::constants::RETRY_AFTER_LEAST.min(third);
+        let refusal = refusal::Refusal::retry_after(refusal::Reason::NoRetry, wait);
         self.refuse(request, refusal, now, effects);
     }
 
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -10,6 +10,7 @@
 use crate::core::collections;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
+use crate::core::fleet::refusal;
 use crate::core::ids;
 
 /// A workspace's name as its limit is kept.
@@ -185,6 +186,13 @@
         Ok(())
     }
 
+    /// Returns what a charge is compared with.
+    pub fn view(&self, workspace: &WorkspaceName, charge: f64) -> Option<refusal::SpendingView> {
+        let account = self.accounts.get(workspace)?;
+        let (spent, allowed) = (account.window.total, account.allowed(self.window));
+        Some(refusal::SpendingView { charge, spent, allowed })
+    }
+
     /// Returns this instance's spending if peers should hear of `amount` at once: it is no small part
     /// of a limit that may soon be reached.
     pub fn urgent_spending(&self, workspace: &WorkspaceName, amount: f64) -> Option<f64> {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -1,4 +1,4 @@
-//! Admission, the order in which requests wait, and turning away.
+//! The order in which requests wait for places, and turning away.
 //!
 //! Load pattern: more prompts arrive than the engines can read within the objective. Requests that
 //! can still meet it go first; late ones follow when a server is nearly idle; one whose time cannot
@@ -19,7 +19,6 @@
 use crate::core::fleet::decision;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
-use crate::core::fleet::message;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
@@ -38,36 +37,6 @@
 }
 
 impl Fleet {
-    pub(super) fn arrive(
-        &mut self,
-        request: call::RequestNumber,
-        call: call::Call,
-        now: ids::Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        let live = match self.admit(&call, now) {
-            Ok(live) => {
-                self.tell_spending(&live, now, effects);
-                live
-            }
-            Err((refusal, workspace)) => {
-                let id = fleet::text(&call.id);
-                self.log_refusal(&id, refusal, workspace, None, now, effects);
-                effects.push(Effect::Refuse { request, refusal });
-                return;
-            }
-        };
-        effects.push(Effect::Admit {
-            request,
-            expires: live.expires,
-            is_resumable: live.route.is_stream && live.is_idempotent(),
-            is_stream: live.route.is_stream,
-        });
-        self.budget.note_request(&live.claim.service, now);
-        self.requests.insert(request, live);
-        self.seek_place(request, now, effects);
-    }
-
     /// Finds a place for a request, lets it wait, or refuses it.
     pub(super) fn seek_place(
         &mut self,
@@ -99,121 +68,8 @@
         true
     }
 
-    /// Tells all peers of large spending near a limit, where digests are far apart.
-    fn tell_spending(&self, live: &live::Live, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let Some(workspace) = &live.workspace else { return };
-        let is_brokered = self.peers.members(now) >= constants::BROKERED_MEMBERS;
-        let urgent = self.quotas.urgent_spending(&workspace.name, live.charge);
-        let Some(spent) = urgent.filter(|_| is_brokered) else { return };
-        for peer in self.peers.live(now) {
-            let message = message::Message::Spent {
-                holder: self.own.incarnation,
-                workspace: workspace.name.to_string(),
-                spent,
-            };
-            effects.push(Effect::Tell { to: peer.peer_address, message });
-        }
-    }
-
-    /// Checks key, route and limit.
-    fn admit(
-        &mut self,
-        call: &call::Call,
-        now: ids::Timestamp,
-    ) -> Result<live::Live, (refusal::Refusal, Option<String>)> {
-        let refuse = |reason| (refusal::Refusal::new(reason), None);
-        let Some(catalog) = self.catalog.clone() else {
-            let wait = self.spread(constants::RETRY_AFTER_LEAST);
-            let reason = refusal::Reason::Unconfigured;
-            return Err((refusal::Refusal::retry_after(reason, wait), None));
-        };
-        let route = catalog
-            .route(&call.host, &call.path)
-            .cloned()
-            .ok_or_else(|| refuse(refusal::Reason::NoRoute))?;
-        let workspace = if catalog.has_keys() && !route.is_open {
-            let key = call.key.as_ref().ok_or_else(|| refuse(refusal::Reason::UnknownKey))?;
-            let digest = catalog::key_digest(key);
-            let found = catalog.workspace(&digest).cloned();
-            Some(found.ok_or_else(|| refuse(refusal::Reason::UnknownKey))?)
-        } else {
-            None
-        };
-        let service =
-            self.choose_service(&route).ok_or_else(|| refuse(refusal::Reason::NoRoute))?;
-        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        let charge = self.charge(call, workspace.as_deref(), patience, now)?;
-        let expires = now + patience.saturating_sub(constants::ANSWER_MARGIN);
-        let begin_by =
-            if route.is_stream { expires.min(now + route.event_patience) } else { expires };
-        let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
-        Ok(live::Live {
-            call: call.clone(),
-            claim: claim::Claim {
-                engine: catalog.engine(&service),
-                service,
-                tokens: call.tokens.unwrap_or_default(),
-                priority: priority.unwrap_or(route.priority),
-                objective_at: now + route.objective,
-                begin_by,
-                tried: Vec::new(),
-                domain: self.domain.clone(),
-            },
-            workspace,
-            charge,
-            arrived: now,
-            expires,
-            phase: live::Phase::Waiting,
-            attempt: 0,
-            granted_by: None,
-            arrivals: 0,
-            prefilled_at: None,
-            may_have_run: false,
-            is_relaying: false,
-            route,
-        })
-    }
-
-    fn charge(
-        &mut self,
-        call: &call::Call,
-        workspace: Option<&catalog::Workspace>,
-        patience: time::Duration,
-        now: ids::Timestamp,
-    ) -> Result<f64, (refusal::Refusal, Option<String>)> {
-        let Some(workspace) = workspace else { return Ok(0.0) };
-        let Some(limit) = workspace.limit else { return Ok(0.0) };
-        let charge = match (limit.counts_tokens, call.tokens) {
-            (false, _) => 1.0,
-            (true, None) => limit.plain_tokens,
-            (true, Some(tokens)) => f64::from(tokens.total_tokens()),
-        };
-        let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
-        let digest_age = constants::DIGEST_AGE_PER_MEMBER.saturating_mul(members);
-        let digest_age = digest_age.min(constants::DIGEST_AGE_AT_MOST);
-        self.quotas.take(&workspace.name, charge, digest_age, now).map_err(|wait| {
-            let wait = self.spread(wait).min(patience / 3);
-            let reason = refusal::Reason::OverLimit;
-            let name = workspace.name.to_string();
-            (refusal::Refusal::retry_after(reason, wait), Some(name))
-        })?;
-        Ok(charge)
-    }
-
-    fn choose_service(&mut self, route: &catalog::Route) -> Option<catalog::ServiceId> {
-        let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
-        let mut draw = self.rng.random_range(0..total.max(1));
-        for (service, weight) in &route.services {
-            if draw < *weight {
-                return Some(service.clone());
-            }
-            draw -= weight;
-        }
-        route.services.first().map(|(service, _)| service.clone())
-    }
-
     /// Spreads returning callers over a quarter more than the wait.
-    fn spread(&mut self, wait: time::Duration) -> time::Duration {
+    pub(super) fn spread(&mut self, wait: time::Duration) -> time::Duration {
         let stretch = 1.0 + 0.25 * self.rng.random::<f64>();
         wait.mul_f64(stretch).clamp(constants::RETRY_AFTER_LEAST, constants::RETRY_AFTER_MOST)
     }
@@ -502,64 +358,6 @@
         effects.push(Effect::Send { request, dispatch });
         effects.push(Effect::Publish);
     }
-
-    /// Ends a request without a server's answer.
-    pub(super) fn refuse(
-        &mut self,
-        request: call::RequestNumber,
-        refusal: refusal::Refusal,
-        now: ids::Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(live) = self.end(request, now, effects) else { return };
-        let id = fleet::text(&live.call.id);
-        let workspace = live.workspace_name();
-        self.log_refusal(&id, refusal, workspace, Some(&live), now, effects);
-        effects.push(Effect::Refuse { request, refusal });
-    }
-
-    /// Forgets a request; gives back its tokens if it certainly has not run.
-    pub(super) fn end(
-        &mut self,
-        request: call::RequestNumber,
-        now: ids::Timestamp,
-        effects: &mut Vec<Effect>,
-    ) -> Option<live::Live> {
-        let live = self.requests.remove(&request)?;
-        self.report_end(request, &live, effects);
-        self.waiting.retain(|waiting| *waiting != request);
-        if let live::Phase::AtServer(at) = &live.phase {
-            self.free(at);
-        }
-        if let Some(workspace) = &live.workspace
-            && !live.may_have_run
-        {
-            self.quotas.refund(&workspace.name, live.charge, now);
-        }
-        Some(live)
-    }
-
-    fn log_refusal(
-        &self,
-        id: &str,
-        refusal: refusal::Refusal,
-        workspace: Option<String>,
-        live: Option<&live::Live>,
-        now: ids::Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        effects.push(Effect::Log(decision::Decision::Refused {
-            request: id.to_string(),
-            reason: refusal.reason,
-            status: refusal.status(),
-            workspace,
-            version: self.version(),
-            waited_ms: live.map_or(0, |live| millis(now.saturating_sub(live.arrived))),
-            waiting: self.waiting.len(),
-            may_have_run: live.is_some_and(|live| live.may_have_run),
-            retry_after_ms: refusal.retry_after.map(millis),
-        }));
-    }
 }
 
 /// Returns whole milliseconds.
