A fault soak of real processes

soak/ runs instances as processes on loopback under faults drawn from a seed: killed, stopped, paused and reloaded instances; delayed, reset, silent and one-way servers; a store that refuses or is silent; servers replaced, routes and keys withdrawn. It checks from outside: at most once, true refusals, whole own answers, keys kept back, withdrawn routes and keys, leaving servers, no cut by planned work. Each check is shown to fail in soak/tests.

--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,337 @@
+//! One run: a fleet, callers, servers, an operator, and faults drawn from a seed.
+
+use std::io;
+use std::net;
+use std::path;
+use std::rc;
+use std::time;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rustix::process::Signal;
+
+use crate::backend;
+use crate::callers;
+use crate::fleet;
+use crate::judge;
+use crate::proxy;
+use crate::store;
+
+/// The time in which instances hear of each other before callers come.
+const WARM_UP: time::Duration = time::Duration::from_millis(1_500);
+
+/// The time for the last answers.
+const COOL_DOWN: time::Duration = time::Duration::from_millis(3_000);
+
+/// How often a server renews its entry.
+const HEARTBEAT: time::Duration = time::Duration::from_millis(1_000);
+
+/// The time for which an instance's trouble excuses cuts after it.
+const AFTERMATH: time::Duration = time::Duration::from_millis(3_000);
+
+/// Servers at the start; more come as others leave.
+const SERVERS: usize = 3;
+
+const KINDS: [callers::Kind; 4] = [
+    callers::Kind { path: "/order/x", key: "key-a", workspace: "a", is_idempotent: false },
+    callers::Kind { path: "/query/x", key: "key-a", workspace: "a", is_idempotent: true },
+    callers::Kind { path: "/gone/x", key: "key-a", workspace: "a", is_idempotent: false },
+    callers::Kind { path: "/second/x", key: "key-b", workspace: "b", is_idempotent: false },
+];
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The program of the instances.
+    pub program: path::PathBuf,
+    /// Draws faults and requests.
+    pub seed: u64,
+    /// How long faults go on.
+    pub seconds: u64,
+    /// Instances.
+    pub instances: u64,
+}
+
+/// What has come out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// A line of figures.
+    pub summary: String,
+    /// Broken promises.
+    pub violations: Vec<String>,
+}
+
+/// A run could not be carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A socket, file or process failed.
+    #[error("{0}; check that the program is built and the loopback addresses are free")]
+    Io(#[from] io::Error),
+    /// Nothing was served, so nothing was checked.
+    #[error("of {0} requests none was served; read the instances' logs")]
+    NothingServed(usize),
+}
+
+/// Carries a run out.
+///
+/// # Errors
+///
+/// Fails if the fleet cannot be started or serves nothing.
+pub fn run(options: &Options) -> Result<Report, RunError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, play(options))
+}
+
+struct World {
+    rng: rand_chacha::ChaCha8Rng,
+    judge: rc::Rc<judge::Judge>,
+    store: rc::Rc<store::Store>,
+    store_address: net::SocketAddr,
+    machines: Vec<fleet::Machine>,
+    seeds: Vec<net::Ipv4Addr>,
+    disturbances: rc::Rc<callers::Disturbances>,
+    servers: Vec<(String, proxy::Switch, tokio::task::JoinHandle<()>)>,
+    next_server: usize,
+    version: u64,
+    has_gone_route: bool,
+    has_second_key: bool,
+    ip: [u8; 3],
+    faults: Vec<String>,
+}
+
+async fn play(options: &Options) -> Result<Report, RunError> {
+    let ip = [127, 20 + u8::try_from(options.seed % 200).unwrap_or(0), 7];
+    let store_address = net::SocketAddr::from(([ip[0], ip[1], ip[2], 2], 8_361));
+    let folder = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), options.seed));
+    let machine = |index: u64| {
+        let last = 10 + u8::try_from(index).unwrap_or(0);
+        let ip = net::Ipv4Addr::new(ip[0], ip[1], ip[2], last);
+        fleet::Machine::new(options.program.clone(), &folder, ip)
+    };
+    let machines: Vec<_> = (0..options.instances).map(machine).collect();
+    let mut world = World {
+        rng: rand_chacha::ChaCha8Rng::seed_from_u64(options.seed),
+        judge: rc::Rc::default(),
+        store: store::Store::start(store_address).await?,
+        store_address,
+        seeds: machines.iter().take(3).map(|machine| machine.ip).collect(),
+        machines,
+        disturbances: rc::Rc::default(),
+        servers: Vec::new(),
+        next_server: 0,
+        version: 0,
+        has_gone_route: true,
+        has_second_key: true,
+        ip,
+        faults: Vec::new(),
+    };
+    world.configure();
+    for _ in 0..SERVERS {
+        world.add_server().await?;
+    }
+    for index in 0..world.machines.len() {
+        world.start_machine(index, true)?;
+    }
+    tokio::time::sleep(WARM_UP).await;
+    let callers: Vec<_> = (0..6).map(|index| world.caller(options.seed * 100 + index)).collect();
+    let end = tokio::time::Instant::now() + time::Duration::from_secs(options.seconds);
+    while tokio::time::Instant::now() < end {
+        let pause = world.rng.random_range(200..900);
+        tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        world.restart_ended()?;
+        world.draw_fault().await?;
+    }
+    tokio::time::sleep(COOL_DOWN).await;
+    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    let (served, sent) = world.judge.counts();
+    let faults = world.faults.len();
+    let violations = world.judge.violations();
+    drop(world);
+    if violations.is_empty() {
+        // Logs are kept where they explain something.
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    if served == 0 {
+        return Err(RunError::NothingServed(sent));
+    }
+    let summary = format!("{served} of {sent} requests served under {faults} faults");
+    Ok(Report { summary, violations })
+}
+
+impl World {
+    fn caller(&self, seed: u64) -> tokio::task::JoinHandle<()> {
+        let caller = callers::Caller {
+            seed,
+            kinds: &KINDS,
+            directories: self.machines.iter().map(fleet::Machine::directory).collect(),
+            judge: rc::Rc::clone(&self.judge),
+            disturbances: rc::Rc::clone(&self.disturbances),
+        };
+        tokio::task::spawn_local(caller.run())
+    }
+
+    fn start_machine(&mut self, index: usize, is_first: bool) -> io::Result<()> {
+        let seeds = self.seeds.clone();
+        self.machines[index].start(self.store_address, &seeds, is_first)
+    }
+
+    fn restart_ended(&mut self) -> io::Result<()> {
+        for index in 0..self.machines.len() {
+            if self.machines[index].has_ended() {
+                self.start_machine(index, false)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        let mut paths = vec![("/order/", "non_idempotent"), ("/query/", "idempotent")];
+        paths.push(("/second/", "non_idempotent"));
+        if self.has_gone_route {
+            paths.push(("/gone/", "non_idempotent"));
+        }
+        let routes: Vec<_> = paths
+            .iter()
+            .map(|(path, kind)| {
+                serde_json::json!({
+                    "Name": path, "Host": "soak.example", "PathPrefix": path, "RouteType": kind,
+                    "TimeoutMs": 2_000, "TargetLatencyMs": 200, "Priority": 1, "Service": "desk",
+                    "Attempts": 2, "Anonymous": false,
+                })
+            })
+            .collect();
+        let mut tenants = vec![serde_json::json!({ "Name": "a", "ApiKeys": ["key-a"] })];
+        let keys = if self.has_second_key { vec!["key-b"] } else { Vec::new() };
+        tenants.push(serde_json::json!({ "Name": "b", "ApiKeys": keys }));
+        let configuration = serde_json::json!({
+            "Version": self.version, "RouteTable": routes, "Services": [{ "Name": "desk" }],
+            "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536, "HeaderTimeoutMs": 3_000,
+                "IdleTimeoutMs": 15_000 },
+            "Tenants": tenants,
+        });
+        self.store.put("keyed.op", "config", configuration.to_string().as_bytes());
+    }
+
+    async fn add_server(&mut self) -> io::Result<()> {
+        let name = format!("server-{}", self.next_server);
+        self.next_server += 1;
+        let [a, b, c] = self.ip;
+        let any = net::SocketAddr::from(([a, b, c, 3], 0));
+        let address = backend::start(&name, any, rc::Rc::clone(&self.judge)).await?;
+        let (proxied, switch) = proxy::start(any, address).await?;
+        let store = rc::Rc::clone(&self.store);
+        let id = name.clone();
+        let beats = tokio::task::spawn_local(async move {
+            loop {
+                store.put("keyed.servers", &id, entry(proxied, "ready").as_bytes());
+                tokio::time::sleep(HEARTBEAT).await;
+            }
+        });
+        self.servers.push((name, switch, beats));
+        Ok(())
+    }
+
+    async fn draw_fault(&mut self) -> io::Result<()> {
+        let machine = self.rng.random_range(0..self.machines.len());
+        let server = self.rng.random_range(0..self.servers.len());
+        let span = time::Duration::from_millis(self.rng.random_range(500..2_500));
+        let kind = self.rng.random_range(0..11);
+        self.faults.push(format!("{kind} {machine} {server} {span:?}"));
+        match kind {
+            0 => {
+                self.disturb(machine, time::Duration::ZERO);
+                self.machines[machine].signal(Signal::KILL);
+            }
+            1 | 2 => self.machines[machine].signal(Signal::TERM),
+            3 => self.pause(machine, span),
+            4 => self.machines[machine].signal(Signal::HUP),
+            5 => self.disturb_server(server, proxy::Mode::Delay(span / 8), span),
+            6 => self.disturb_server(server, proxy::Mode::Reset, span),
+            7 => {
+                let silence = if span.as_millis() % 2 == 0 {
+                    proxy::Mode::Silent
+                } else {
+                    proxy::Mode::MuteAnswers
+                };
+                self.disturb_server(server, silence, span);
+            }
+            8 => self.break_store(span),
+            9 => self.replace_server(server).await?,
+            _ => self.change_configuration(),
+        }
+        Ok(())
+    }
+
+    fn disturb(&self, machine: usize, span: time::Duration) {
+        let until = time::Instant::now() + span + AFTERMATH;
+        self.disturbances.note(self.machines[machine].callers(), until);
+    }
+
+    fn pause(&self, machine: usize, span: time::Duration) {
+        self.disturb(machine, span);
+        self.judge.excuse_bounds(span);
+        self.machines[machine].signal(Signal::STOP);
+        let Some(id) = self.machines[machine].id() else { return };
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(span).await;
+            // A process that was killed meanwhile does not go on.
+            let _ = rustix::process::kill_process(id, Signal::CONT);
+        });
+    }
+
+    /// A server's trouble may cut answers at every instance.
+    fn disturb_server(&self, server: usize, mode: proxy::Mode, span: time::Duration) {
+        for machine in 0..self.machines.len() {
+            self.disturb(machine, span);
+        }
+        let switch = self.servers[server].1.clone();
+        switch.set(mode);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(span).await;
+            switch.set(proxy::Mode::Clear);
+        });
+    }
+
+    fn break_store(&self, span: time::Duration) {
+        let mode = if span.as_millis() % 2 == 0 { store::Mode::Busy } else { store::Mode::Silent };
+        self.store.set_mode(mode);
+        self.judge.excuse_bounds(span);
+        let store = rc::Rc::clone(&self.store);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(span).await;
+            store.set_mode(store::Mode::Up);
+        });
+    }
+
+    /// A server leaves, and another one comes.
+    async fn replace_server(&mut self, server: usize) -> io::Result<()> {
+        self.add_server().await?;
+        let (name, _, beats) = self.servers.remove(server);
+        beats.abort();
+        let [a, b, c] = self.ip;
+        let anywhere = net::SocketAddr::from(([a, b, c, 3], 1));
+        self.store.put("keyed.servers", &name, entry(anywhere, "draining").as_bytes());
+        self.judge.note_left(&name);
+        Ok(())
+    }
+
+    fn change_configuration(&mut self) {
+        if self.has_gone_route {
+            self.has_gone_route = false;
+            self.judge.note_withdrawn("/gone/x");
+        } else if self.has_second_key {
+            self.has_second_key = false;
+            self.judge.note_withdrawn("/second/x");
+        }
+        self.configure();
+    }
+}
+
+fn entry(address: net::SocketAddr, state: &str) -> String {
+    serde_json::json!({
+        "Service": "desk", "Address": address, "Zone": "z", "Version": "v1", "Slots": 6,
+        "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/soak/src/store.rs
@@ -0,0 +1,169 @@
+//! A stand-in of the platform's store: topics with keys, read by offset or by newest record.
+
+use std::cell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net;
+use std::rc;
+use std::time;
+
+use base64::Engine as _;
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+
+use crate::http;
+
+/// How the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should.
+    Up,
+    /// With 503.
+    Busy,
+    /// Not at all.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<Vec<u8>>,
+}
+
+/// The store.
+pub struct Store {
+    topics: cell::RefCell<BTreeMap<String, Topic>>,
+    mode: cell::Cell<Mode>,
+    appended: tokio::sync::Notify,
+}
+
+fn record(key: &str, value: &[u8]) -> Vec<u8> {
+    let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    record
+}
+
+impl Store {
+    /// Starts the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is taken.
+    pub async fn start(address: net::SocketAddr) -> io::Result<rc::Rc<Self>> {
+        let store = rc::Rc::new(Self {
+            topics: cell::RefCell::default(),
+            mode: cell::Cell::new(Mode::Up),
+            appended: tokio::sync::Notify::new(),
+        });
+        let serving = rc::Rc::clone(&store);
+        http::serve(address, move |request| {
+            let store = rc::Rc::clone(&serving);
+            async move { store.answer(request).await }
+        })
+        .await?;
+        Ok(store)
+    }
+
+    /// Changes how it answers.
+    pub fn set_mode(&self, mode: Mode) {
+        self.mode.set(mode);
+    }
+
+    /// Appends a record as the operator or a server would.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut topics = self.topics.borrow_mut();
+        topics.entry(topic.to_string()).or_default().records.push(record(key, value));
+        self.appended.notify_waiters();
+    }
+
+    async fn answer(&self, request: hyper::Request<Incoming>) -> http::Response {
+        match self.mode.get() {
+            Mode::Up => {}
+            Mode::Busy => return http::response(503, ""),
+            Mode::Silent => std::future::pending().await,
+        }
+        let topic = http::parameter(&request, "Topic").unwrap_or_default();
+        match request.uri().path() {
+            "/-/log-newest" => http::response(200, self.newest(&topic)),
+            "/-/log-read" => {
+                let from = http::parameter(&request, "Source").and_then(|it| it.parse().ok());
+                let wait = http::parameter(&request, "WaitMs").and_then(|it| it.parse().ok());
+                self.read(&topic, from.unwrap_or(0), wait.unwrap_or(0)).await
+            }
+            "/-/log-append" => {
+                let Ok(body) = request.into_body().collect().await else {
+                    return http::response(400, "");
+                };
+                self.append(&topic, &body.to_bytes());
+                http::response(200, "{}")
+            }
+            _ => http::response(404, ""),
+        }
+    }
+
+    fn append(&self, topic: &str, mut body: &[u8]) {
+        let mut topics = self.topics.borrow_mut();
+        let records = &mut topics.entry(topic.to_string()).or_default().records;
+        while let Some((length, rest)) = body.split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            let Some(content) = rest.get(..length) else { break };
+            records.push(content.to_vec());
+            body = &rest[length..];
+        }
+        self.appended.notify_waiters();
+    }
+
+    fn newest(&self, topic: &str) -> Bytes {
+        let topics = self.topics.borrow();
+        let empty = Topic::default();
+        let topic = topics.get(topic).unwrap_or(&empty);
+        let mut items = BTreeMap::new();
+        for (offset, record) in topic.records.iter().enumerate() {
+            let Some((length, rest)) = record.split_first() else { continue };
+            let (key, value) = rest.split_at(usize::from(*length).min(rest.len()));
+            items.insert(key.to_vec(), (offset, value.to_vec()));
+        }
+        let items: Vec<_> = items
+            .into_iter()
+            .filter(|(_, (_, value))| !value.is_empty())
+            .map(|(key, (offset, value))| {
+                serde_json::json!({
+                    "Key": String::from_utf8_lossy(&key),
+                    "Value": base64::prelude::BASE64_STANDARD.encode(value),
+                    "Offset": offset,
+                })
+            })
+            .collect();
+        let answer = serde_json::json!({
+            "items": items, "HasMore": false, "EndOffset": topic.records.len(),
+        });
+        Bytes::from(answer.to_string())
+    }
+
+    async fn read(&self, topic: &str, from: usize, wait_ms: u64) -> http::Response {
+        let until = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
+        loop {
+            let appended = self.appended.notified();
+            let body = self.records(topic, from);
+            let is_over = tokio::time::Instant::now() >= until;
+            if body.len() > 16 || is_over {
+                return http::response(200, body);
+            }
+            // Whether it was an append or the end of the wait, the records are looked at again.
+            let _ = tokio::time::timeout_at(until, appended).await;
+        }
+    }
+
+    fn records(&self, topic: &str, from: usize) -> Vec<u8> {
+        let topics = self.topics.borrow();
+        let records = topics.get(topic).map(|topic| topic.records.as_slice()).unwrap_or_default();
+        let mut body = (records.len() as u64).to_be_bytes().to_vec();
+        body.extend_from_slice(&0_u64.to_be_bytes());
+        for record in records.iter().skip(from) {
+            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+            body.extend_from_slice(record);
+        }
+        body
+    }
+}
--- /dev/null
+++ b/soak/tests/judge.rs
@@ -0,0 +1,75 @@
+//! Each check of the judge can fail.
+
+use soak::backend;
+use soak::judge::Got;
+use soak::judge::Judge;
+use soak::judge::Run;
+use soak::judge::Sent;
+
+fn sent(is_idempotent: bool) -> Sent {
+    Sent { is_idempotent, path: "/order/x".to_string(), workspace: "a".to_string() }
+}
+
+fn run() -> Run {
+    Run {
+        attempt: "1".to_string(),
+        server: "s".to_string(),
+        workspace: "a".to_string(),
+        path: "/order/x".to_string(),
+        has_key: false,
+    }
+}
+
+fn good() -> Got {
+    Got::Answer { status: 200, body: backend::body("s", "1") }
+}
+
+fn violations(runs: &[Run], got: Got) -> String {
+    let judge = Judge::default();
+    judge.note_sent("1", sent(false));
+    for run in runs {
+        judge.note_run(run.clone());
+    }
+    judge.note_answered("1");
+    judge.note_got("1", got);
+    judge.violations().join("\n")
+}
+
+#[test]
+fn a_sound_attempt_breaks_nothing() {
+    assert_eq!(violations(&[run()], good()), "");
+    assert_eq!(violations(&[], Got::Answer { status: 503, body: String::new() }), "");
+    assert_eq!(violations(&[run()], Got::Cut { is_planned: false }), "");
+}
+
+#[test]
+fn each_promise_that_is_broken_is_told() {
+    let cases = [
+        (vec![run(), run()], good(), "ran more than once"),
+        (vec![Run { has_key: true, ..run() }], good(), "passed its key on"),
+        (vec![Run { workspace: "b".to_string(), ..run() }], good(), "for another workspace"),
+        (vec![Run { path: "/x".to_string(), ..run() }], good(), "with another path"),
+        (vec![run()], Got::Answer { status: 503, body: String::new() }, "promised not to have run"),
+        (
+            vec![run()],
+            Got::Answer { status: 200, body: backend::body("s", "2") },
+            "an answer that no run of it gave",
+        ),
+        (vec![run()], Got::Cut { is_planned: true }, "was cut by planned work"),
+        (vec![Run { attempt: "2".to_string(), ..run() }], good(), "nobody sent"),
+    ];
+    for (runs, got, expected) in cases {
+        let told = violations(&runs, got);
+        assert!(told.contains(expected), "{expected}: {told}");
+    }
+}
+
+#[test]
+fn an_idempotent_attempt_may_run_twice() {
+    let judge = Judge::default();
+    judge.note_sent("1", sent(true));
+    judge.note_run(run());
+    judge.note_run(run());
+    judge.note_got("1", good());
+    assert!(judge.violations().is_empty());
+}
