Count what peers spent that started together; give late requests memory up to 75 %

A digest tells its sender's uptime; the record of past spending is read until it is there. Tests over sockets and the soak have loopback addresses of their own: free ports were taken by another test (one failure seen).

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -134,7 +134,7 @@
                 let status = head.status.as_u16();
                 let body = String::from_utf8_lossy(&body).into_owned();
                 self.judge.note_got(attempt, judge::Got::Answer { status, body });
-                !head.headers.get("connection").is_some_and(|value| value == "close")
+                head.headers.get("connection").is_none_or(|value| value != "close")
             }
             Ok(Err(_)) => {
                 let is_planned = !self.disturbances.is_disturbed(instance, sent);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -100,7 +100,9 @@
 }
 
 async fn play(options: &Options) -> Result<Report, RunError> {
-    let ip = [127, 20 + u8::try_from(options.seed % 200).unwrap_or(0), 7];
+    // Addresses of its own, so that runs beside each other do not meet.
+    let process = u8::try_from(std::process::id() % 250).unwrap_or(0);
+    let ip = [127, 20 + u8::try_from(options.seed % 200).unwrap_or(0), process];
     let store_address = net::SocketAddr::from(([ip[0], ip[1], ip[2], 2], 8_361));
     let folder = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), options.seed));
     let machine = |index: u64| {
@@ -249,7 +251,7 @@
             5 => self.disturb_server(server, proxy::Mode::Delay(span / 8), span),
             6 => self.disturb_server(server, proxy::Mode::Reset, span),
             7 => {
-                let silence = if span.as_millis() % 2 == 0 {
+                let silence = if span.as_millis().is_multiple_of(2) {
                     proxy::Mode::Silent
                 } else {
                     proxy::Mode::MuteAnswers
@@ -294,7 +296,11 @@
     }
 
     fn break_store(&self, span: time::Duration) {
-        let mode = if span.as_millis() % 2 == 0 { store::Mode::Busy } else { store::Mode::Silent };
+        let mode = if span.as_millis().is_multiple_of(2) {
+            store::Mode::Busy
+        } else {
+            store::Mode::Silent
+        };
         self.store.set_mode(mode);
         self.judge.excuse_bounds(span);
         let store = rc::Rc::clone(&self.store);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -374,8 +374,9 @@
             let peer = digest.from.name.clone();
             effects.push(Effect::Log(decision::Decision::PeerHeard { peer }));
         }
+        let uptime = Some(time::Duration::from_millis(digest.uptime_ms));
         for (workspace, spent) in &digest.spending {
-            self.quotas.heard(digest.from.incarnation, workspace, *spent, now);
+            self.quotas.heard(digest.from.incarnation, workspace, *spent, uptime, now);
         }
         for member in &digest.members {
             if member.incarnation != self.own.incarnation {
@@ -535,6 +536,7 @@
             servers_at: self.servers_at,
             reads_store: self.reads_store,
             work: work.collect(),
+            uptime_ms: waiting::millis(now),
             spending,
             members,
         }
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -123,7 +123,6 @@
             prefilled_at: None,
             may_have_run: false,
             has_failed_answer: false,
-            is_relaying: false,
             route,
         })
     }
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -219,7 +219,7 @@
         match message {
             message::Message::Digest(digest) => self.hear(&digest, now, effects),
             message::Message::Spent { holder, workspace, spent } => {
-                self.quotas.heard(holder, &workspace, spent, now);
+                self.quotas.heard(holder, &workspace, spent, None, now);
             }
             message::Message::Warn { server, finding } => match finding {
                 message::Finding::HandlesLapse => self.servers.pause_handover(&server, now),
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -104,7 +104,7 @@
 pub const OUTPUT_MEMORY_SHARE: f64 = 0.7;
 
 /// The share of an engine's memory beyond which no request is placed that is late already.
-pub const LATE_MEMORY_SHARE: f64 = 0.6;
+pub const LATE_MEMORY_SHARE: f64 = 0.75;
 
 /// How long a prefill server whose handles could not be taken is used for no hand-over.
 pub const HANDOVER_PAUSE: time::Duration = time::Duration::from_secs(3);
@@ -186,3 +186,6 @@
 
 /// The time in which a decode server takes the memory of a prompt over a link that is slow.
 pub const DECODE_START_MS: f64 = 100.0;
+
+/// The difference of uptimes up to which a peer counts as started together with this instance.
+pub const STARTED_TOGETHER: time::Duration = time::Duration::from_millis(3_000);
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -90,8 +90,6 @@
     pub may_have_run: bool,
     /// Whether a failed answer of a server is kept.
     pub has_failed_answer: bool,
-    /// Whether a part of the answer was passed on.
-    pub is_relaying: bool,
 }
 
 impl Live {
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -82,7 +82,6 @@
     ) {
         let Some(live) = self.requests.get_mut(&request) else { return };
         live.may_have_run = true;
-        live.is_relaying = live.route.is_stream;
         let read = servers::Load { requests: 0, memory_tokens: 0, ..at.load };
         if let live::Phase::AtServer(at) = &mut live.phase {
             at.is_started = true;
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -40,6 +40,8 @@
     pub reads_store: bool,
     /// The sender's work at servers.
     pub work: Vec<(ledger::Ticket, ledger::Places)>,
+    /// The time since the sender started.
+    pub uptime_ms: u64,
     /// What each workspace has spent at the sender since it started.
     pub spending: Vec<(String, f64)>,
     /// Other members the sender hears.
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -268,20 +268,29 @@
         !self.is_past_unknown
     }
 
-    /// Takes what a peer says of its spending.
-    pub fn heard(&mut self, peer: u64, workspace: &str, spent: f64, now: ids::Timestamp) {
+    /// Takes what a peer says of its spending; `uptime` is the time since the peer started, if told.
+    pub fn heard(
+        &mut self,
+        peer: u64,
+        workspace: &str,
+        spent: f64,
+        uptime: Option<time::Duration>,
+        now: ids::Timestamp,
+    ) {
         let Some((name, _)) = self.accounts.get_key_value(workspace) else { return };
         let name = sync::Arc::clone(name);
-        let known = self
-            .peers
-            .insert((peer, sync::Arc::clone(&name)), PeerSpending { spent, assumed: 0.0 });
-        let is_new_here = self.started.is_none_or(|at| now.saturating_sub(at) < self.window);
-        let counted = match known {
-            Some(known) => known.spent + known.assumed,
-            // What a peer spent before this instance started is part of the past that others tell.
-            None if is_new_here => spent,
-            None => 0.0,
+        let key = (peer, sync::Arc::clone(&name));
+        let counted = match (self.peers.get(&key), uptime) {
+            (Some(known), _) => known.spent + known.assumed,
+            (None, None) => return,
+            // What an older peer spent before this instance started is part of the past that others
+            // tell; what one spent that started with this instance is told by nobody else.
+            (None, Some(uptime)) if uptime > now + constants::STARTED_TOGETHER => {
+                if now < self.window { spent } else { 0.0 }
+            }
+            (None, Some(_)) => 0.0,
         };
+        self.peers.insert(key, PeerSpending { spent, assumed: 0.0 });
         if let Some(account) = self.accounts.get_mut(&name) {
             account.window.add(spent - counted, now + self.window);
             account.told.add((spent - counted).max(0.0), now + TOLD_WINDOW);
--- a/src/core/fleet/quota/tests.rs
+++ b/src/core/fleet/quota/tests.rs
@@ -74,10 +74,10 @@
 fn what_peers_spend_counts_here_and_refunds_come_back() {
     let mut quotas = fresh(true, 0);
     let name = sync::Arc::from("w");
-    quotas.heard(1, "w", 0.0, at(0));
-    quotas.heard(1, "w", ALLOWED, at(100));
+    quotas.heard(1, "w", 0.0, Some(WINDOW), at(0));
+    quotas.heard(1, "w", ALLOWED, Some(WINDOW), at(100));
     assert!(quotas.take(&name, 100.0, at(0), at(200)).is_err());
-    quotas.heard(1, "w", ALLOWED - 500.0, at(300));
+    quotas.heard(1, "w", ALLOWED - 500.0, Some(WINDOW), at(300));
     assert!(quotas.take(&name, 500.0, at(0), at(400)).is_ok());
     quotas.refund(&name, 500.0, at(500));
     assert!(quotas.take(&name, 500.0, at(0), at(600)).is_ok());
@@ -89,11 +89,11 @@
 fn a_silent_peer_is_assumed_to_spend_its_share_until_it_is_heard() {
     let mut quotas = fresh(true, 0);
     let name = sync::Arc::from("w");
-    quotas.heard(1, "w", 0.0, at(0));
+    quotas.heard(1, "w", 0.0, Some(WINDOW), at(0));
     quotas.assume_spending(1, 2, at(4_000), at(4_000));
     assert!(quotas.take(&name, ALLOWED - 2_000.0, at(0), at(4_000)).is_ok());
     assert!(quotas.take(&name, 100.0, at(0), at(4_000)).is_err());
-    quotas.heard(1, "w", 0.0, at(4_100));
+    quotas.heard(1, "w", 0.0, Some(WINDOW), at(4_100));
     assert!(quotas.take(&name, 2_000.0, at(0), at(4_200)).is_ok());
 }
 
@@ -101,9 +101,9 @@
 fn what_many_peers_have_not_told_yet_is_estimated() {
     let mut quotas = fresh(true, 0);
     let name = sync::Arc::from("w");
-    quotas.heard(1, "w", 0.0, at(0));
+    quotas.heard(1, "w", 0.0, Some(WINDOW), at(0));
     for step in 1..=8_u32 {
-        quotas.heard(1, "w", f64::from(step) * 500.0, at(u64::from(step) * 100));
+        quotas.heard(1, "w", f64::from(step) * 500.0, Some(WINDOW), at(u64::from(step) * 100));
     }
     assert!(quotas.take(&name, 4_500.0, at(500), at(800)).is_err(), "2,000 more may be spent");
     assert!(quotas.take(&name, 3_000.0, at(500), at(800)).is_ok());
@@ -120,3 +120,19 @@
     after.settle();
     assert!(after.take(&name, 100.0, at(0), at(200)).is_ok());
 }
+
+#[test]
+fn what_a_peer_spent_that_started_together_counts_when_it_is_first_heard() {
+    let name = sync::Arc::from("w");
+    let uptime = Some(at(900));
+    let mut together = fresh(false, 0);
+    together.learn_past(&[], 0, at(0));
+    together.settle();
+    together.heard(1, "w", ALLOWED, uptime, at(1_000));
+    assert!(together.take(&name, 100.0, at(0), at(1_100)).is_err());
+    let mut later = fresh(false, 0);
+    later.learn_past(&[], 0, at(0));
+    later.settle();
+    later.heard(1, "w", ALLOWED, Some(at(60_000)), at(1_000));
+    assert!(later.take(&name, 100.0, at(0), at(1_100)).is_ok(), "others told of the past");
+}
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -31,6 +31,9 @@
 const SPENDING_TOPIC: &str = "keyed.spending";
 const SPENDING_KEY: &str = "fleet";
 
+/// Tries to read past spending; after them the window has nearly passed.
+const PAST_TRIES: u32 = 10;
+
 /// How long a reading waits for a change of the configuration; a silent connection is noticed
 /// after it at the latest, and earlier through peers.
 const CONFIGURATION_WAIT: time::Duration = time::Duration::from_millis(3_000);
@@ -240,12 +243,7 @@
 /// Reads once what was spent before this instance started; writes it for the whole fleet.
 async fn keep_spending(address: net::SocketAddr, context: rc::Rc<context::Context>) {
     let mut store = store::Store::new(address);
-    if !context.read(|fleet| fleet.knows_past()) {
-        match store.newest(SPENDING_TOPIC).await {
-            Ok(records) => tell_past(&context, &records.records),
-            Err(failure) => log::warn!("past spending is not known: {failure}"),
-        }
-    }
+    read_past(&mut store, &context).await;
     let mut last = Vec::new();
     loop {
         tokio::time::sleep(constants::TOLD_EVERY).await;
@@ -271,6 +269,20 @@
     }
 }
 
+/// Reads what was spent before this instance started, while it matters.
+async fn read_past(store: &mut store::Store, context: &context::Context) {
+    for _ in 0..PAST_TRIES {
+        if context.read(|fleet| fleet.knows_past()) {
+            return;
+        }
+        match store.newest(SPENDING_TOPIC).await {
+            Ok(records) => return tell_past(context, &records.records),
+            Err(failure) => log::warn!("past spending is not known yet: {failure}"),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 fn tell_past(context: &context::Context, records: &[store::Record]) {
     let Some(value) = records.iter().find_map(|record| record.value.as_ref()) else { return };
     match serde_json::from_slice::<SpendingRecord>(value) {
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -361,7 +361,7 @@
         let health = self.backends[&dispatch.server].health;
         let unhealthy = match health {
             Health::Sound => None,
-            Health::Errs if request % 2 == 0 => None,
+            Health::Errs if request.is_multiple_of(2) => None,
             Health::Errs => {
                 let is_run = dispatch.step != fleet::Step::Prefill;
                 self.record(instance, request).runs += u32::from(is_run);
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::rc;
 use std::sync;
+use std::sync::atomic;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -116,14 +117,17 @@
     })
 }
 
-async fn free_address() -> net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    listener.local_addr().expect("an address")
+/// Returns a loopback address that no other instance of any test has.
+fn own_ip() -> net::Ipv4Addr {
+    static NEXT: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    net::Ipv4Addr::new(127, high | 0x80, low, NEXT.fetch_add(1, atomic::Ordering::Relaxed))
 }
 
 async fn start(addresses: &[net::SocketAddr]) -> (net::SocketAddr, rc::Rc<context::Context>) {
-    let callers = free_address().await;
-    let peer_address = free_address().await;
+    let ip = own_ip();
+    let callers = net::SocketAddr::from((ip, 8_360));
+    let peer_address = net::SocketAddr::from((ip, 7_500));
     let own = peers::Member {
         name: "instance".to_string(),
         incarnation: 1,
