Refuse at once what every server has rejected

A request that all servers of its service had rejected or could not be reached for was held until its time was over: the estimate of the wait counted the servers that it had tried. Seen as a test over sockets that took 6 s; a_request_that_every_server_rejected_is_refused_at_once failed before (held for 1 s of virtual time).

--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -186,6 +186,16 @@
             .filter(move |other| other.service == claim.service && other.order(now) <= order)
     }
 
+    /// Returns the servers that a claim may still use.
+    fn untried<'a>(
+        &'a self,
+        claim: &'a claim::Claim,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = &'a servers::Server> {
+        let usable = self.servers.of(&claim.service).filter(move |server| server.is_usable(now));
+        usable.filter(|server| !claim.tried.contains(&server.entry.id))
+    }
+
     /// Returns the time until the engines have read the prompts ahead and freed the memory that
     /// they need.
     fn engine_drain_ms(
@@ -201,7 +211,7 @@
             memory += f64::from(other.tokens.memory_tokens());
         }
         let (mut rate, mut capacity) = (0.0, 0.0);
-        for server in self.servers.of(&claim.service).filter(|server| server.is_usable(now)) {
+        for server in self.untried(claim, now) {
             rate += server.tokens_per_ms;
             if server.entry.stage != Some(servers::Stage::Prefill) {
                 capacity += f64::from(engine.memory_tokens);
@@ -214,7 +224,7 @@
     /// Returns the time until the plain servers have worked off the requests ahead.
     fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
-        for server in self.servers.of(&claim.service).filter(|server| server.is_usable(now)) {
+        for server in self.untried(claim, now) {
             slots += f64::from(server.entry.slots);
             work_ms = work_ms.max(server.work_ms);
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -162,6 +162,20 @@
     }
 }
 
+#[test]
+fn a_request_that_every_server_rejected_is_refused_at_once() {
+    let mut world = World::new(6, FAST_DIGESTS, &world::servers());
+    for index in 0..3 {
+        world.set_health(ms(0), &format!("desk-{index}"), Health::Full);
+    }
+    press(&mut world, "order", 6, 2, ms(2_000));
+    world.run(ms(4_000));
+    for record in world.records.values() {
+        let refused_at = record.refused_at.expect("no server takes it");
+        assert!(refused_at <= record.arrived + ms(50), "held until {refused_at:?}: {record:?}");
+    }
+}
+
 #[test]
 fn a_leaving_server_gets_nothing_after_it_is_listed() {
     let mut world = World::new(6, FAST_DIGESTS, &world::servers());
