Apply changed settings; one way to repeat what a server has had

A changed settings file was read and logged, but its bounds stayed as they were: retry budget and the window of limits follow it now (changed_settings_change_the_retry_budget). The repeats after a failed and after a broken answer share their rule.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -150,6 +150,13 @@
         /// The request's number.
         request: call::RequestNumber,
     },
+    /// The settings have other bounds.
+    Rebounded {
+        /// The bounds on retries.
+        retries: budget::RetryBounds,
+        /// The span over which limits hold.
+        quota_window: time::Duration,
+    },
     /// This instance leaves.
     Leaving,
     /// Time has passed.
@@ -300,6 +307,10 @@
             }
             Event::Left { request } => self.leave(request, now, &mut effects),
             Event::Expired { request } => self.expire(request, now, &mut effects),
+            Event::Rebounded { retries, quota_window } => {
+                self.budget.set_bounds(retries);
+                self.quotas.set_window(quota_window);
+            }
             Event::Leaving => self.is_leaving = true,
             Event::Ticked => self.tick(now, &mut effects),
         }
--- a/src/core/fleet/budget.rs
+++ b/src/core/fleet/budget.rs
@@ -40,6 +40,11 @@
         Self { bounds, windows: collections::Map::default() }
     }
 
+    /// Takes other bounds; what was counted stays.
+    pub fn set_bounds(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a request for a service.
     pub fn note_request(&mut self, service: &catalog::ServiceId, now: ids::Timestamp) {
         let length = self.bounds.window;
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -223,17 +223,48 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
+        if let Some(live) = self.requests.get_mut(&request) {
+            live.has_failed_answer = at.step != Step::Prefill;
+        }
+        if !self.retry_sent(request, at, now, effects) {
+            effects.push(Effect::Deliver { request });
+            self.end(request, now, effects);
+        }
+    }
+
+    fn retry_broken(
+        &mut self,
+        request: call::RequestNumber,
+        at: &live::AtServer,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.retry_sent(request, at, now, effects) {
+            let refusal = refusal::Refusal::new(refusal::Reason::OutcomeUnknown);
+            self.refuse(request, refusal, now, effects);
+        }
+    }
+
+    /// Repeats what a server has had, if that is allowed; only a run may not be repeated at will.
+    fn retry_sent(
+        &mut self,
+        request: call::RequestNumber,
+        at: &live::AtServer,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
         if at.step == Step::Prefill {
-            return self.retry_prefill(request, at, now, effects);
+            self.retry_prefill(request, at, now, effects);
+            return true;
         }
-        let Some(live) = self.requests.get_mut(&request) else { return };
-        live.may_have_run = true;
-        live.has_failed_answer = true;
-        if self.may_run_again(request, now) {
-            return self.retry_elsewhere(request, at, now, effects);
+        if let Some(live) = self.requests.get_mut(&request) {
+            live.may_have_run = true;
         }
-        effects.push(Effect::Deliver { request });
-        self.end(request, now, effects);
+        let may = self.may_run_again(request, now);
+        if may {
+            self.retry_elsewhere(request, at, now, effects);
+        }
+        may
     }
 
     fn retry_rejected(
@@ -297,25 +328,6 @@
         self.refuse_unserved(request, now, effects);
     }
 
-    fn retry_broken(
-        &mut self,
-        request: call::RequestNumber,
-        at: &live::AtServer,
-        now: ids::Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        if at.step == Step::Prefill {
-            return self.retry_prefill(request, at, now, effects);
-        }
-        let Some(live) = self.requests.get_mut(&request) else { return };
-        live.may_have_run = true;
-        if self.may_run_again(request, now) {
-            return self.retry_elsewhere(request, at, now, effects);
-        }
-        let refusal = refusal::Refusal::new(refusal::Reason::OutcomeUnknown);
-        self.refuse(request, refusal, now, effects);
-    }
-
     fn may_run_again(&mut self, request: call::RequestNumber, now: ids::Timestamp) -> bool {
         let Some(live) = self.requests.get(&request) else { return false };
         let has_time = live.expires > now + LEAST_TIME_FOR_RETRY;
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Takes another span; what was spent leaves after the old one.
+    pub fn set_window(&mut self, window: time::Duration) {
+        self.window = window;
+    }
+
     /// Notes that most peers have been heard.
     pub fn settle(&mut self) {
         self.is_settled = true;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -70,7 +70,8 @@
     let dialect = rc::Rc::new(headers::PlatformDialect);
     let context = router::serve(options, dialect, rc::Rc::new(recorder)).await?;
     watch::start(&node, rc::Rc::clone(&context));
-    tokio::task::spawn_local(settings::follow(path.to_path_buf()));
+    let following = settings::follow(path.to_path_buf(), rc::Rc::clone(&context));
+    tokio::task::spawn_local(following);
     stop::wait(context, grace).await
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::path;
+use std::rc;
 use std::time;
 
 use tokio::signal::unix;
@@ -10,6 +11,7 @@
 use crate::core::fleet::budget;
 use crate::core::fleet::peers;
 use crate::router;
+use crate::router::context;
 
 /// How often the file is read to find changes that no signal tells.
 const REREAD: time::Duration = time::Duration::from_secs(3);
@@ -109,7 +111,7 @@
 }
 
 /// Reads the settings again when a signal or the file's content tells of a change.
-pub async fn follow(path: path::PathBuf) {
+pub async fn follow(path: path::PathBuf, context: rc::Rc<context::Context>) {
     let mut hangup = match unix::signal(unix::SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(failure) => {
@@ -124,6 +126,10 @@
         match read(&path) {
             Ok(node) if known.as_ref() != Some(&node) => {
                 log::info!("settings changed; addresses stay until the next start");
+                context.apply(fleet::Event::Rebounded {
+                    retries: node.bounds.retries(),
+                    quota_window: node.bounds.quota_window(),
+                });
                 known = Some(node);
             }
             Ok(_) => {}
@@ -132,6 +138,20 @@
     }
 }
 
+impl Bounds {
+    fn quota_window(&self) -> time::Duration {
+        time::Duration::from_secs_f64(self.quota_window_s)
+    }
+
+    fn retries(&self) -> budget::RetryBounds {
+        budget::RetryBounds {
+            ratio: self.retry_budget_ratio,
+            slack: self.budget_slack,
+            window: time::Duration::from_secs_f64(self.retry_window_s),
+        }
+    }
+}
+
 impl Node {
     /// Returns the product's options.
     ///
@@ -173,12 +193,8 @@
                 own,
                 domain: self.zone.clone(),
                 is_first_start: self.bootstrap,
-                quota_window: time::Duration::from_secs_f64(self.bounds.quota_window_s),
-                retries: budget::RetryBounds {
-                    ratio: self.bounds.retry_budget_ratio,
-                    slack: self.bounds.budget_slack,
-                    window: time::Duration::from_secs_f64(self.bounds.retry_window_s),
-                },
+                quota_window: self.bounds.quota_window(),
+                retries: self.bounds.retries(),
             },
             callers: listen.frontend,
             discovery,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use galenayard::core::fleet;
+use galenayard::core::fleet::budget;
 use galenayard::core::fleet::refusal;
 use galenayard::core::fleet::servers;
 use proptest::prelude::*;
@@ -162,6 +164,21 @@
     }
 }
 
+#[test]
+fn changed_settings_change_the_retry_budget() {
+    let mut world = World::new(6, FAST_DIGESTS, &world::servers());
+    let retries = budget::RetryBounds { ratio: 0.0, slack: 0.0, window: ms(10_000) };
+    world.tell_all(&fleet::Event::Rebounded { retries, quota_window: ms(8_000) });
+    world.set_health(ms(0), "desk-0", Health::Full);
+    press(&mut world, "order", 6, 60, ms(2_000));
+    world.run(ms(4_000));
+    let refused = world
+        .records
+        .values()
+        .filter(|record| record.refused.is_some_and(|it| it.reason == refusal::Reason::NoRetry));
+    assert!(refused.count() > 0, "a rejected request is not tried again");
+}
+
 #[test]
 fn a_request_that_every_server_rejected_is_refused_at_once() {
     let mut world = World::new(6, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -223,6 +223,13 @@
         self.schedule(after, Action::Arrive { instance, host, tokens });
     }
 
+    /// Tells every instance of something.
+    pub fn tell_all(&mut self, event: &fleet::Event) {
+        for index in 0..self.instances.len() {
+            self.apply(index, event.clone());
+        }
+    }
+
     pub fn kill(&mut self, after: Duration, instance: usize) {
         self.schedule(after, Action::Kill { instance });
     }
