--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -17,7 +17,7 @@
 use crate::judge;
 
 /// How long a caller waits for an answer.
-const PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
 /// The pause between two requests of a caller.
 const PAUSE: time::Duration = time::Duration::from_millis(60);
@@ -108,7 +108,7 @@
         let request = hyper::Request::post(kind.path)
             .header("host", "soak.example")
             .header("attempt-id", attempt)
-            .header("deadline-ms", PATIENCE.as_millis().to_string())
+            .header("deadline-ms", ANSWER_TIMEOUT.as_millis().to_string())
             .header("authorization", format!("Bearer {}", kind.key))
             .body(Full::new(Bytes::from_static(b"order")));
         let Ok(request) = request else { return false };
@@ -129,7 +129,7 @@
             let body = body.collect().await?.to_bytes();
             Ok::<_, hyper::Error>((head, body))
         };
-        match tokio::time::timeout(PATIENCE, exchange).await {
+        match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
             Ok(Ok((head, body))) => {
                 let status = head.status.as_u16();
                 let body = String::from_utf8_lossy(&body).into_owned();
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use bytes::Bytes;
-use rand::RngExt as _;
 use rand::SeedableRng as _;
 
 use crate::core::collections;
@@ -24,6 +23,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod servers;
+pub mod view;
 
 mod admission;
 mod broker;
@@ -64,7 +64,7 @@
     /// The time that is left for the answer.
     pub left: time::Duration,
     /// The time after which a silent server is given up, if the step may be repeated.
-    pub patience: Option<time::Duration>,
+    pub silence_timeout: Option<time::Duration>,
 }
 
 /// How a request at a server went on or ended.
@@ -438,151 +438,6 @@
             self.quotas.settle();
         }
     }
-
-    /// Returns the version in force; 0 if none is known.
-    pub fn version(&self) -> u64 {
-        self.catalog.as_ref().map_or(0, |catalog| catalog.content.version)
-    }
-
-    /// Returns the configuration in force.
-    pub fn catalog(&self) -> Option<&sync::Arc<catalog::Catalog>> {
-        self.catalog.as_ref()
-    }
-
-    /// Returns all server entries.
-    pub fn server_entries(&self) -> Vec<servers::Entry> {
-        self.servers.entries()
-    }
-
-    /// Returns whether callers may be sent to this instance.
-    pub fn is_ready(&self) -> bool {
-        self.catalog.is_some() && !self.is_leaving
-    }
-
-    /// Returns how many requests are under way.
-    pub fn request_count(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Returns how many requests wait for a server.
-    pub fn waiting_count(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Returns the peer with a newer configuration than this instance's.
-    pub fn newer_peer(&self, now: ids::Timestamp) -> Option<net::SocketAddr> {
-        let (version, peer) = self.peers.newest_version(now)?;
-        (version > self.version()).then_some(peer)
-    }
-
-    /// Returns the position of the last change of the list of servers.
-    pub fn servers_at(&self) -> ids::Offset {
-        self.servers_at
-    }
-
-    /// Returns the peer whose list of servers has a newer change than this instance's.
-    pub fn peer_with_newer_servers(&self, now: ids::Timestamp) -> Option<net::SocketAddr> {
-        let (offset, peer) = self.peers.newest_servers(now)?;
-        (offset > self.servers_at).then_some(peer)
-    }
-
-    /// Returns whether this instance should read the store itself: some do for all, and everyone
-    /// does who does not hear of them.
-    pub fn should_read_store(&self, now: ids::Timestamp) -> bool {
-        self.peers.readers_before(self.own.caller_address, now) < constants::STORE_READERS
-    }
-
-    /// Notes whether this instance reads the store, for its peers.
-    pub fn set_reads_store(&mut self, reads_store: bool) {
-        self.reads_store = reads_store;
-    }
-
-    /// Returns where the live peers are reached, in a random order.
-    pub fn live_peers(&mut self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
-        let mut peers: Vec<_> = self.peers.live(now).map(|member| member.peer_address).collect();
-        let turn = self.rng.random_range(0..peers.len().max(1));
-        peers.rotate_left(turn);
-        peers
-    }
-
-    /// Returns where all peers are reached, the silent ones too.
-    pub fn known_peers(&self) -> Vec<net::SocketAddr> {
-        self.peers.known().map(|member| member.peer_address).collect()
-    }
-
-    /// Returns where callers may connect: the ready instances that were heard lately, the largest
-    /// first where they are too many for one answer.
-    pub fn caller_addresses(&self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
-        let own = Some(&self.own).filter(|_| self.is_ready());
-        let mut members: Vec<_> =
-            self.peers.live(now).filter(|member| member.is_ready).chain(own).collect();
-        members.sort_by(|one, other| {
-            let by_size = other.capacity_cores.total_cmp(&one.capacity_cores);
-            by_size.then(one.caller_address.cmp(&other.caller_address))
-        });
-        members.truncate(constants::ADDRESSES_AT_MOST);
-        members.into_iter().map(|member| member.caller_address).collect()
-    }
-
-    /// Returns what peers are told now.
-    pub fn digest(&mut self, now: ids::Timestamp, with_members: bool) -> peers::Digest {
-        self.sequence += 1;
-        let mut from = self.own.clone();
-        from.is_ready = self.is_ready();
-        let spending =
-            self.quotas.own().into_iter().map(|(name, spent)| (name.to_string(), spent)).collect();
-        let members = if with_members { self.sample_members(now) } else { Vec::new() };
-        let work = self.requests.iter().filter_map(|(request, live)| {
-            let ticket = ledger::Ticket {
-                holder: self.own.incarnation,
-                request: *request,
-                attempt: live.attempt,
-            };
-            Some((ticket, live.places()?))
-        });
-        peers::Digest {
-            from,
-            sequence: self.sequence,
-            version: self.version(),
-            servers_at: self.servers_at,
-            reads_store: self.reads_store,
-            work: work.collect(),
-            uptime_ms: waiting::millis(now),
-            spending,
-            members,
-        }
-    }
-
-    /// Returns some live members, so that digests stay short in a large fleet.
-    fn sample_members(&mut self, now: ids::Timestamp) -> Vec<peers::Member> {
-        let mut members: Vec<_> = self.peers.live(now).cloned().collect();
-        let turn = self.rng.random_range(0..members.len().max(1));
-        members.rotate_left(turn);
-        members.truncate(constants::MEMBERS_TOLD);
-        members
-    }
-
-    /// Returns whether it is known what was spent before this instance started.
-    pub fn knows_past(&self) -> bool {
-        self.quotas.knows_past()
-    }
-
-    /// Returns what the whole fleet has spent within the window.
-    pub fn spending(&mut self, now: ids::Timestamp) -> Vec<quota::Spending> {
-        self.quotas.spending(now)
-    }
-
-    /// Returns whether this instance writes for the whole fleet: the first of those that live.
-    pub fn is_first(&self, now: ids::Timestamp) -> bool {
-        self.peers.live(now).all(|member| member.caller_address > self.own.caller_address)
-    }
-
-    /// Returns this instance as it is announced in the store.
-    pub fn announcement(&self) -> peers::Member {
-        let mut own = self.own.clone();
-        own.is_ready = true;
-        own
-    }
 }
 
 /// Returns the text of a name for a log line.
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -94,11 +94,11 @@
         };
         let service =
             self.choose_service(&route).ok_or_else(|| refuse(refusal::Reason::NoRoute))?;
-        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        let charge = self.charge(call, workspace.as_deref(), patience, now)?;
-        let expires = now + patience.saturating_sub(constants::ANSWER_MARGIN);
+        let time_allowed = call.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let charge = self.charge(call, workspace.as_deref(), time_allowed, now)?;
+        let expires = now + time_allowed.saturating_sub(constants::ANSWER_MARGIN);
         let begin_by =
-            if route.is_stream { expires.min(now + route.event_patience) } else { expires };
+            if route.is_stream { expires.min(now + route.first_event_timeout) } else { expires };
         let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
         Ok(live::Live {
             call: call.clone(),
@@ -131,7 +131,7 @@
         &mut self,
         call: &call::Call,
         workspace: Option<&catalog::Workspace>,
-        patience: time::Duration,
+        time_allowed: time::Duration,
         now: ids::Timestamp,
     ) -> Result<f64, (refusal::Refusal, Option<String>)> {
         let Some(workspace) = workspace else { return Ok(0.0) };
@@ -145,7 +145,7 @@
         let digest_age = constants::DIGEST_AGE_PER_MEMBER.saturating_mul(members);
         let digest_age = digest_age.min(constants::DIGEST_AGE_AT_MOST);
         self.quotas.take(&workspace.name, charge, digest_age, now).map_err(|wait| {
-            let wait = self.spread(wait).min(patience / 3);
+            let wait = self.spread(wait).min(time_allowed / 3);
             let reason = refusal::Reason::OverLimit;
             let name = workspace.name.to_string();
             let spending = self.quotas.view(&workspace.name, charge);
--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -53,7 +53,7 @@
     /// The key, if one was shown.
     pub key: Option<Bytes>,
     /// How long the caller waits.
-    pub patience: Option<time::Duration>,
+    pub deadline: Option<time::Duration>,
     /// The tokens, if it names them.
     pub tokens: Option<Tokens>,
 }
--- a/src/core/fleet/catalog.rs
+++ b/src/core/fleet/catalog.rs
@@ -39,7 +39,7 @@
     /// The time within which the answer, or its first event, is wanted.
     pub objective: time::Duration,
     /// How long a caller waits for the first event of a stream, or for the next one.
-    pub event_patience: time::Duration,
+    pub first_event_timeout: time::Duration,
     /// The rank, 0 first.
     pub priority: u8,
     /// The services it may go to, with weights.
--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -30,7 +30,7 @@
 
 impl Claim {
     /// Returns its place in the order of waiting: requests that can still meet their objective go
-    /// first, by rank and objective; late ones follow by the end of their callers' patience.
+    /// first, by rank and objective; late ones follow by the time at which their callers leave.
     pub fn order(&self, now: ids::Timestamp) -> (bool, u8, ids::Timestamp) {
         let is_late = self.is_late(now);
         (is_late, self.priority, if is_late { self.begin_by } else { self.objective_at })
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -179,10 +179,10 @@
 pub const TOLD_EVERY: time::Duration = time::Duration::from_millis(500);
 
 /// How many times the expected time a server may take for a step that can be repeated elsewhere.
-pub const PATIENCE_TIMES: f64 = 3.0;
+pub const SILENCE_TIMES: f64 = 3.0;
 
 /// What such a server is given beyond that: a busy instance and a slow link are no reason to repeat.
-pub const PATIENCE_MS: f64 = 300.0;
+pub const SILENCE_MS: f64 = 300.0;
 
 /// The time in which a decode server takes the memory of a prompt over a link that is slow.
 pub const DECODE_START_MS: f64 = 100.0;
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -354,12 +354,12 @@
         }));
         let may_repeat = step == fleet::Step::Prefill
             || (live.is_idempotent() && live.arrivals < live.route.attempts);
-        let patience_ms = expected_ms * constants::PATIENCE_TIMES + constants::PATIENCE_MS;
-        let patience = time::Duration::from_secs_f64(patience_ms / 1_000.0);
+        let silence_ms = expected_ms * constants::SILENCE_TIMES + constants::SILENCE_MS;
+        let silence_timeout = time::Duration::from_secs_f64(silence_ms / 1_000.0);
         let dispatch = fleet::Dispatch {
             server: server.clone(),
             address: known.entry.address,
-            patience: may_repeat.then_some(patience),
+            silence_timeout: may_repeat.then_some(silence_timeout),
             step,
             workspace: live.workspace.as_ref().map(|workspace| sync::Arc::clone(&workspace.name)),
             left: live.expires.saturating_sub(now),
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -99,9 +99,9 @@
 
 /// Callers abandon a stream after a gap of this length, of so many objectives, or of so many longest
 /// pauses, whichever is longest.
-const LEAST_PATIENCE_MS: f64 = 2_000.0;
-const PATIENCE_OBJECTIVES: f64 = 4.0;
-const PATIENCE_GAPS: f64 = 8.0;
+const LEAST_GAP_MS: f64 = 2_000.0;
+const GAP_OBJECTIVES: f64 = 4.0;
+const GAP_PAUSES: f64 = 8.0;
 
 /// Reads a configuration.
 ///
@@ -137,8 +137,8 @@
         services.push((service.into(), 1));
     }
     let objective_ms = read.target_latency_ms.unwrap_or(read.timeout_ms);
-    let gap_ms = read.gap_aim_ms.unwrap_or(0.0) * PATIENCE_GAPS;
-    let patience_ms = LEAST_PATIENCE_MS.max(objective_ms * PATIENCE_OBJECTIVES).max(gap_ms);
+    let gap_ms = read.gap_aim_ms.unwrap_or(0.0) * GAP_PAUSES;
+    let silence_ms = LEAST_GAP_MS.max(objective_ms * GAP_OBJECTIVES).max(gap_ms);
     catalog::Route {
         name: read.name,
         host: read.host.to_ascii_lowercase(),
@@ -147,7 +147,7 @@
         repeat: if may_repeat { catalog::Repeat::Idempotent } else { catalog::Repeat::Once },
         timeout: millis(read.timeout_ms),
         objective: millis(objective_ms),
-        event_patience: millis(patience_ms),
+        first_event_timeout: millis(silence_ms),
         priority: read.priority,
         services,
         attempts: read.attempts.unwrap_or(1),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -92,7 +92,7 @@
         let id = text(ATTEMPT_ID).ok_or(refusal::Reason::Malformed)?;
         let host = text("host").or_else(|| head.uri.host()).ok_or(refusal::Reason::Malformed)?;
         let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
-        let patience = text(DEADLINE).and_then(|text| text.trim().parse::<f64>().ok());
+        let deadline = text(DEADLINE).and_then(|text| text.trim().parse::<f64>().ok());
         let key = text("authorization").and_then(|value| {
             let (scheme, key) = value.split_once(' ')?;
             scheme.eq_ignore_ascii_case("bearer").then(|| Bytes::from(key.trim().to_string()))
@@ -102,7 +102,7 @@
             host,
             path: head.uri.path().to_string(),
             key,
-            patience: patience
+            deadline: deadline
                 .filter(|ms| ms.is_finite() && *ms >= 0.0)
                 .map(|ms| time::Duration::from_secs_f64((ms / 1_000.0).min(86_400.0))),
             tokens: text(TOKEN_COUNT).and_then(|count| tokens(count, text(LENGTH_HINT))),
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -168,10 +168,13 @@
     /// Sends the request to a server; `None` if its time is over first.
     async fn attempt(&mut self, dispatch: &fleet::Dispatch) -> Option<Answer> {
         let left = self.left();
-        let patience = dispatch.patience.filter(|patience| *patience < left);
-        match tokio::time::timeout(patience.unwrap_or(left), self.exchange(dispatch, left)).await {
+        let silence_timeout =
+            dispatch.silence_timeout.filter(|silence_timeout| *silence_timeout < left);
+        match tokio::time::timeout(silence_timeout.unwrap_or(left), self.exchange(dispatch, left))
+            .await
+        {
             Ok(answer) => Some(answer),
-            Err(_) => patience.map(|_| Answer::Outcome(fleet::Outcome::Silent)),
+            Err(_) => silence_timeout.map(|_| Answer::Outcome(fleet::Outcome::Silent)),
         }
     }
 
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -121,7 +121,7 @@
         repeat,
         timeout: Duration::from_millis(timeout),
         objective: Duration::from_millis(objective),
-        event_patience: Duration::from_millis(3_600),
+        first_event_timeout: Duration::from_millis(3_600),
         priority: 1,
         services: vec![(service.into(), 1)],
         attempts: 2,
@@ -302,7 +302,7 @@
             host: host.to_string(),
             path: "/x".to_string(),
             key: None,
-            patience: None,
+            deadline: None,
             tokens,
         };
         self.apply(instance, fleet::Event::Arrived { request, call });
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -70,7 +70,7 @@
         repeat,
         timeout: Duration::from_secs(5),
         objective: Duration::from_secs(1),
-        event_patience: Duration::from_secs(5),
+        first_event_timeout: Duration::from_secs(5),
         priority: 1,
         services: vec![("service".into(), 1)],
         attempts: 2,
