Read a newer configuration from the store, not all from one peer

Instances that do not read the store fetched it from the peer with the highest version, all from the same one: some 66 times 0.3 MB over a link of 10 to 200 Mbit/s, given up after 0.8 s each time. Now an instance that hears of a newer version reads it from the store first; after 0.6 s it asks a peer drawn among all that have it, with a timeout of 1.5 s. Test: a_newer_configuration_is_not_asked_of_one_peer_by_all.

--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -142,13 +142,17 @@
         self.peers.values().map(|peer| &peer.member)
     }
 
-    /// Returns the highest configuration version of a live peer, and the peer.
-    pub fn newest_version(&self, now: ids::Timestamp) -> Option<(u64, net::SocketAddr)> {
+    /// Returns the live peers with a configuration newer than `version`.
+    pub fn newer_than(
+        &self,
+        version: u64,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = net::SocketAddr> {
         self.peers
             .values()
-            .filter(|peer| peer.is_heard_within(constants::PEER_SILENCE, now))
-            .map(|peer| (peer.version, peer.member.peer_address))
-            .max_by_key(|(version, _)| *version)
+            .filter(move |peer| peer.version > version)
+            .filter(move |peer| peer.is_heard_within(constants::PEER_SILENCE, now))
+            .map(|peer| peer.member.peer_address)
     }
 
     /// Returns the live reader of the store whose list of servers has the newest change.
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -46,10 +46,12 @@
         self.waiting.len()
     }
 
-    /// Returns the peer with a newer configuration than this instance's.
-    pub fn newer_peer(&self, now: ids::Timestamp) -> Option<net::SocketAddr> {
-        let (version, peer) = self.peers.newest_version(now)?;
-        (version > self.version()).then_some(peer)
+    /// Returns a peer with a newer configuration than this instance's, drawn so that not all
+    /// instances ask the same one.
+    pub fn newer_peer(&mut self, now: ids::Timestamp) -> Option<net::SocketAddr> {
+        let newer: Vec<_> = self.peers.newer_than(self.version(), now).collect();
+        let index = self.rng.random_range(0..newer.len().max(1));
+        newer.get(index).copied()
     }
 
     /// Returns the position of the last change of the list of servers.
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -115,7 +115,10 @@
 async fn follow_configuration(address: net::SocketAddr, context: rc::Rc<context::Context>) {
     let mut follower = Follower::new(address, OPERATOR_TOPIC);
     loop {
-        leave_to_others(&context).await;
+        await_turn(&context, |fleet, now| {
+            fleet.should_read_store(now) || fleet.newer_peer(now).is_some()
+        })
+        .await;
         let Some(reading) = follower.read(CONFIGURATION_WAIT).await else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
@@ -168,14 +171,28 @@
 
 /// Waits while enough peers read the store for all; returns whether it waited.
 async fn leave_to_others(context: &context::Context) -> bool {
+    let has_waited = await_turn(context, |fleet, now| {
+        let is_reader = fleet.should_read_store(now);
+        if !is_reader {
+            fleet.set_reads_store(false);
+        }
+        is_reader
+    });
+    has_waited.await
+}
+
+/// Waits until `is_turn` says so; returns whether it waited.
+async fn await_turn<F>(context: &context::Context, mut is_turn: F) -> bool
+where
+    F: FnMut(&mut fleet::Fleet, ids::Timestamp) -> bool,
+{
     let mut has_waited = false;
     loop {
         let now = context.now();
-        if context.read(|fleet| fleet.should_read_store(now)) {
+        if context.read(|fleet| is_turn(fleet, now)) {
             return has_waited;
         }
         has_waited = true;
-        context.read(|fleet| fleet.set_reads_store(false));
         tokio::time::sleep(READER_CHECK).await;
     }
 }
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -24,8 +24,12 @@
 /// Age of a peer's last reading of the store beyond which it tells of no removals.
 const STALE: time::Duration = time::Duration::from_millis(1_600);
 
-/// The longest time that a peer's answer may take.
-const TIMEOUT: time::Duration = time::Duration::from_millis(800);
+/// The time in which a newer configuration is left to the store: its link carries a large one to all
+/// instances at once, a peer's does not.
+const STORE_FIRST: time::Duration = time::Duration::from_millis(600);
+
+/// The longest time that a peer's answer may take: a large configuration over a slow link.
+const TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
 /// What an instance has read from the store.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
@@ -75,11 +79,16 @@
 
 /// Asks peers that know of newer changes of the configuration or of servers.
 pub async fn follow(context: rc::Rc<context::Context>) {
+    let mut outdated_since = None;
     loop {
         tokio::time::sleep(CHECK).await;
         let now = context.now();
-        let peer = context
-            .read(|fleet| fleet.newer_peer(now).or_else(|| fleet.peer_with_newer_servers(now)));
+        let newer = context.read(|fleet| fleet.newer_peer(now));
+        if newer.is_none() {
+            outdated_since = None;
+        }
+        let newer = newer.filter(|_| now >= *outdated_since.get_or_insert(now) + STORE_FIRST);
+        let peer = newer.or_else(|| context.read(|fleet| fleet.peer_with_newer_servers(now)));
         let Some(peer) = peer else { continue };
         match tokio::time::timeout(TIMEOUT, ask(peer)).await {
             Ok(Ok(reading)) => take(&context, reading),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -164,6 +164,19 @@
     }
 }
 
+#[test]
+fn a_newer_configuration_is_not_asked_of_one_peer_by_all() {
+    let mut world = World::new(40, SLOW_DIGESTS, &world::servers());
+    world.configure(&[0, 1, 2], 2);
+    world.run(ms(1_200));
+    let asked: Vec<_> = (3..40).filter_map(|index| world.newer_peer(index)).collect();
+    assert_eq!(asked.len(), 37, "every other instance has heard of it");
+    for peer in 0..3 {
+        let share = asked.iter().filter(|asked| **asked == world::address(1_000 + peer)).count();
+        assert!((4..=25).contains(&share), "{share} of 37 ask instance {peer}");
+    }
+}
+
 #[test]
 fn changed_settings_change_the_retry_budget() {
     let mut world = World::new(6, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -223,6 +223,21 @@
         self.schedule(after, Action::Arrive { instance, host, tokens });
     }
 
+    /// Gives some instances another version of the configuration.
+    pub fn configure(&mut self, instances: &[usize], version: u64) {
+        let content = catalog::Content { version, ..configuration().content };
+        let catalog = sync::Arc::new(catalog::Catalog::new(content));
+        for index in instances {
+            self.apply(*index, fleet::Event::Configured(sync::Arc::clone(&catalog)));
+        }
+    }
+
+    /// Returns the peer that an instance would ask for a newer configuration.
+    pub fn newer_peer(&mut self, instance: usize) -> Option<net::SocketAddr> {
+        let now = self.now;
+        self.instances[instance].as_mut()?.newer_peer(now)
+    }
+
     /// Tells every instance of something.
     pub fn tell_all(&mut self, event: &fleet::Event) {
         for index in 0..self.instances.len() {
