Remove two views that nothing reads

live_peers lost its reader when a newer configuration came to be asked of a peer drawn among those that have it; waiting_count never had one.

--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -41,11 +41,6 @@
         self.requests.len()
     }
 
-    /// Returns how many requests wait for a server.
-    pub fn waiting_count(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Returns a peer with a newer configuration than this instance's, drawn so that not all
     /// instances ask the same one.
     pub fn newer_peer(&mut self, now: ids::Timestamp) -> Option<net::SocketAddr> {
@@ -76,14 +71,6 @@
         self.reads_store = reads_store;
     }
 
-    /// Returns where the live peers are reached, in a random order.
-    pub fn live_peers(&mut self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
-        let mut peers: Vec<_> = self.peers.live(now).map(|member| member.peer_address).collect();
-        let turn = self.rng.random_range(0..peers.len().max(1));
-        peers.rotate_left(turn);
-        peers
-    }
-
     /// Returns where all peers are reached, the silent ones too.
     pub fn known_peers(&self) -> Vec<net::SocketAddr> {
         self.peers.known().map(|member| member.peer_address).collect()
