Count a complete listing up to its last change, not to the position after it

Cause: a complete listing ends at the position of the next record; a server that it lacked was noted as changed there. A server that came back at that position was not taken in again at all. Ruled out by the trace: slow digests and slow peers; the three readers had listed the leaving server within 0.5 s, no other instance until 4 s later, all at once with the next change. Two tests of the fleet fail without this.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -108,7 +108,7 @@
     Listed {
         /// The changes, in order.
         listings: Vec<servers::Listing>,
-        /// All names and the position of a complete listing.
+        /// All names of a complete listing, and where it ends: the position of the next change.
         complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
         /// Whether the store could not be read just before.
         is_after_outage: bool,
@@ -353,10 +353,11 @@
                 changed = changed.max(Some(offset));
             }
         }
-        if let Some((listed, offset)) = complete {
-            for server in self.servers.retain_listed(&listed, offset, is_after_outage, now) {
+        if let Some((listed, end)) = complete {
+            let last = end.saturating_sub(1);
+            for server in self.servers.retain_listed(&listed, last, is_after_outage, now) {
                 effects.push(Effect::Log(decision::Decision::server_gone(&server)));
-                changed = changed.max(Some(offset));
+                changed = changed.max(Some(last));
             }
         }
         changed
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -204,21 +204,22 @@
         }
     }
 
-    /// Removes what a complete listing, which ends at `offset`, does not name, and returns it.
+    /// Removes what a complete listing, whose last change is at `last`, does not name, and returns
+    /// it.
     pub fn retain_listed(
         &mut self,
         listed: &collections::Set<ids::ServerId>,
-        offset: ids::Offset,
+        last: ids::Offset,
         is_after_outage: bool,
         now: ids::Timestamp,
     ) -> Vec<ids::ServerId> {
         let mut missing: Vec<_> = self
             .servers
             .iter()
-            .filter(|(id, server)| !listed.contains(*id) && server.entry.offset < offset)
+            .filter(|(id, server)| !listed.contains(*id) && server.entry.offset <= last)
             .map(|(id, _)| id.clone())
             .collect();
-        missing.retain(|id| self.remove(id, offset, is_after_outage, now));
+        missing.retain(|id| self.remove(id, last, is_after_outage, now));
         missing
     }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -225,6 +225,32 @@
     assert_eq!(broken.count(), 0);
 }
 
+#[test]
+fn the_first_change_after_a_complete_listing_is_told_to_peers() {
+    let all = world::servers();
+    let mut world = World::new(2, FAST_DIGESTS, &all);
+    // A complete listing, read after old records were deleted, lacks a server; it ends before 5.
+    world.read_list(0, &all[1..], 5);
+    world.read_list(1, &all[1..], 5);
+    let mut leaving = all[1].clone();
+    leaving.is_draining = true;
+    leaving.offset = 5;
+    world.list_at(0, servers::Listing::Present(leaving));
+    world.run(SLOW_DIGESTS);
+    assert_eq!(world.peer_with_newer_servers(1), Some(world::address(1_000)));
+}
+
+#[test]
+fn a_server_that_returns_right_after_a_complete_listing_is_used_again() {
+    let all = world::servers();
+    let mut world = World::new(1, FAST_DIGESTS, &all);
+    world.read_list(0, &all[1..], 5);
+    let mut returned = all[0].clone();
+    returned.offset = 5;
+    world.list_at(0, servers::Listing::Present(returned));
+    assert!(world.knows_server(0, "llm-0"));
+}
+
 #[test]
 fn an_order_whose_outcome_is_unknown_is_not_sent_again() {
     let mut world = World::new(6, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -16,6 +16,7 @@
 use galenayard::core::fleet::peers;
 use galenayard::core::fleet::refusal;
 use galenayard::core::fleet::servers;
+use galenayard::core::ids;
 
 /// One way between two instances.
 const LATENCY: Duration = Duration::from_millis(2);
@@ -238,6 +239,36 @@
         self.instances[instance].as_mut()?.newer_peer(now)
     }
 
+    /// Returns the peer that an instance would ask for newer servers.
+    pub fn peer_with_newer_servers(&self, instance: usize) -> Option<net::SocketAddr> {
+        self.instances[instance].as_ref()?.peer_with_newer_servers(self.now)
+    }
+
+    /// Lets an instance read the store's list of servers, which ends before `end`.
+    pub fn read_list(&mut self, instance: usize, entries: &[servers::Entry], end: ids::Offset) {
+        if let Some(fleet) = self.instances[instance].as_mut() {
+            fleet.set_reads_store(true);
+        }
+        let names = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listings = entries.iter().cloned().map(servers::Listing::Present).collect();
+        let complete = Some((names, end));
+        let event =
+            fleet::Event::Listed { listings, complete, is_after_outage: false, told_at: None };
+        self.apply(instance, event);
+    }
+
+    /// Gives an instance one change of the list of servers.
+    pub fn list_at(&mut self, instance: usize, listing: servers::Listing) {
+        self.apply(instance, listed(vec![listing]));
+    }
+
+    /// Returns whether an instance knows a server.
+    pub fn knows_server(&self, instance: usize, name: &str) -> bool {
+        let name = Bytes::from(name.to_string());
+        let entries = self.instances[instance].as_ref().map(fleet::Fleet::server_entries);
+        entries.unwrap_or_default().iter().any(|entry| entry.id == name)
+    }
+
     /// Tells every instance of something.
     pub fn tell_all(&mut self, event: &fleet::Event) {
         for index in 0..self.instances.len() {
