--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -15,6 +15,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod constants;
+pub mod coordination;
 pub mod decision;
 pub mod ledger;
 pub mod message;
@@ -27,6 +28,7 @@
 
 mod admission;
 mod broker;
+mod limits;
 mod live;
 mod outcomes;
 mod waiting;
@@ -112,7 +114,7 @@
         complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
         /// Whether the store could not be read just before.
         is_after_outage: bool,
-        /// The position of the teller's last change, if a peer tells.
+        /// The position after the teller's last change, if a peer tells.
         told_at: Option<ids::Offset>,
     },
     /// A peer has spoken.
@@ -205,6 +207,8 @@
     },
     /// Tell peers of changed load.
     Publish,
+    /// Tell peers at once of a change that all should know.
+    Announce,
     /// Tell one peer something.
     Tell {
         /// Where it is reached.
@@ -229,6 +233,8 @@
     pub quota_window: time::Duration,
     /// The bounds on retries.
     pub retries: budget::RetryBounds,
+    /// Peers that are known before any was heard.
+    pub seeds: Vec<net::SocketAddr>,
     /// Seeds the choices that spread load.
     pub seed: u64,
 }
@@ -247,8 +253,12 @@
     waiting: Vec<call::RequestNumber>,
     claims: collections::Map<ledger::Ticket, broker::RemoteClaim>,
     grants: collections::Map<ledger::Ticket, (placement::Place, u64)>,
+    charged: collections::Map<ledger::Ticket, (message::Charged, ids::Timestamp)>,
     ledger: ledger::Ledger,
     servers_at: ids::Offset,
+    seeds: Vec<net::SocketAddr>,
+    coordinates: bool,
+    has_been_ordinary: bool,
     reads_store: bool,
     sequence: u64,
     last_tick: ids::Timestamp,
@@ -272,8 +282,12 @@
             waiting: Vec::new(),
             claims: collections::Map::default(),
             grants: collections::Map::default(),
+            charged: collections::Map::default(),
             ledger: ledger::Ledger::default(),
             servers_at: 0,
+            seeds: options.seeds,
+            coordinates: false,
+            has_been_ordinary: false,
             reads_store: false,
             sequence: 0,
             last_tick: ids::Timestamp::ZERO,
@@ -311,7 +325,11 @@
                 self.budget.set_bounds(retries);
                 self.quotas.set_window(quota_window);
             }
-            Event::Leaving => self.is_leaving = true,
+            Event::Leaving => {
+                self.is_leaving = true;
+                self.coordinate(now, &mut effects);
+                effects.push(Effect::Announce);
+            }
             Event::Ticked => self.tick(now, &mut effects),
         }
         effects
@@ -332,10 +350,10 @@
         self.catalog = Some(catalog);
         self.learn_past(now, effects);
         effects.push(Effect::Log(decision::Decision::Configured { version, previous }));
-        effects.push(Effect::Publish);
+        effects.push(Effect::Announce);
     }
 
-    /// Takes what was listed; returns the position of the last change.
+    /// Takes what was listed; returns the position after the last change.
     fn list(
         &mut self,
         listings: Vec<servers::Listing>,
@@ -350,14 +368,14 @@
             let offset = listing.offset();
             if self.servers.apply(listing, is_after_outage, now) {
                 effects.push(Effect::Log(told));
-                changed = changed.max(Some(offset));
+                changed = changed.max(Some(offset + 1));
             }
         }
         if let Some((listed, end)) = complete {
             let last = end.saturating_sub(1);
             for server in self.servers.retain_listed(&listed, last, is_after_outage, now) {
                 effects.push(Effect::Log(decision::Decision::server_gone(&server)));
-                changed = changed.max(Some(last));
+                changed = changed.max(Some(end));
             }
         }
         changed
@@ -369,34 +387,11 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(offset) = changed {
-            self.servers_at = self.servers_at.max(offset);
+        if let Some(position) = changed {
+            self.servers_at = self.servers_at.max(position);
             self.ledger.recount(&mut self.servers);
-            effects.push(Effect::Publish);
-        }
-        self.pump(now, effects);
-    }
-
-    fn hear(&mut self, digest: &peers::Digest, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        if digest.from.incarnation == self.own.incarnation {
-            return;
-        }
-        let Some(heard) = self.peers.hear(digest, now) else { return };
-        if heard.is_first || heard.is_back {
-            let peer = digest.from.name.clone();
-            effects.push(Effect::Log(decision::Decision::PeerHeard { peer }));
+            effects.push(Effect::Announce);
         }
-        let uptime = Some(time::Duration::from_millis(digest.uptime_ms));
-        for (workspace, spent) in &digest.spending {
-            self.quotas.heard(digest.from.incarnation, workspace, *spent, uptime, now);
-        }
-        for member in &digest.members {
-            if member.incarnation != self.own.incarnation {
-                self.peers.introduce(member, now);
-            }
-        }
-        let holder = digest.from.incarnation;
-        self.ledger.reconcile(holder, &digest.work, &mut self.servers, now);
         self.pump(now, effects);
     }
 
@@ -414,10 +409,8 @@
     fn tick(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let step = now.saturating_sub(self.last_tick);
         self.last_tick = now;
-        let members = self.peers.members(now);
-        for (peer, silence) in self.peers.silent(now) {
-            self.quotas.assume_spending(peer, members, step.min(silence), now);
-        }
+        self.coordinate(now, effects);
+        self.assume_spending(step, now);
         for server in self.servers.expire(now) {
             effects.push(Effect::Log(decision::Decision::server_gone(&server)));
         }
@@ -426,19 +419,11 @@
         }
         self.settle(now);
         self.forget_gone(now);
+        self.chase_charges(now, effects);
         self.chase_asks(now, effects);
         self.drop_hopeless(now, effects);
         self.pump(now, effects);
     }
-
-    fn settle(&mut self, now: ids::Timestamp) {
-        let known = self.peers.known().count() as f64;
-        let live = self.peers.live(now).count() as f64;
-        let is_heard = known > 0.0 && live >= known * constants::SETTLED_PEERS;
-        if is_heard || now >= constants::SETTLING {
-            self.quotas.settle();
-        }
-    }
 }
 
 /// Returns the text of a name for a log line.
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -3,8 +3,6 @@
 //! Load pattern: one workspace sends many times its rate; its requests are refused before they take
 //! a place from others.
 
-use std::time;
-
 use rand::RngExt as _;
 
 use crate::core::fleet;
@@ -16,7 +14,6 @@
 use crate::core::fleet::constants;
 use crate::core::fleet::decision;
 use crate::core::fleet::live;
-use crate::core::fleet::message;
 use crate::core::fleet::refusal;
 use crate::core::fleet::waiting;
 use crate::core::ids;
@@ -30,13 +27,10 @@
         effects: &mut Vec<Effect>,
     ) {
         let live = match self.admit(&call, now) {
-            Ok(live) => {
-                self.tell_spending(&live, now, effects);
-                live
-            }
-            Err((refusal, workspace)) => {
+            Ok(live) => live,
+            Err(refusal) => {
                 let id = fleet::text(&call.id);
-                self.log_refusal(&id, refusal, workspace, None, now, effects);
+                self.log_refusal(&id, refusal, None, None, now, effects);
                 effects.push(Effect::Refuse { request, refusal });
                 return;
             }
@@ -47,38 +41,34 @@
             is_resumable: live.route.is_stream && live.is_idempotent(),
             is_stream: live.route.is_stream,
         });
-        self.budget.note_request(&live.claim.service, now);
         self.requests.insert(request, live);
-        self.seek_place(request, now, effects);
+        self.seek_charge(request, now, effects);
     }
 
-    /// Tells all peers of large spending near a limit, where digests are far apart.
-    fn tell_spending(&self, live: &live::Live, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let Some(workspace) = &live.workspace else { return };
-        let is_brokered = self.peers.members(now) >= constants::BROKERED_MEMBERS;
-        let urgent = self.quotas.urgent_spending(&workspace.name, live.charge);
-        let Some(spent) = urgent.filter(|_| is_brokered) else { return };
-        for peer in self.peers.live(now) {
-            let message = message::Message::Spent {
-                holder: self.own.incarnation,
-                workspace: workspace.name.to_string(),
-                spent,
-            };
-            effects.push(Effect::Tell { to: peer.peer_address, message });
-        }
+    /// Goes on with a request that its workspace's limit allows.
+    pub(super) fn begin(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get_mut(&request) else { return };
+        live.phase = live::Phase::Waiting;
+        self.budget.note_request(&live.claim.service, now);
+        self.seek_place(request, now, effects);
     }
 
-    /// Checks key, route and limit.
+    /// Checks key and route.
     fn admit(
         &mut self,
         call: &call::Call,
         now: ids::Timestamp,
-    ) -> Result<live::Live, (refusal::Refusal, Option<String>)> {
-        let refuse = |reason| (refusal::Refusal::new(reason), None);
+    ) -> Result<live::Live, refusal::Refusal> {
+        let refuse = refusal::Refusal::new;
         let Some(catalog) = self.catalog.clone() else {
             let wait = self.spread(constants::RETRY_AFTER_LEAST);
             let reason = refusal::Reason::Unconfigured;
-            return Err((refusal::Refusal::retry_after(reason, wait), None));
+            return Err(refusal::Refusal::retry_after(reason, wait));
         };
         let route = catalog
             .route(&call.host, &call.path)
@@ -95,7 +85,6 @@
         let service =
             self.choose_service(&route).ok_or_else(|| refuse(refusal::Reason::NoRoute))?;
         let time_allowed = call.deadline.unwrap_or(route.timeout).min(route.timeout);
-        let charge = self.charge(call, workspace.as_deref(), time_allowed, now)?;
         let expires = now + time_allowed.saturating_sub(constants::ANSWER_MARGIN);
         let begin_by =
             if route.is_stream { expires.min(now + route.first_event_timeout) } else { expires };
@@ -113,7 +102,7 @@
                 domain: self.domain.clone(),
             },
             workspace,
-            charge,
+            charge: 0.0,
             arrived: now,
             expires,
             phase: live::Phase::Waiting,
@@ -127,36 +116,6 @@
         })
     }
 
-    fn charge(
-        &mut self,
-        call: &call::Call,
-        workspace: Option<&catalog::Workspace>,
-        time_allowed: time::Duration,
-        now: ids::Timestamp,
-    ) -> Result<f64, (refusal::Refusal, Option<String>)> {
-        let Some(workspace) = workspace else { return Ok(0.0) };
-        let Some(limit) = workspace.limit else { return Ok(0.0) };
-        let charge = match (limit.counts_tokens, call.tokens) {
-            (false, _) => 1.0,
-            (true, None) => limit.plain_tokens,
-            (true, Some(tokens)) => f64::from(tokens.total_tokens()),
-        };
-        let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
-        let digest_age = constants::DIGEST_AGE_PER_MEMBER.saturating_mul(members);
-        let digest_age = digest_age.min(constants::DIGEST_AGE_AT_MOST);
-        self.quotas.take(&workspace.name, charge, digest_age, now).map_err(|wait| {
-            let wait = self.spread(wait).min(time_allowed / 3);
-            let reason = refusal::Reason::OverLimit;
-            let name = workspace.name.to_string();
-            let spending = self.quotas.view(&workspace.name, charge);
-            (
-                refusal::Refusal { spending, ..refusal::Refusal::retry_after(reason, wait) },
-                Some(name),
-            )
-        })?;
-        Ok(charge)
-    }
-
     fn choose_service(&mut self, route: &catalog::Route) -> Option<catalog::ServiceId> {
         let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
         let mut draw = self.rng.random_range(0..total.max(1));
@@ -202,10 +161,8 @@
         if let live::Phase::AtServer(at) = &live.phase {
             self.free(at);
         }
-        if let Some(workspace) = &live.workspace
-            && !live.may_have_run
-        {
-            self.quotas.refund(&workspace.name, live.charge, now);
+        if !live.may_have_run {
+            self.give_back(&live, now, effects);
         }
         Some(live)
     }
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -4,21 +4,17 @@
 //! Load pattern: each of many instances sees a request a second, and all choose the same server
 //! before they hear of each other.
 
-use std::hash;
-use std::hash::Hasher as _;
 use std::time;
 
 use crate::core::fleet;
 use crate::core::fleet::Effect;
 use crate::core::fleet::Fleet;
 use crate::core::fleet::call;
-use crate::core::fleet::catalog;
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
 use crate::core::fleet::message;
-use crate::core::fleet::peers;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
@@ -35,22 +31,6 @@
 }
 
 impl Fleet {
-    /// Returns the owner of a service: the same at all instances that hear the same members.
-    fn owner(&self, service: &catalog::ServiceId, now: ids::Timestamp) -> Option<&peers::Member> {
-        let own = Some(&self.own).filter(|_| self.is_ready());
-        let members: Vec<_> =
-            self.peers.live(now).filter(|member| member.is_ready).chain(own).collect();
-        let most = members.iter().map(|member| member.capacity_cores).fold(0.0, f64::max);
-        members
-            .into_iter()
-            .filter(|member| member.capacity_cores >= most * constants::OWNER_CAPACITY_SHARE)
-            .max_by_key(|member| {
-                let mut hasher = rustc_hash::FxHasher::default();
-                hash::Hash::hash(&(service, member.incarnation), &mut hasher);
-                hasher.finish()
-            })
-    }
-
     /// Asks the owner of the request's service for a place; `false` if this instance decides.
     pub(super) fn ask_owner(
         &mut self,
@@ -58,7 +38,7 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        if self.peers.members(now) < constants::BROKERED_MEMBERS {
+        if !self.is_coordinated(now) {
             return false;
         }
         let Some(live) = self.requests.get(&request) else { return false };
@@ -75,10 +55,6 @@
         true
     }
 
-    fn ticket(&self, request: call::RequestNumber, attempt: u32) -> ledger::Ticket {
-        ledger::Ticket { holder: self.own.incarnation, request, attempt }
-    }
-
     fn tell_ask(
         &self,
         request: call::RequestNumber,
@@ -194,7 +170,7 @@
         effects.push(Effect::Tell { to, message });
     }
 
-    /// Tells all peers what was found out about a server.
+    /// Tells those who place requests what was found out about a server.
     pub(super) fn warn(
         &self,
         server: &ids::ServerId,
@@ -202,9 +178,9 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        for peer in self.peers.live(now) {
+        for to in self.listeners(now) {
             let message = message::Message::Warn { server: server.clone(), finding };
-            effects.push(Effect::Tell { to: peer.peer_address, message });
+            effects.push(Effect::Tell { to, message });
         }
     }
 
@@ -218,15 +194,19 @@
     ) {
         match message {
             message::Message::Digest(digest) => self.hear(&digest, now, effects),
-            message::Message::Spent { holder, workspace, spent } => {
-                self.quotas.heard(holder, &workspace, spent, None, now);
+            message::Message::Sightings(sightings) => self.sight(&sightings, true, now),
+            message::Message::Charge(charge) => self.charge_asked(from, &charge, now, effects),
+            message::Message::Charged(answer) => self.charge_answered(answer, now, effects),
+            message::Message::Spent { holder, workspace, tally } => {
+                self.quotas.heard_of(holder, &workspace, tally, now);
             }
             message::Message::Warn { server, finding } => match finding {
                 message::Finding::HandlesLapse => self.servers.pause_handover(&server, now),
                 message::Finding::Fails => self.servers.suspect(&server),
             },
             message::Message::Ask(ask) => self.asked(from, ask, now, effects),
-            message::Message::Grant { ticket, place, expected_ms } => {
+            message::Message::Grant { ticket, place, expected_ms, entries } => {
+                self.list_granted(entries, now, effects);
                 self.granted(from, ticket, place, expected_ms, now, effects);
             }
             message::Message::Queue { ticket } => self.queued(ticket, now),
@@ -293,8 +273,7 @@
     ) {
         let ticket = ask.ticket;
         if let Some((place, expected_ms)) = self.grants.get(&ticket).cloned() {
-            let message = message::Message::Grant { ticket, place, expected_ms };
-            effects.push(Effect::Tell { to: from, message });
+            self.tell_grant(from, ticket, place, expected_ms, now, effects);
             return;
         }
         let engine = self.catalog.as_ref().and_then(|catalog| catalog.engine(&ask.service));
@@ -331,11 +310,43 @@
         self.ledger.enter(ticket, places, &mut self.servers, now);
         let expected_ms = expected_ms as u64;
         self.grants.insert(ticket, (place.clone(), expected_ms));
-        let message = message::Message::Grant { ticket, place, expected_ms };
-        effects.push(Effect::Tell { to, message });
+        self.tell_grant(to, ticket, place, expected_ms, now, effects);
         true
     }
 
+    fn tell_grant(
+        &self,
+        to: std::net::SocketAddr,
+        ticket: ledger::Ticket,
+        place: placement::Place,
+        expected_ms: u64,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let servers = place.servers().filter_map(|server| self.servers.get(server));
+        let new = servers.filter(|server| server.is_new(now));
+        let entries = new.map(|server| server.entry.clone()).collect();
+        let message = message::Message::Grant { ticket, place, expected_ms, entries };
+        effects.push(Effect::Tell { to, message });
+    }
+
+    /// Takes servers of which the store's listing has not reached this instance yet.
+    fn list_granted(
+        &mut self,
+        entries: Vec<servers::Entry>,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for entry in entries {
+            let listing = servers::Listing::Present(entry);
+            let told = fleet::decision::Decision::listed(&listing);
+            let is_after_outage = false;
+            if self.servers.apply(listing, is_after_outage, now) {
+                effects.push(Effect::Log(told));
+            }
+        }
+    }
+
     /// Declines a claim of another instance whose time cannot suffice.
     pub(super) fn decline(
         &mut self,
@@ -399,8 +410,7 @@
 
     /// Forgets the claims and grants of instances that are gone.
     pub(super) fn forget_gone(&mut self, now: ids::Timestamp) {
-        let live: crate::core::collections::Set<_> =
-            self.peers.live(now).map(|member| member.incarnation).collect();
+        let live = self.live_holders(now);
         self.claims.retain(|ticket, _| live.contains(&ticket.holder));
         self.ledger.retain_holders(|holder| live.contains(&holder), &mut self.servers, now);
         let ledger = &self.ledger;
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -16,12 +16,29 @@
 /// promise is that a live server is back within 2 s.
 pub const LAPSED_ENTRY_GRACE: time::Duration = time::Duration::from_secs(2);
 
-/// Members from which on places are granted by one owner for each service. In smaller fleets each
+/// Members from which on coordinators grant places and count limits. In smaller fleets each
 /// instance hears of all work within some 20 ms and decides itself.
-pub const BROKERED_MEMBERS: usize = 16;
+pub const COORDINATED_MEMBERS: usize = 16;
 
-/// Owners have at least this share of the processor time of the largest instance.
-pub const OWNER_CAPACITY_SHARE: f64 = 0.5;
+/// Instances that coordinate and read the store for all: two may be lost at once.
+pub const COORDINATORS: usize = 3;
+
+/// Instances that may read the store while no coordinator can: a store that turns away a third of
+/// the machines turns away all of them once in 20,000 times.
+pub const RESERVE_READERS: usize = 9;
+
+/// Silence after which a peer no longer coordinates, longer than three of its digests.
+pub const COORDINATOR_SILENCE: time::Duration = time::Duration::from_millis(1_200);
+
+/// How long a member counts as live after a coordinator last told that it hears it, unless one tells
+/// that it does not: every member is told of within half of that in a fleet of 360.
+pub const SIGHTING_FOR: time::Duration = time::Duration::from_secs(20);
+
+/// How long coordinators tell of a change in every digest: several digests, as some are lost.
+pub const NEWS_FOR: time::Duration = time::Duration::from_secs(2);
+
+/// Changed members that one digest names at most, so that it stays a short datagram.
+pub const NEWS_TOLD: usize = 32;
 
 /// How long an owner may take to answer before an instance decides itself: a tenth of the shortest
 /// objectives, and many round trips.
@@ -30,12 +47,6 @@
 /// How long an owner may not confirm that a request waits there.
 pub const QUEUED_SILENCE: time::Duration = time::Duration::from_millis(900);
 
-/// Live peers that read the store before an instance leaves it to them.
-pub const STORE_READERS: usize = 3;
-
-/// Silence after which a peer no longer counts as a reader of the store.
-pub const READER_SILENCE: time::Duration = time::Duration::from_millis(1_200);
-
 /// The share of the fleet's retry budget that an instance spends; the rest covers retries of
 /// instances that ended within the window.
 pub const RETRY_SHARE: f64 = 0.7;
@@ -147,22 +158,16 @@
 /// between two tokens, so that more prompts slow down every stream there.
 pub const DECODE_READERS: u32 = 1;
 
-/// Members that one digest names.
-pub const MEMBERS_TOLD: usize = 2;
+/// Unchanged members that one digest names.
+pub const MEMBERS_TOLD: usize = 6;
+
+/// Members that one message to a newcomer names.
+pub const MEMBERS_TOLD_AT_ONCE: usize = 32;
 
 /// Addresses in one answer to callers: they read no more.
 pub const ADDRESSES_AT_MOST: usize = 64;
 
-/// The share of a limit from which on peers hear of spending at once.
-pub const NEAR_LIMIT_SHARE: f64 = 0.4;
-
-/// The share of a limit below which spending is left to the digests.
-pub const LARGE_SPENDING_SHARE: f64 = 0.002;
-
-/// The longest age of spending that is estimated: what is large is told at once.
-pub const DIGEST_AGE_AT_MOST: time::Duration = time::Duration::from_millis(100);
-
-/// The time between digests of a peer, for each member of the fleet; see `router::gossip`.
+/// The time between digests of a peer, for each member of a small fleet; see `router::gossip`.
 pub const DIGEST_AGE_PER_MEMBER: time::Duration = time::Duration::from_millis(8);
 
 /// How long an instance that starts waits for most peers before it hands out what is left of a
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -1,5 +1,7 @@
 //! Lines about decisions: what was decided, from which inputs, and how old they were.
 
+use std::net;
+
 use crate::core::fleet;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
@@ -59,6 +61,22 @@
         /// The time since it was asked.
         waited_ms: u64,
     },
+    /// The coordinator that counts the limits did not answer; another one decides.
+    KeeperSilent {
+        /// The caller's id of the request.
+        request: String,
+        /// Where it is reached.
+        keeper: Option<net::SocketAddr>,
+        /// The time since it was asked.
+        waited_ms: u64,
+    },
+    /// This instance begins or ends to coordinate the fleet.
+    Coordinates {
+        /// Whether it does now.
+        coordinates: bool,
+        /// The coordinators that go before it.
+        before: usize,
+    },
     /// A request is sent to a server.
     Sent {
         /// The caller's id of the request.
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -46,9 +46,24 @@
     pub heard: Option<ids::Timestamp>,
 }
 
+/// A question to the coordinator that counts the limits.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Charging {
+    /// What the request spends.
+    pub amount: f64,
+    /// The coordinators that were asked, the last one last.
+    pub keepers: Vec<net::SocketAddr>,
+    /// When the last one was asked first.
+    pub since: ids::Timestamp,
+    /// When it was asked last.
+    pub asked: ids::Timestamp,
+}
+
 /// Where a request is.
 #[derive(Debug, Clone)]
 pub enum Phase {
+    /// Its charge is not taken from the limit yet.
+    Charging(Charging),
     /// It waits for a server.
     Waiting,
     /// The owner of its service is asked for a place.
@@ -70,7 +85,7 @@
     pub claim: claim::Claim,
     /// The workspace it runs for.
     pub workspace: Option<sync::Arc<catalog::Workspace>>,
-    /// What was taken from the workspace's bucket.
+    /// What was taken from the workspace's limit.
     pub charge: f64,
     /// When it arrived.
     pub arrived: ids::Timestamp,
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -5,6 +5,8 @@
 use crate::core::fleet::ledger;
 use crate::core::fleet::peers;
 use crate::core::fleet::placement;
+use crate::core::fleet::quota;
+use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -29,6 +31,30 @@
     pub domain: String,
 }
 
+/// A question whether a workspace's limit has room, to the coordinator that counts it.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Charge {
+    /// What the answer refers to.
+    pub ticket: ledger::Ticket,
+    /// The workspace.
+    pub workspace: String,
+    /// What it has spent at the sender since that started.
+    pub before: quota::Tally,
+    /// What the request spends.
+    pub amount: f64,
+}
+
+/// The answer to a charge.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Charged {
+    /// The ticket of the charge.
+    pub ticket: ledger::Ticket,
+    /// The time until the limit has room; `None` if the charge was taken.
+    pub wait_ms: Option<u64>,
+    /// What was compared.
+    pub spending: Option<refusal::SpendingView>,
+}
+
 /// How a request went at its place.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -67,14 +93,20 @@
 pub enum Message {
     /// What all peers are told.
     Digest(peers::Digest),
-    /// A workspace has spent a large part of its limit.
+    /// Some members that a coordinator hears, for a newcomer.
+    Sightings(Vec<peers::Sighting>),
+    /// A charge is asked for.
+    Charge(Charge),
+    /// A charge was taken or not.
+    Charged(Charged),
+    /// A request gave back its charge.
     Spent {
         /// The instance at which it has.
         holder: ids::Incarnation,
         /// The workspace.
         workspace: String,
         /// What it has spent there since the instance started.
-        spent: f64,
+        tally: quota::Tally,
     },
     /// A server is in trouble.
     Warn {
@@ -93,6 +125,8 @@
         place: placement::Place,
         /// The expected time to the first event or whole answer.
         expected_ms: u64,
+        /// The entries of its servers that were listed just now.
+        entries: Vec<servers::Entry>,
     },
     /// The ask waits at its owner.
     Queue {
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -1,11 +1,15 @@
-//! The other instances: who is live, and what they have told last.
+//! The other instances: who lives, who coordinates, and what they have told last.
+//!
+//! In a large fleet an instance hears only the coordinators itself; they tell it of the others.
 
+use std::cmp;
 use std::net;
 use std::time;
 
 use crate::core::collections;
 use crate::core::fleet::constants;
 use crate::core::fleet::ledger;
+use crate::core::fleet::quota::tally;
 use crate::core::ids;
 
 /// An instance of the fleet.
@@ -23,6 +27,32 @@
     pub is_ready: bool,
     /// The processor time that it has, in cores.
     pub capacity_cores: f64,
+    /// When its process started, in milliseconds of Unix time.
+    pub started_unix_ms: u64,
+}
+
+impl Member {
+    /// Returns whether it coordinates rather than `other`: the largest instances go first, and of
+    /// these the ones that have run longest, so that one that returns displaces nobody.
+    pub fn precedes(&self, other: &Self) -> bool {
+        self.rank().cmp(&other.rank()).then_with(|| {
+            let by_start = self.started_unix_ms.cmp(&other.started_unix_ms);
+            by_start.then(self.caller_address.cmp(&other.caller_address))
+        }) == cmp::Ordering::Less
+    }
+
+    fn rank(&self) -> cmp::Reverse<u64> {
+        cmp::Reverse((self.capacity_cores * 1_000.0) as u64)
+    }
+}
+
+/// A member that a coordinator hears.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Sighting {
+    /// The member.
+    pub member: Member,
+    /// The time since the coordinator heard it.
+    pub age_ms: u64,
 }
 
 /// What an instance tells its peers.
@@ -34,28 +64,47 @@
     pub sequence: u64,
     /// The configuration version in force at the sender.
     pub version: u64,
-    /// Counts the changes of the sender's list of servers, by the position of the last one.
+    /// The position after the last change of the sender's list of servers.
     pub servers_at: ids::Offset,
-    /// Whether the sender reads the store itself.
+    /// Whether the sender coordinates.
+    pub coordinates: bool,
+    /// Whether the sender could read the store when it tried last.
     pub reads_store: bool,
-    /// The sender's work at servers.
-    pub work: Vec<(ledger::Ticket, ledger::Places)>,
     /// The time since the sender started.
     pub uptime_ms: u64,
-    /// What each workspace has spent at the sender since it started.
-    pub spending: Vec<(String, f64)>,
-    /// Other members the sender hears.
-    pub members: Vec<Member>,
+    /// The sender's work and spending, for those who count them.
+    pub account: Option<Account>,
+    /// Some other members that the sender hears.
+    pub sightings: Vec<Sighting>,
+    /// Members that the sender hears no more.
+    pub lost: Vec<ids::Incarnation>,
+}
+
+/// What an instance answers for.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Account {
+    /// Its work at servers.
+    pub work: Vec<(ledger::Ticket, ledger::Places)>,
+    /// What workspaces have spent there.
+    pub spending: Vec<tally::Report>,
 }
 
 #[derive(Debug, Clone)]
 struct Peer {
     member: Member,
+    /// When it spoke last.
     heard: Option<ids::Timestamp>,
+    /// When a coordinator heard it last.
+    sighted: Option<ids::Timestamp>,
+    /// When a coordinator said last that it hears it no more.
+    lost: Option<ids::Timestamp>,
     added: ids::Timestamp,
+    /// When something about it changed that all should know.
+    changed: ids::Timestamp,
     sequence: u64,
     version: u64,
     servers_at: ids::Offset,
+    coordinates: bool,
     reads_store: bool,
 }
 
@@ -81,10 +130,14 @@
         self.peers.entry(member.incarnation).or_insert_with(|| Peer {
             member: member.clone(),
             heard: None,
+            sighted: None,
+            lost: None,
             added: now,
+            changed: now,
             sequence: 0,
             version: 0,
             servers_at: 0,
+            coordinates: false,
             reads_store: false,
         });
     }
@@ -98,28 +151,66 @@
         }
         let is_back = peer.heard.is_some_and(|at| now.saturating_sub(at) > constants::PEER_SILENCE);
         let is_first = peer.heard.is_none();
+        if is_first || is_back || peer.member.is_ready != digest.from.is_ready {
+            peer.changed = now;
+        }
         peer.heard = Some(now);
         peer.sequence = digest.sequence;
         peer.version = digest.version;
         peer.member = digest.from.clone();
         peer.servers_at = digest.servers_at;
+        peer.coordinates = digest.coordinates;
         peer.reads_store = digest.reads_store;
         if is_first {
-            let incarnation = digest.from.incarnation;
-            let address = digest.from.peer_address;
-            self.peers
-                .retain(|known, peer| *known == incarnation || peer.member.peer_address != address);
+            self.replace_older(digest.from.incarnation, digest.from.peer_address);
         }
         Some(Heard { is_first, is_back })
     }
 
+    /// Takes a coordinator's word that it hears a member.
+    pub fn sight(&mut self, sighting: &Sighting, now: ids::Timestamp) {
+        self.introduce(&sighting.member, now);
+        let Some(peer) = self.peers.get_mut(&sighting.member.incarnation) else { return };
+        let at = now.saturating_sub(time::Duration::from_millis(sighting.age_ms));
+        if peer.sighted.is_some_and(|sighted| sighted >= at) {
+            return;
+        }
+        let is_first = peer.sighted.replace(at).is_none();
+        if peer.heard.is_none_or(|heard| heard < at) {
+            peer.member = sighting.member.clone();
+        }
+        if is_first {
+            let address = sighting.member.peer_address;
+            self.replace_older(sighting.member.incarnation, address);
+        }
+    }
+
+    /// Forgets older incarnations at an address, the one that started last stays.
+    fn replace_older(&mut self, incarnation: ids::Incarnation, address: net::SocketAddr) {
+        let Some(started) = self.peers.get(&incarnation).map(|it| it.member.started_unix_ms) else {
+            return;
+        };
+        self.peers.retain(|known, peer| {
+            *known == incarnation
+                || peer.member.peer_address != address
+                || peer.member.started_unix_ms > started
+        });
+    }
+
+    /// Takes a coordinator's word that it hears a member no more.
+    pub fn lose(&mut self, incarnation: ids::Incarnation, now: ids::Timestamp) {
+        if let Some(peer) = self.peers.get_mut(&incarnation) {
+            peer.lost = Some(now);
+        }
+    }
+
     /// Forgets peers that have been silent for long, and returns their incarnations.
     pub fn forget_silent(&mut self, now: ids::Timestamp) -> Vec<ids::Incarnation> {
         let gone: Vec<_> = self
             .peers
             .iter()
             .filter(|(_, peer)| {
-                now.saturating_sub(peer.heard.unwrap_or(peer.added)) > constants::PEER_MEMORY
+                now.saturating_sub(peer.last_sign().unwrap_or(peer.added)) > constants::PEER_MEMORY
             })
             .map(|(incarnation, _)| *incarnation)
             .collect();
@@ -129,12 +220,9 @@
         gone
     }
 
-    /// Returns the peers that were heard lately.
+    /// Returns the peers that live, as far as this instance hears or is told.
     pub fn live(&self, now: ids::Timestamp) -> impl Iterator<Item = &Member> {
-        self.peers
-            .values()
-            .filter(move |peer| peer.is_heard_within(constants::PEER_SILENCE, now))
-            .map(|peer| &peer.member)
+        self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.member)
     }
 
     /// Returns all peers, the silent ones too.
@@ -142,7 +230,77 @@
         self.peers.values().map(|peer| &peer.member)
     }
 
-    /// Returns the live peers with a configuration newer than `version`.
+    /// Returns the peers that coordinate, the first one first.
+    pub fn coordinators(&self, now: ids::Timestamp) -> Vec<&Member> {
+        let mut coordinators: Vec<_> = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_coordinator(now))
+            .map(|peer| &peer.member)
+            .collect();
+        coordinators.sort_by(|one, other| {
+            if one.precedes(other) { cmp::Ordering::Less } else { cmp::Ordering::Greater }
+        });
+        coordinators
+    }
+
+    /// Returns how many peers coordinate rather than `own`, those included that were named just now
+    /// and may not have spoken yet.
+    pub fn coordinators_before(&self, own: &Member, now: ids::Timestamp) -> usize {
+        let is_candidate = |peer: &&Peer| match peer.heard {
+            Some(_) => peer.is_coordinator(now),
+            None => now.saturating_sub(peer.added) <= constants::COORDINATOR_SILENCE,
+        };
+        let candidates = self.peers.values().filter(is_candidate);
+        candidates.filter(|peer| peer.member.precedes(own)).count()
+    }
+
+    /// Returns whether a coordinator reads the store.
+    pub fn is_store_read(&self, now: ids::Timestamp) -> bool {
+        self.peers.values().any(|peer| peer.is_coordinator(now) && peer.reads_store)
+    }
+
+    /// Returns some members that were heard lately: first those about which something changed, then
+    /// a few others from `turn` on.
+    pub fn sightings(&self, turn: usize, now: ids::Timestamp) -> Vec<Sighting> {
+        let heard = self.peers.values().filter_map(|peer| {
+            let age = now.saturating_sub(peer.heard?);
+            (age <= constants::PEER_SILENCE).then_some((peer, age))
+        });
+        let (changed, mut others): (Vec<_>, Vec<_>) =
+            heard.partition(|(peer, _)| peer.is_changed_within(constants::NEWS_FOR, now));
+        let start = turn % others.len().max(1);
+        others.rotate_left(start);
+        let changed = changed.into_iter().take(constants::NEWS_TOLD);
+        let told = changed.chain(others.into_iter().take(constants::MEMBERS_TOLD));
+        told.map(|(peer, age)| peer.sighting(age)).collect()
+    }
+
+    /// Returns all members that were heard lately.
+    pub fn all_sightings(&self, now: ids::Timestamp) -> Vec<Sighting> {
+        let heard = self.peers.values().filter_map(|peer| {
+            let age = now.saturating_sub(peer.heard?);
+            (age <= constants::PEER_SILENCE).then(|| peer.sighting(age))
+        });
+        heard.collect()
+    }
+
+    /// Returns the peers that have just fallen silent.
+    pub fn lost(&self, now: ids::Timestamp) -> Vec<ids::Incarnation> {
+        let told_for = constants::PEER_SILENCE + constants::NEWS_FOR;
+        let is_lost = |peer: &Peer| {
+            let Some(heard) = peer.heard else { return false };
+            let silence = now.saturating_sub(heard);
+            silence > constants::PEER_SILENCE && silence <= told_for
+        };
+        self.peers
+            .iter()
+            .filter(|(_, peer)| is_lost(peer))
+            .map(|(incarnation, _)| *incarnation)
+            .collect()
+    }
+
+    /// Returns the peers heard lately with a configuration newer than `version`.
     pub fn newer_than(
         &self,
         version: u64,
@@ -155,26 +313,17 @@
             .map(|peer| peer.member.peer_address)
     }
 
-    /// Returns the live reader of the store whose list of servers has the newest change.
+    /// Returns the coordinator or reader of the store whose list of servers has the newest change.
     pub fn newest_servers(&self, now: ids::Timestamp) -> Option<(ids::Offset, net::SocketAddr)> {
         self.peers
             .values()
-            .filter(|peer| peer.reads_store)
+            .filter(|peer| peer.reads_store || peer.coordinates)
             .filter(|peer| peer.is_heard_within(constants::PEER_SILENCE, now))
             .map(|peer| (peer.servers_at, peer.member.peer_address))
             .max_by_key(|(offset, _)| *offset)
     }
 
-    /// Returns how many live peers before `address` read the store.
-    pub fn readers_before(&self, address: net::SocketAddr, now: ids::Timestamp) -> usize {
-        self.peers
-            .values()
-            .filter(|peer| peer.is_heard_within(constants::READER_SILENCE, now))
-            .filter(|peer| peer.reads_store && peer.member.caller_address < address)
-            .count()
-    }
-
-    /// Returns the peers that have been silent for a while, with the silence.
+    /// Returns the peers that spoke once and have been silent for a while, with the silence.
     pub fn silent(&self, now: ids::Timestamp) -> Vec<(ids::Incarnation, time::Duration)> {
         self.peers
             .iter()
@@ -185,13 +334,12 @@
             .collect()
     }
 
-    /// Returns how many instances share limits: this one and all that were heard lately.
+    /// Returns how many instances the fleet has: this one and all that gave a sign lately.
     pub fn members(&self, now: ids::Timestamp) -> usize {
-        1 + self
-            .peers
-            .values()
-            .filter(|peer| peer.is_heard_within(constants::PEER_MEMORY, now))
-            .count()
+        let has_given_sign = |peer: &&Peer| {
+            peer.last_sign().is_some_and(|at| now.saturating_sub(at) <= constants::PEER_MEMORY)
+        };
+        1 + self.peers.values().filter(has_given_sign).count()
     }
 }
 
@@ -199,4 +347,33 @@
     fn is_heard_within(&self, span: time::Duration, now: ids::Timestamp) -> bool {
         self.heard.is_some_and(|at| now.saturating_sub(at) <= span)
     }
+
+    fn is_changed_within(&self, span: time::Duration, now: ids::Timestamp) -> bool {
+        now.saturating_sub(self.changed) <= span
+    }
+
+    fn is_coordinator(&self, now: ids::Timestamp) -> bool {
+        self.coordinates && self.is_heard_within(constants::COORDINATOR_SILENCE, now)
+    }
+
+    /// What this instance hears itself goes before what it is told.
+    fn is_live(&self, now: ids::Timestamp) -> bool {
+        let Some(sighted) = self.sighted else {
+            return self.is_heard_within(constants::PEER_SILENCE, now);
+        };
+        if self.heard.is_some_and(|heard| heard + constants::PEER_SILENCE >= sighted) {
+            return self.is_heard_within(constants::PEER_SILENCE, now);
+        }
+        let is_lost = self.lost.is_some_and(|lost| lost >= sighted);
+        now.saturating_sub(sighted) <= constants::SIGHTING_FOR && !is_lost
+    }
+
+    fn last_sign(&self) -> Option<ids::Timestamp> {
+        self.heard.max(self.sighted)
+    }
+
+    fn sighting(&self, age: time::Duration) -> Sighting {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        Sighting { member: self.member.clone(), age_ms }
+    }
 }
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -40,7 +40,7 @@
 }
 
 /// What a limit was compared with.
-#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct SpendingView {
     /// What the request would spend.
     pub charge: f64,
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -93,10 +93,11 @@
     ejected_until: ids::Timestamp,
     handover_paused_until: ids::Timestamp,
     lapsed: Option<ids::Timestamp>,
+    listed: ids::Timestamp,
 }
 
 impl Server {
-    fn new(entry: Entry) -> Self {
+    fn new(entry: Entry, now: ids::Timestamp) -> Self {
         let tokens_per_ms = match entry.stage {
             Some(Stage::Decode) => constants::DECODE_PREFILL_TOKENS_PER_MS,
             _ => constants::PREFILL_TOKENS_PER_MS,
@@ -114,9 +115,15 @@
             ejected_until: ids::Timestamp::ZERO,
             handover_paused_until: ids::Timestamp::ZERO,
             lapsed: None,
+            listed: now,
         }
     }
 
+    /// Returns whether it was listed so lately that not all instances know it.
+    pub fn is_new(&self, now: ids::Timestamp) -> bool {
+        now.saturating_sub(self.listed) <= constants::NEWS_FOR
+    }
+
     /// Returns the work of all instances.
     pub fn load(&self) -> Load {
         let mut load = self.own;
@@ -199,7 +206,7 @@
     /// Returns whether a belief changed.
     pub fn apply(&mut self, listing: Listing, is_after_outage: bool, now: ids::Timestamp) -> bool {
         match listing {
-            Listing::Present(entry) => self.insert(entry),
+            Listing::Present(entry) => self.insert(entry, now),
             Listing::Removed { id, offset } => self.remove(&id, offset, is_after_outage, now),
         }
     }
@@ -223,14 +230,14 @@
         missing
     }
 
-    fn insert(&mut self, entry: Entry) -> bool {
+    fn insert(&mut self, entry: Entry, now: ids::Timestamp) -> bool {
         if self.removed.get(&entry.id).is_some_and(|offset| *offset >= entry.offset) {
             return false;
         }
         self.removed.remove(&entry.id);
         let Some(server) = self.servers.get_mut(&entry.id) else {
             self.by_service.entry(entry.service.clone()).or_default().push(entry.id.clone());
-            self.servers.insert(entry.id.clone(), Server::new(entry));
+            self.servers.insert(entry.id.clone(), Server::new(entry, now));
             return true;
         };
         if server.entry.offset >= entry.offset {
@@ -244,7 +251,7 @@
             || server.entry.address != entry.address;
         if is_restarted || is_moved {
             let loads = (server.own, server.others);
-            *server = Server::new(entry);
+            *server = Server::new(entry, now);
             // Requests under way still subtract what they added.
             (server.own, server.others) = loads;
             self.index();
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -8,11 +8,9 @@
 use crate::core::fleet::Fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
-use crate::core::fleet::ledger;
 use crate::core::fleet::peers;
 use crate::core::fleet::quota;
 use crate::core::fleet::servers;
-use crate::core::fleet::waiting;
 use crate::core::ids;
 
 impl Fleet {
@@ -31,6 +29,13 @@
         self.servers.entries()
     }
 
+    /// Returns the server entries that one lacks whose last change came before `position`.
+    pub fn server_entries_since(&self, position: ids::Offset) -> Vec<servers::Entry> {
+        let mut entries = self.servers.entries();
+        entries.retain(|entry| entry.offset >= position);
+        entries
+    }
+
     /// Returns whether callers may be sent to this instance.
     pub fn is_ready(&self) -> bool {
         self.catalog.is_some() && !self.is_leaving
@@ -49,7 +54,7 @@
         newer.get(index).copied()
     }
 
-    /// Returns the position of the last change of the list of servers.
+    /// Returns the position after the last change of the list of servers; 0 before the first one.
     pub fn servers_at(&self) -> ids::Offset {
         self.servers_at
     }
@@ -60,10 +65,22 @@
         (offset > self.servers_at).then_some(peer)
     }
 
-    /// Returns whether this instance should read the store itself: some do for all, and everyone
-    /// does who does not hear of them.
+    /// Returns a coordinator that may know what was spent before this instance began to count.
+    pub fn peer_with_past(&self, now: ids::Timestamp) -> Option<net::SocketAddr> {
+        if !self.coordinates || self.knows_past() || !self.is_coordinated(now) {
+            return None;
+        }
+        self.peers.coordinators(now).first().map(|member| member.peer_address)
+    }
+
+    /// Returns whether this instance should read the store itself: coordinators do for all. While
+    /// they cannot, the next ones by rank try, as the store may turn away some machines only.
     pub fn should_read_store(&self, now: ids::Timestamp) -> bool {
-        self.peers.readers_before(self.own.caller_address, now) < constants::STORE_READERS
+        if self.coordinates || self.catalog.is_none() {
+            return true;
+        }
+        let before = self.peers.live(now).filter(|member| member.precedes(&self.own)).count();
+        !self.peers.is_store_read(now) && before < constants::RESERVE_READERS
     }
 
     /// Notes whether this instance reads the store, for its peers.
@@ -90,44 +107,6 @@
         members.into_iter().map(|member| member.caller_address).collect()
     }
 
-    /// Returns what peers are told now.
-    pub fn digest(&mut self, now: ids::Timestamp, with_members: bool) -> peers::Digest {
-        self.sequence += 1;
-        let mut from = self.own.clone();
-        from.is_ready = self.is_ready();
-        let spending =
-            self.quotas.own().into_iter().map(|(name, spent)| (name.to_string(), spent)).collect();
-        let members = if with_members { self.sample_members(now) } else { Vec::new() };
-        let work = self.requests.iter().filter_map(|(request, live)| {
-            let ticket = ledger::Ticket {
-                holder: self.own.incarnation,
-                request: *request,
-                attempt: live.attempt,
-            };
-            Some((ticket, live.places()?))
-        });
-        peers::Digest {
-            from,
-            sequence: self.sequence,
-            version: self.version(),
-            servers_at: self.servers_at,
-            reads_store: self.reads_store,
-            work: work.collect(),
-            uptime_ms: waiting::millis(now),
-            spending,
-            members,
-        }
-    }
-
-    /// Returns some live members, so that digests stay short in a large fleet.
-    fn sample_members(&mut self, now: ids::Timestamp) -> Vec<peers::Member> {
-        let mut members: Vec<_> = self.peers.live(now).cloned().collect();
-        let turn = self.rng.random_range(0..members.len().max(1));
-        members.rotate_left(turn);
-        members.truncate(constants::MEMBERS_TOLD);
-        members
-    }
-
     /// Returns whether it is known what was spent before this instance started.
     pub fn knows_past(&self) -> bool {
         self.quotas.knows_past()
@@ -138,11 +117,6 @@
         self.quotas.spending(now)
     }
 
-    /// Returns whether this instance writes for the whole fleet: the first of those that live.
-    pub fn is_first(&self, now: ids::Timestamp) -> bool {
-        self.peers.live(now).all(|member| member.caller_address > self.own.caller_address)
-    }
-
     /// Returns this instance as it is announced in the store.
     pub fn announcement(&self) -> peers::Member {
         let mut own = self.own.clone();
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::budget;
 use crate::core::fleet::peers;
 use crate::router;
+use crate::router::clock;
 use crate::router::context;
 
 /// How often the file is read to find changes that no signal tells.
@@ -181,6 +182,7 @@
             caller_address: self.listen_addrs.frontend,
             is_ready: false,
             capacity_cores: self.limits.cpu_fraction * self.limits.cpu_cores,
+            started_unix_ms: clock::unix_ms(),
         };
         let listen = &self.listen_addrs;
         let discovery = [Some(listen.ready), listen.control_plane, listen.directory_addr];
@@ -195,12 +197,12 @@
                 is_first_start: self.bootstrap,
                 quota_window: self.bounds.quota_window(),
                 retries: self.bounds.retries(),
+                seeds,
             },
             callers: listen.frontend,
             discovery,
             peers,
             metrics: metrics_port.map(|port| net::SocketAddr::from((self.ip, port))),
-            seeds,
             grace: time::Duration::from_secs_f64(self.bounds.grace_s),
         })
     }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -91,7 +91,7 @@
     std::fs::write(&path, SETTINGS).expect("the file can be written");
     let node = settings::read(&path).expect("they are valid");
     let options = node.router_options(&path, Some(9_464)).expect("the addresses are valid");
-    assert_eq!(options.seeds, ["10.1.0.3:7500".parse().expect("an address")]);
+    assert_eq!(options.fleet.seeds, ["10.1.0.3:7500".parse().expect("an address")]);
     assert_eq!(options.peers, "10.1.0.3:7500".parse().expect("an address"));
     assert!(options.fleet.is_first_start);
     std::fs::write(&path, SETTINGS.replace("Zone", "Zoon")).expect("the file can be written");
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -266,7 +266,11 @@
     loop {
         tokio::time::sleep(constants::TOLD_EVERY).await;
         let now = context.now();
-        if !context.read(|fleet| fleet.is_first(now) && fleet.knows_past()) {
+        if !context.read(|fleet| fleet.is_keeper(now)) {
+            continue;
+        }
+        if !context.read(|fleet| fleet.knows_past()) {
+            read_past(&mut store, &context).await;
             continue;
         }
         let spending = context.read(|fleet| fleet.spending(now));
@@ -302,7 +306,10 @@
 }
 
 fn tell_past(context: &context::Context, records: &[store::Record]) {
-    let Some(value) = records.iter().find_map(|record| record.value.as_ref()) else { return };
+    let Some(value) = records.iter().find_map(|record| record.value.as_ref()) else {
+        // Spending is written as soon as there is some.
+        return context.apply(fleet::Event::PastSpending(Vec::new()));
+    };
     match serde_json::from_slice::<SpendingRecord>(value) {
         Ok(mut record) => {
             let passed_ms = clock::unix_ms().saturating_sub(record.written_ms);
--- a/src/router.rs
+++ b/src/router.rs
@@ -71,8 +71,6 @@
     pub peers: net::SocketAddr,
     /// For metrics.
     pub metrics: Option<net::SocketAddr>,
-    /// Peers that are known before any was heard.
-    pub seeds: Vec<net::SocketAddr>,
     /// The time from a request to stop until the process is killed.
     pub grace: time::Duration,
 }
@@ -88,7 +86,7 @@
     meters: rc::Rc<dyn meters::Exposition>,
 ) -> Result<rc::Rc<context::Context>, RouterError> {
     let listener = callers::bind(options.callers)?;
-    let gossip = gossip::Gossip::bind(options.peers, options.seeds.clone())?;
+    let gossip = gossip::Gossip::bind(options.peers)?;
     let mirror = callers::bind(options.peers)?;
     let context = rc::Rc::new(context::Context::new(options.fleet.clone(), dialect));
     for address in &options.discovery {
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -49,11 +49,11 @@
     pub dialect: rc::Rc<dyn dialect::Dialect>,
     /// The clock of all decisions.
     pub clock: clock::Clock,
-    /// Wakes the task that tells peers of load.
-    pub publish: tokio::sync::Notify,
+    publish: tokio::sync::Notify,
+    announce: tokio::sync::Notify,
     /// Whether this instance stops; answers then close their connections.
     pub stopping: tokio::sync::watch::Sender<bool>,
-    /// When the store was read last.
+    /// When the store was read last, here or at a peer that told of it.
     pub store_read: cell::Cell<Option<ids::Timestamp>>,
     /// Where the store's list of servers ended when it was read last.
     pub servers_end: cell::Cell<ids::Offset>,
@@ -72,6 +72,7 @@
             dialect,
             clock: clock::Clock::start(),
             publish: tokio::sync::Notify::new(),
+            announce: tokio::sync::Notify::new(),
             stopping: tokio::sync::watch::Sender::new(false),
             store_read: cell::Cell::new(None),
             servers_end: cell::Cell::new(0),
@@ -130,6 +131,7 @@
             fleet::Effect::Release { address, handle } => self.release(address, &handle),
             fleet::Effect::Tell { to, message } => self.say(to, &message),
             fleet::Effect::Publish => self.publish.notify_one(),
+            fleet::Effect::Announce => self.announce.notify_one(),
             fleet::Effect::Log(decision) => {
                 meters::note(&decision);
                 lines::write(&decision);
@@ -137,6 +139,19 @@
         }
     }
 
+    /// Waits for something that peers should hear at once: a change that all should know, or, with
+    /// `follows_load`, changed load.
+    pub async fn await_news(&self, follows_load: bool) {
+        if follows_load {
+            tokio::select! {
+                () = self.publish.notified() => {}
+                () = self.announce.notified() => {}
+            }
+        } else {
+            self.announce.notified().await;
+        }
+    }
+
     /// Names the socket for messages to peers.
     pub fn set_speaker(&self, socket: rc::Rc<tokio::net::UdpSocket>) {
         if self.speaker.set(socket).is_err() {
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -46,6 +46,12 @@
         decision::Decision::OwnerSilent { .. } => {
             metrics::counter!("owner_silent_total").increment(1)
         }
+        decision::Decision::KeeperSilent { .. } => {
+            metrics::counter!("keeper_silent_total").increment(1)
+        }
+        decision::Decision::Coordinates { coordinates, .. } => {
+            metrics::gauge!("coordinates").set(f64::from(u8::from(*coordinates)));
+        }
         decision::Decision::ServerListed { .. }
         | decision::Decision::PastLearned { .. }
         | decision::Decision::PeerHeard { .. } => {}
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -31,49 +31,69 @@
 /// The longest time that a peer's answer may take: a large configuration over a slow link.
 const TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// What an instance has read from the store.
+/// The longest question.
+const QUESTION_BYTES: u64 = 256;
+
+/// What the asking peer has already.
+#[derive(Debug, Clone, Copy, serde::Serialize, serde::Deserialize)]
+struct Question {
+    version: u64,
+    servers_at: ids::Offset,
+    knows_past: bool,
+}
+
+/// What an instance has read from the store, as far as the asking peer lacks it.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 struct Reading {
     age_ms: Option<u64>,
     content: Option<catalog::Content>,
+    names: Vec<ids::ServerId>,
     entries: Vec<servers::Entry>,
     servers_end: ids::Offset,
     servers_at: ids::Offset,
-    knows_past: bool,
-    spending: Vec<quota::Spending>,
+    past: Option<Vec<quota::Spending>>,
 }
 
-/// Writes the last reading to each peer that connects.
+/// Answers each peer that asks.
 pub async fn serve(listener: tokio::net::TcpListener, context: rc::Rc<context::Context>) {
     loop {
-        let Some(mut stream) = callers::accept(&listener).await else { continue };
-        let reading = reading(&context);
+        let Some(stream) = callers::accept(&listener).await else { continue };
+        let context = rc::Rc::clone(&context);
         tokio::task::spawn_local(async move {
-            let written = async {
-                let bytes = rmp_serde::to_vec(&reading).map_err(io::Error::other)?;
-                stream.write_all(&bytes).await?;
-                stream.shutdown().await
-            };
-            match tokio::time::timeout(TIMEOUT, written).await {
+            match tokio::time::timeout(TIMEOUT, answer(stream, &context)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(failure)) => log::warn!("a peer got no reading: {failure}"),
-                Err(_) => log::warn!("a peer read too slowly"),
+                Err(_) => log::warn!("a peer asked or read too slowly"),
             }
         });
     }
 }
 
-fn reading(context: &context::Context) -> Reading {
+async fn answer(mut stream: tokio::net::TcpStream, context: &context::Context) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    (&mut stream).take(QUESTION_BYTES).read_to_end(&mut bytes).await?;
+    let question = rmp_serde::from_slice(&bytes).map_err(io::Error::other)?;
+    let bytes = rmp_serde::to_vec(&reading(context, question)).map_err(io::Error::other)?;
+    stream.write_all(&bytes).await?;
+    stream.shutdown().await
+}
+
+fn reading(context: &context::Context, question: Question) -> Reading {
     let now = context.now();
     let age = context.store_read.get().map(|at| now.saturating_sub(at));
-    context.read(|fleet| Reading {
-        age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        content: fleet.catalog().map(|catalog| catalog.content.clone()),
-        entries: fleet.server_entries(),
-        servers_end: context.servers_end.get(),
-        servers_at: fleet.servers_at(),
-        knows_past: fleet.knows_past(),
-        spending: fleet.spending(now),
+    context.read(|fleet| {
+        let catalog = fleet.catalog().filter(|it| it.content.version > question.version);
+        let names = fleet.server_entries().into_iter().map(|entry| entry.id).collect();
+        let tells_past = fleet.knows_past() && fleet.coordinates() && !question.knows_past;
+        Reading {
+            age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            content: catalog.map(|catalog| catalog.content.clone()),
+            names,
+            entries: fleet.server_entries_since(question.servers_at),
+            servers_end: context.servers_end.get(),
+            servers_at: fleet.servers_at(),
+            past: tells_past.then(|| fleet.spending(now)),
+        }
     })
 }
 
@@ -88,9 +108,11 @@
             outdated_since = None;
         }
         let newer = newer.filter(|_| now >= *outdated_since.get_or_insert(now) + STORE_FIRST);
-        let peer = newer.or_else(|| context.read(|fleet| fleet.peer_with_newer_servers(now)));
+        let peer = newer.or_else(|| {
+            context.read(|fleet| fleet.peer_with_newer_servers(now).or(fleet.peer_with_past(now)))
+        });
         let Some(peer) = peer else { continue };
-        match tokio::time::timeout(TIMEOUT, ask(peer)).await {
+        match tokio::time::timeout(TIMEOUT, ask(peer, question(&context))).await {
             Ok(Ok(reading)) => take(&context, reading),
             Ok(Err(failure)) => log::warn!("peer {peer} told nothing: {failure}"),
             Err(_) => log::warn!("peer {peer} told nothing in time"),
@@ -98,8 +120,19 @@
     }
 }
 
-async fn ask(peer: net::SocketAddr) -> io::Result<Reading> {
+fn question(context: &context::Context) -> Question {
+    context.read(|fleet| Question {
+        version: fleet.version(),
+        servers_at: fleet.servers_at(),
+        knows_past: fleet.knows_past(),
+    })
+}
+
+async fn ask(peer: net::SocketAddr, question: Question) -> io::Result<Reading> {
+    let bytes = rmp_serde::to_vec(&question).map_err(io::Error::other)?;
     let mut stream = tokio::net::TcpStream::connect(peer).await?;
+    stream.write_all(&bytes).await?;
+    stream.shutdown().await?;
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await?;
     rmp_serde::from_slice(&bytes).map_err(io::Error::other)
@@ -110,13 +143,16 @@
         let catalog = catalog::Catalog::new(content);
         context.apply(fleet::Event::Configured(sync::Arc::new(catalog)));
     }
-    if reading.knows_past {
-        context.apply(fleet::Event::PastSpending(reading.spending));
+    if let Some(past) = reading.past {
+        context.apply(fleet::Event::PastSpending(past));
     }
-    // A peer that does not read the store knows of no removals.
-    let is_fresh = reading.age_ms.is_some_and(|age_ms| u128::from(age_ms) < STALE.as_millis());
+    // A peer that has not heard of the store lately knows of no removals.
+    let age = reading.age_ms.map(time::Duration::from_millis).filter(|age| *age < STALE);
+    let is_fresh = age.is_some();
+    let read_at = age.map(|age| context.now().saturating_sub(age));
+    context.store_read.set(context.store_read.get().max(read_at));
     let is_newer = reading.servers_end > context.servers_end.get();
-    let names: collections::Set<_> = reading.entries.iter().map(|entry| entry.id.clone()).collect();
+    let names: collections::Set<_> = reading.names.into_iter().collect();
     let listings = reading.entries.into_iter().map(servers::Listing::Present).collect();
     let complete = (is_fresh && is_newer).then_some((names, reading.servers_end));
     if complete.is_some() {
--- a/src/router/stop.rs
+++ b/src/router/stop.rs
@@ -34,7 +34,6 @@
     log::info!("told to stop; callers are sent elsewhere");
     let asked = context.now();
     context.apply(fleet::Event::Leaving);
-    context.publish.notify_one();
     context.stopping.send_replace(true);
     tokio::time::sleep(grace.mul_f64(TAKING_SHARE)).await;
     while context.read(|fleet| fleet.request_count()) > 0
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -94,6 +94,7 @@
     pub ends: u32,
     pub memory: Option<(Bytes, u32)>,
     pub last_send: Duration,
+    pub last_server: Bytes,
 }
 
 pub struct World {
@@ -105,9 +106,20 @@
     sequence: u64,
     backends: Map<Bytes, Backend>,
     next_request: u64,
+    /// Digests sent so far.
+    pub datagrams: usize,
     pub records: Map<(usize, u64), Record>,
 }
 
+/// The limit of the workspace that `limited` is called for.
+pub const LIMIT_PER_S: f64 = 100.0;
+pub const LIMIT_BURST: f64 = 50.0;
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(8);
+const KEY: &[u8] = b"key";
+
+/// The time until the instances of a large fleet know who coordinates.
+const SETTLED_AFTER: Duration = Duration::from_millis(2_500);
+
 pub fn address(port: u16) -> net::SocketAddr {
     net::SocketAddr::from(([127, 0, 0, 1], port))
 }
@@ -135,7 +147,20 @@
         route("stream", "llm", catalog::Repeat::Once, true),
         route("order", "desk", catalog::Repeat::Once, false),
         route("query", "desk", catalog::Repeat::Idempotent, false),
+        catalog::Route { is_open: false, ..route("limited", "desk", catalog::Repeat::Once, false) },
     ];
+    let limit = catalog::Limit {
+        rate_per_s: LIMIT_PER_S,
+        burst: LIMIT_BURST,
+        counts_tokens: false,
+        plain_tokens: 1.0,
+    };
+    let workspace = catalog::Workspace {
+        name: "w".into(),
+        keys: vec![catalog::key_digest(&Bytes::from_static(KEY))],
+        priority: None,
+        limit: Some(limit),
+    };
     let engine = catalog::EngineShape { slots: 64, memory_tokens: MEMORY_TOKENS };
     catalog::Catalog::new(catalog::Content {
         version: 1,
@@ -144,7 +169,7 @@
             catalog::Service { name: "llm".into(), engine: Some(engine) },
             catalog::Service { name: "desk".into(), engine: None },
         ],
-        workspaces: None,
+        workspaces: Some(vec![sync::Arc::new(workspace)]),
         caller_limits: catalog::CallerLimits {
             header_bytes: 1,
             body_bytes: 1,
@@ -181,6 +206,7 @@
             sequence: 0,
             backends: Map::default(),
             next_request: 0,
+            datagrams: 0,
             records: Map::default(),
         };
         for index in 0..instances {
@@ -197,6 +223,11 @@
         }
         let catalog = sync::Arc::new(configuration());
         for index in 0..instances {
+            // The store names all instances.
+            for other in (0..instances).filter(|other| *other != index) {
+                let member = member(other, world.addresses[other]);
+                world.apply(index, fleet::Event::Introduced(member));
+            }
             world.apply(index, fleet::Event::Configured(sync::Arc::clone(&catalog)));
             let listings = entries.iter().cloned().map(servers::Listing::Present).collect();
             world.apply(index, listed(listings));
@@ -204,7 +235,7 @@
             world.schedule(offset, Action::Tick { instance: index });
             world.schedule(offset, Action::Digest { instance: index });
         }
-        world.run(digests_every * 2 + Duration::from_millis(100));
+        world.run((digests_every * 2).max(SETTLED_AFTER));
         world
     }
 
@@ -239,6 +270,37 @@
         self.instances[instance].as_mut()?.newer_peer(now)
     }
 
+    /// Returns the addresses that an instance names to callers.
+    pub fn caller_addresses(&self, instance: usize) -> Vec<net::SocketAddr> {
+        let fleet = self.instances[instance].as_ref();
+        fleet.map(|fleet| fleet.caller_addresses(self.now)).unwrap_or_default()
+    }
+
+    /// Tells instances whether the store answers them.
+    pub fn set_reads_store(&mut self, instances: &[usize], reads_store: bool) {
+        for index in instances {
+            if let Some(fleet) = self.instances[*index].as_mut() {
+                fleet.set_reads_store(reads_store);
+            }
+        }
+    }
+
+    /// Returns the instances that ask the store.
+    pub fn store_readers(&self) -> Vec<usize> {
+        let fleets = self.instances.iter().enumerate();
+        let reads = |fleet: &fleet::Fleet| fleet.should_read_store(self.now);
+        let readers = fleets.filter(|(_, fleet)| fleet.as_ref().is_some_and(reads));
+        readers.map(|(index, _)| index).collect()
+    }
+
+    /// Returns the instances that coordinate.
+    pub fn coordinators(&self) -> Vec<usize> {
+        let fleets = self.instances.iter().enumerate();
+        let coordinating =
+            fleets.filter(|(_, fleet)| fleet.as_ref().is_some_and(fleet::Fleet::coordinates));
+        coordinating.map(|(index, _)| index).collect()
+    }
+
     /// Returns the peer that an instance would ask for newer servers.
     pub fn peer_with_newer_servers(&self, instance: usize) -> Option<net::SocketAddr> {
         self.instances[instance].as_ref()?.peer_with_newer_servers(self.now)
@@ -262,6 +324,12 @@
         self.apply(instance, listed(vec![listing]));
     }
 
+    /// Returns the servers that an instance tells a peer whose last change came before `position`.
+    pub fn servers_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Entry> {
+        let fleet = self.instances[instance].as_ref();
+        fleet.map(|fleet| fleet.server_entries_since(position)).unwrap_or_default()
+    }
+
     /// Returns whether an instance knows a server.
     pub fn knows_server(&self, instance: usize, name: &str) -> bool {
         let name = Bytes::from(name.to_string());
@@ -347,7 +415,7 @@
             id: Bytes::from(request.to_string()),
             host: host.to_string(),
             path: "/x".to_string(),
-            key: None,
+            key: (host == "limited").then(|| Bytes::from_static(KEY)),
             deadline: None,
             tokens,
         };
@@ -355,15 +423,31 @@
     }
 
     fn tell_digest(&mut self, instance: usize) {
+        let targets = self.send_parcels(instance);
+        let Some(fleet) = self.instances[instance].as_ref() else { return };
+        let next = if fleet.is_coordinated(self.now) {
+            fleet.pace(targets, self.now).longest
+        } else {
+            self.digests_every
+        };
+        self.schedule(next, Action::Digest { instance });
+    }
+
+    fn send_parcels(&mut self, instance: usize) -> usize {
         let now = self.now;
-        let Some(fleet) = self.instances[instance].as_mut() else { return };
-        let digest = fleet.digest(now, true);
+        let Some(fleet) = self.instances[instance].as_mut() else { return 0 };
+        let parcels = fleet.parcels(now);
         let from = self.addresses[instance];
-        for to in self.addresses.clone() {
-            let message = message::Message::Digest(digest.clone());
-            self.schedule(LATENCY, Action::Tell { to, from, message });
+        let mut targets = 0;
+        for parcel in parcels {
+            targets += parcel.to.len();
+            for to in parcel.to {
+                let message = message::Message::Digest(parcel.digest.clone());
+                self.schedule(LATENCY, Action::Tell { to, from, message });
+            }
         }
-        self.schedule(self.digests_every, Action::Digest { instance });
+        self.datagrams += targets;
+        targets
     }
 
     fn apply(&mut self, instance: usize, event: fleet::Event) {
@@ -392,6 +476,9 @@
                 let from = self.addresses[instance];
                 self.schedule(LATENCY, Action::Tell { to, from, message });
             }
+            fleet::Effect::Announce => {
+                self.send_parcels(instance);
+            }
             fleet::Effect::Admit { .. }
             | fleet::Effect::Release { .. }
             | fleet::Effect::Publish
@@ -409,6 +496,7 @@
             let record = self.record(instance, request);
             record.sends += 1;
             record.last_send = now;
+            record.last_server = dispatch.server.clone();
             record.sends
         };
         let health = self.backends[&dispatch.server].health;
@@ -543,20 +631,26 @@
     fleet::Event::Listed { listings, complete: None, is_after_outage: false, told_at: None }
 }
 
+fn member(index: usize, address: net::SocketAddr) -> peers::Member {
+    peers::Member {
+        name: format!("instance-{index}"),
+        incarnation: index as u64 + 1,
+        peer_address: address,
+        caller_address: address,
+        is_ready: true,
+        capacity_cores: 0.25,
+        started_unix_ms: index as u64,
+    }
+}
+
 fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
     fleet::Fleet::new(fleet::Options {
-        own: peers::Member {
-            name: format!("instance-{index}"),
-            incarnation: index as u64 + 1,
-            peer_address: own,
-            caller_address: own,
-            is_ready: true,
-            capacity_cores: 0.25,
-        },
+        own: member(index, own),
         domain: "a".to_string(),
         is_first_start: true,
-        quota_window: Duration::from_secs(8),
+        quota_window: LIMIT_WINDOW,
         retries: budget::RetryBounds { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) },
+        seeds: vec![address(1_000)],
         seed: index as u64,
     })
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -135,9 +135,11 @@
         caller_address: callers,
         is_ready: false,
         capacity_cores: 1.0,
+        started_unix_ms: 0,
     };
     let options = router::Options {
         fleet: fleet::Options {
+            seeds: Vec::new(),
             own,
             domain: "a".to_string(),
             is_first_start: true,
@@ -153,7 +155,6 @@
         discovery: Vec::new(),
         peers: peer_address,
         metrics: None,
-        seeds: Vec::new(),
         grace: Duration::from_secs(1),
     };
     let dialect = rc::Rc::new(headers::PlatformDialect);
