Leave a line for each request that cannot be read

A malformed head and a body beyond the limit were answered without a line, so that a caller's id led nowhere. A test of the reducer fails without it.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -128,6 +128,13 @@
     Introduced(peers::Member),
     /// The store or a peer tells what workspaces have spent lately.
     PastSpending(Vec<quota::Spending>),
+    /// A request cannot be read.
+    Unread {
+        /// The caller's id of it, as far as it can be read.
+        id: Bytes,
+        /// Why.
+        reason: refusal::Reason,
+    },
     /// A request is read whole.
     Arrived {
         /// Its number.
@@ -315,6 +322,10 @@
                 self.past.get_or_insert((spending, now));
                 self.learn_past(now, &mut effects);
             }
+            Event::Unread { id, reason } => {
+                let refusal = refusal::Refusal::new(reason);
+                self.log_refusal(&text(&id), refusal, None, None, now, &mut effects);
+            }
             Event::Arrived { request, call } => self.arrive(request, call, now, &mut effects),
             Event::Progressed { request, outcome } => {
                 self.progress(request, outcome, now, &mut effects);
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -167,7 +167,7 @@
         Some(live)
     }
 
-    fn log_refusal(
+    pub(super) fn log_refusal(
         &self,
         id: &str,
         refusal: refusal::Refusal,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -87,6 +87,11 @@
 }
 
 impl dialect::Dialect for PlatformDialect {
+    fn read_id(&self, head: &http::request::Parts) -> Bytes {
+        let id = head.headers.get(ATTEMPT_ID);
+        id.map(|id| Bytes::copy_from_slice(id.as_bytes())).unwrap_or_default()
+    }
+
     fn read_call(&self, head: &http::request::Parts) -> Result<call::Call, refusal::Reason> {
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let id = text(ATTEMPT_ID).ok_or(refusal::Reason::Malformed)?;
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -110,7 +110,7 @@
             let is_too_long = failure.is::<http_body_util::LengthLimitError>();
             let reason =
                 if is_too_long { refusal::Reason::BodyTooLong } else { refusal::Reason::Malformed };
-            context.dialect.write_refusal(refusal::Refusal::new(reason))
+            context.refuse_unread(&head, reason)
         }
     };
     if *context.stopping.borrow() {
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -5,12 +5,15 @@
 use std::rc;
 use std::time;
 
+use hyper::http;
+
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::call;
 use crate::core::fleet::message;
 use crate::core::fleet::refusal;
 use crate::core::ids;
+use crate::router::body;
 use crate::router::clock;
 use crate::router::dialect;
 use crate::router::lines;
@@ -102,6 +105,17 @@
         self.mailboxes.borrow_mut().remove(&request);
     }
 
+    /// Refuses a request that cannot be read.
+    pub fn refuse_unread(
+        &self,
+        head: &http::request::Parts,
+        reason: refusal::Reason,
+    ) -> http::Response<body::Body> {
+        let id = self.dialect.read_id(head);
+        self.apply(fleet::Event::Unread { id, reason });
+        self.dialect.write_refusal(refusal::Refusal::new(reason))
+    }
+
     /// Reads from the state.
     pub fn read<T, F: FnOnce(&mut fleet::Fleet) -> T>(&self, read: F) -> T {
         read(&mut self.fleet.borrow_mut())
--- a/src/router/dialect.rs
+++ b/src/router/dialect.rs
@@ -42,6 +42,9 @@
     /// Tells why the head cannot be read.
     fn read_call(&self, head: &http::request::Parts) -> Result<call::Call, fleet::refusal::Reason>;
 
+    /// Reads the caller's id of a request; empty if it has none.
+    fn read_id(&self, head: &http::request::Parts) -> Bytes;
+
     /// Writes the request that a server is sent; `after_event` resumes a stream.
     fn write_request(
         &self,
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -87,7 +87,7 @@
 ) -> Response {
     let call = match context.dialect.read_call(&head) {
         Ok(call) => call,
-        Err(reason) => return context.dialect.write_refusal(refusal::Refusal::new(reason)),
+        Err(reason) => return context.refuse_unread(&head, reason),
     };
     let (request, mailbox) = context.open_mailbox();
     let presence = Presence { context: rc::Rc::clone(&context), request, has_ended: false };
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use galenayard::core::fleet;
 use galenayard::core::fleet::budget;
+use galenayard::core::fleet::decision;
 use galenayard::core::fleet::refusal;
 use galenayard::core::fleet::servers;
 use proptest::prelude::*;
@@ -193,6 +194,19 @@
     assert!(refused.count() > 0, "a rejected request is not tried again");
 }
 
+#[test]
+fn a_request_that_cannot_be_read_leaves_a_line_with_its_id() {
+    let mut instance = world::new_fleet(0, world::address(1_000));
+    let reason = refusal::Reason::BodyTooLong;
+    let event = fleet::Event::Unread { id: Bytes::from_static(b"9c41"), reason };
+    let effects = instance.apply(event, ms(10));
+    let is_line = |effect: &fleet::Effect| {
+        matches!(effect, fleet::Effect::Log(decision::Decision::Refused { request, status, .. })
+            if request == "9c41" && *status == 413)
+    };
+    assert!(effects.iter().any(is_line), "{effects:?}");
+}
+
 #[test]
 fn a_request_that_every_server_rejected_is_refused_at_once() {
     let mut world = World::new(6, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -643,7 +643,8 @@
     }
 }
 
-fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
+/// An instance that knows nothing yet.
+pub fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
     fleet::Fleet::new(fleet::Options {
         own: member(index, own),
         domain: "a".to_string(),
