Choose coordinators by rank among the live, and start without a flood

Cause: an instance that heard of fewer than three coordinators began to coordinate, so that the loss of one made the whole fleet coordinate for a moment, and so did a start of all. Now an instance counts the live members before it; while no coordinator is heard, three more by rank may step in each 100 ms; before any is known the first nine known instances are told, and only the first coordinator welcomes newcomers. Announcements of instances that are gone are removed from the store, or they would add up for ever. Test: the_loss_of_a_coordinator_does_not_make_the_whole_fleet_coordinate.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -124,8 +124,8 @@
         /// What it said.
         message: message::Message,
     },
-    /// The store names an instance.
-    Introduced(peers::Member),
+    /// The store names instances.
+    Introduced(Vec<peers::Member>),
     /// The store or a peer tells what workspaces have spent lately.
     PastSpending(Vec<quota::Spending>),
     /// A request cannot be read.
@@ -266,6 +266,8 @@
     seeds: Vec<net::SocketAddr>,
     coordinates: bool,
     has_been_ordinary: bool,
+    /// The store has named the other instances.
+    is_introduced: bool,
     reads_store: bool,
     sequence: u64,
     last_tick: ids::Timestamp,
@@ -295,6 +297,7 @@
             seeds: options.seeds,
             coordinates: false,
             has_been_ordinary: false,
+            is_introduced: false,
             reads_store: false,
             sequence: 0,
             last_tick: ids::Timestamp::ZERO,
@@ -313,9 +316,12 @@
                 self.note_change(told_at.or(changed), now, &mut effects);
             }
             Event::Told { from, message } => self.told(from, message, now, &mut effects),
-            Event::Introduced(member) => {
-                if member.incarnation != self.own.incarnation {
-                    self.peers.introduce(&member, now);
+            Event::Introduced(members) => {
+                self.is_introduced = true;
+                for member in &members {
+                    if member.incarnation != self.own.incarnation {
+                        self.peers.introduce(member, now);
+                    }
                 }
             }
             Event::PastSpending(spending) => {
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -30,6 +30,10 @@
 /// Silence after which a peer no longer coordinates, longer than three of its digests.
 pub const COORDINATOR_SILENCE: time::Duration = time::Duration::from_millis(1_200);
 
+/// The time after which the next instances by rank may coordinate while none is heard that does:
+/// several round trips, in which the ones before them are heard.
+pub const SUCCESSION_STEP: time::Duration = time::Duration::from_millis(100);
+
 /// How long a member counts as live after a coordinator last told that it hears it, unless one tells
 /// that it does not: every member is told of within half of that in a fleet of 360.
 pub const SIGHTING_FOR: time::Duration = time::Duration::from_secs(20);
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -67,7 +67,8 @@
 impl Fleet {
     /// Returns whether coordinators decide for the fleet.
     pub fn is_coordinated(&self, now: ids::Timestamp) -> bool {
-        self.peers.members(now) >= constants::COORDINATED_MEMBERS
+        let members = self.peers.members(now).max(1 + self.peers.known().count());
+        members >= constants::COORDINATED_MEMBERS
     }
 
     /// Returns whether this instance coordinates.
@@ -75,10 +76,12 @@
         self.coordinates
     }
 
-    /// Begins or ends to coordinate, by the coordinators that are heard.
+    /// Begins or ends to coordinate.
     pub(super) fn coordinate(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let before = self.peers.coordinators_before(&self.own, now);
-        let should = self.is_ready() && before < constants::COORDINATORS;
+        let (before, coordinators) = self.rank(now);
+        // One that has just started would hear of nobody, and all would coordinate at once.
+        let knows_others = self.is_introduced || now >= constants::SETTLING;
+        let should = self.is_ready() && knows_others && before < coordinators;
         if should == self.coordinates {
             return;
         }
@@ -91,6 +94,23 @@
         effects.push(Effect::Announce);
     }
 
+    /// Returns how many instances should coordinate rather than this one, and how many may. While no
+    /// coordinator is heard, nobody knows who lives, and the next ones by rank may step by step.
+    fn rank(&self, now: ids::Timestamp) -> (usize, usize) {
+        let silent_since = self
+            .peers
+            .coordinator_heard()
+            .map_or(ids::Timestamp::ZERO, |heard| heard + constants::COORDINATOR_SILENCE);
+        if now <= silent_since {
+            return (self.peers.live_before(&self.own, now), constants::COORDINATORS);
+        }
+        let silence = now.saturating_sub(silent_since);
+        let steps = silence.as_millis() / constants::SUCCESSION_STEP.as_millis();
+        let steps = usize::try_from(steps).unwrap_or(usize::MAX);
+        let coordinators = constants::COORDINATORS.saturating_mul(steps.saturating_add(1));
+        (self.peers.known_before(&self.own), coordinators)
+    }
+
     /// Returns whether this instance counts for the fleet and writes that down.
     pub fn is_keeper(&self, now: ids::Timestamp) -> bool {
         let coordinators = self.peers.coordinators(now);
@@ -119,10 +139,17 @@
             self.peers.coordinators(now).iter().map(|member| member.peer_address).collect();
         let counts = |address: &net::SocketAddr| coordinators.contains(address);
         let is_own = |address: &net::SocketAddr| *address == self.own.peer_address;
-        if !self.is_coordinated(now) || coordinators.is_empty() {
+        if !self.is_coordinated(now) {
             let to: Vec<_> = known.into_iter().filter(|address| !is_own(address)).collect();
             return vec![Parcel { to, digest: self.digest(now, true) }];
         }
+        if coordinators.is_empty() && !self.coordinates {
+            let first = self.peers.first_known(constants::RESERVE_READERS);
+            let first = first.into_iter().map(|member| member.peer_address);
+            let to: collections::Set<_> = first.chain(self.seeds.clone()).collect();
+            let to: Vec<_> = to.into_iter().filter(|address| !is_own(address)).collect();
+            return vec![Parcel { to, digest: self.digest(now, true) }];
+        }
         let others: Vec<_> =
             known.into_iter().filter(|address| !is_own(address) && !counts(address)).collect();
         let mut parcels =
@@ -260,7 +287,7 @@
 
     /// Tells a newcomer of all members.
     fn welcome(&self, to: net::SocketAddr, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        if !self.coordinates || !self.is_coordinated(now) {
+        if !self.is_keeper(now) || !self.is_coordinated(now) {
             return;
         }
         for sightings in self.peers.all_sightings(now).chunks(constants::MEMBERS_TOLD_AT_ONCE) {
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -35,15 +35,14 @@
     /// Returns whether it coordinates rather than `other`: the largest instances go first, and of
     /// these the ones that have run longest, so that one that returns displaces nobody.
     pub fn precedes(&self, other: &Self) -> bool {
-        self.rank().cmp(&other.rank()).then_with(|| {
-            let by_start = self.started_unix_ms.cmp(&other.started_unix_ms);
-            by_start.then(self.caller_address.cmp(&other.caller_address))
-        }) == cmp::Ordering::Less
+        by_rank(self, other) == cmp::Ordering::Less
     }
+}
 
-    fn rank(&self) -> cmp::Reverse<u64> {
-        cmp::Reverse((self.capacity_cores * 1_000.0) as u64)
-    }
+fn by_rank(one: &Member, other: &Member) -> cmp::Ordering {
+    let by_size = other.capacity_cores.total_cmp(&one.capacity_cores);
+    let by_start = one.started_unix_ms.cmp(&other.started_unix_ms);
+    by_size.then(by_start).then(one.caller_address.cmp(&other.caller_address))
 }
 
 /// A member that a coordinator hears.
@@ -125,8 +124,15 @@
 
 impl Peers {
     /// Adds an instance that the store or a peer names; a newer incarnation of an address replaces
-    /// the older one only once it is heard.
+    /// the older one only once it is heard, and an older one that is named late is gone.
     pub fn introduce(&mut self, member: &Member, now: ids::Timestamp) {
+        let is_newer = |peer: &Peer| {
+            peer.member.peer_address == member.peer_address
+                && peer.member.started_unix_ms > member.started_unix_ms
+        };
+        if self.peers.values().any(is_newer) {
+            return;
+        }
         self.peers.entry(member.incarnation).or_insert_with(|| Peer {
             member: member.clone(),
             heard: None,
@@ -230,6 +236,19 @@
         self.peers.values().map(|peer| &peer.member)
     }
 
+    /// Returns the first known peers by rank, whether they live or not.
+    pub fn first_known(&self, count: usize) -> Vec<&Member> {
+        let mut known: Vec<_> = self.known().collect();
+        known.sort_by(|one, other| by_rank(one, other));
+        known.truncate(count);
+        known
+    }
+
+    /// Returns whether an incarnation is remembered.
+    pub fn remembers(&self, incarnation: ids::Incarnation) -> bool {
+        self.peers.contains_key(&incarnation)
+    }
+
     /// Returns the peers that coordinate, the first one first.
     pub fn coordinators(&self, now: ids::Timestamp) -> Vec<&Member> {
         let mut coordinators: Vec<_> = self
@@ -238,21 +257,24 @@
             .filter(|peer| peer.is_coordinator(now))
             .map(|peer| &peer.member)
             .collect();
-        coordinators.sort_by(|one, other| {
-            if one.precedes(other) { cmp::Ordering::Less } else { cmp::Ordering::Greater }
-        });
+        coordinators.sort_by(|one, other| by_rank(one, other));
         coordinators
     }
 
-    /// Returns how many peers coordinate rather than `own`, those included that were named just now
-    /// and may not have spoken yet.
-    pub fn coordinators_before(&self, own: &Member, now: ids::Timestamp) -> usize {
-        let is_candidate = |peer: &&Peer| match peer.heard {
-            Some(_) => peer.is_coordinator(now),
-            None => now.saturating_sub(peer.added) <= constants::COORDINATOR_SILENCE,
-        };
-        let candidates = self.peers.values().filter(is_candidate);
-        candidates.filter(|peer| peer.member.precedes(own)).count()
+    /// Returns how many live peers should coordinate rather than `own`.
+    pub fn live_before(&self, own: &Member, now: ids::Timestamp) -> usize {
+        self.live(now).filter(|member| member.is_ready && member.precedes(own)).count()
+    }
+
+    /// Returns how many known peers should coordinate rather than `own`, if they live.
+    pub fn known_before(&self, own: &Member) -> usize {
+        self.known().filter(|member| member.precedes(own)).count()
+    }
+
+    /// Returns when a coordinator was heard last.
+    pub fn coordinator_heard(&self) -> Option<ids::Timestamp> {
+        let coordinators = self.peers.values().filter(|peer| peer.coordinates);
+        coordinators.filter_map(|peer| peer.heard).max()
     }
 
     /// Returns whether a coordinator reads the store.
@@ -267,12 +289,10 @@
             let age = now.saturating_sub(peer.heard?);
             (age <= constants::PEER_SILENCE).then_some((peer, age))
         });
-        let (changed, mut others): (Vec<_>, Vec<_>) =
+        let (changed, others): (Vec<_>, Vec<_>) =
             heard.partition(|(peer, _)| peer.is_changed_within(constants::NEWS_FOR, now));
-        let start = turn % others.len().max(1);
-        others.rotate_left(start);
-        let changed = changed.into_iter().take(constants::NEWS_TOLD);
-        let told = changed.chain(others.into_iter().take(constants::MEMBERS_TOLD));
+        let changed = from_turn(changed, turn).take(constants::NEWS_TOLD);
+        let told = changed.chain(from_turn(others, turn).take(constants::MEMBERS_TOLD));
         told.map(|(peer, age)| peer.sighting(age)).collect()
     }
 
@@ -343,6 +363,13 @@
     }
 }
 
+/// Returns items from `turn` on, so that each has its turn where some are taken only.
+fn from_turn<T>(mut items: Vec<T>, turn: usize) -> impl Iterator<Item = T> {
+    let start = turn % items.len().max(1);
+    items.rotate_left(start);
+    items.into_iter()
+}
+
 impl Peer {
     fn is_heard_within(&self, span: time::Duration, now: ids::Timestamp) -> bool {
         self.heard.is_some_and(|at| now.saturating_sub(at) <= span)
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -88,6 +88,11 @@
         self.reads_store = reads_store;
     }
 
+    /// Returns whether an instance has given a sign of life lately, or may still do so.
+    pub fn remembers(&self, member: &peers::Member) -> bool {
+        member.incarnation == self.own.incarnation || self.peers.remembers(member.incarnation)
+    }
+
     /// Returns where all peers are reached, the silent ones too.
     pub fn known_peers(&self) -> Vec<net::SocketAddr> {
         self.peers.known().map(|member| member.peer_address).collect()
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -221,21 +221,65 @@
     let mut follower = Follower::new(address, MEMBERS_TOPIC);
     let own = context.read(|fleet| fleet.announcement());
     announce(&mut follower.store, &own).await;
+    let mut announced = collections::Map::default();
     loop {
         leave_to_others(&context).await;
         if let Some(reading) = follower.read(time::Duration::ZERO).await {
-            for record in reading.records {
-                let Some(value) = record.value else { continue };
-                match serde_json::from_slice::<peers::Member>(&value) {
-                    Ok(member) => context.apply(fleet::Event::Introduced(member)),
-                    Err(failure) => log::warn!("an announcement cannot be read: {failure}"),
-                }
-            }
+            introduce(&context, reading, &mut announced);
+            remove_gone(&mut follower.store, &context, &mut announced).await;
         }
         tokio::time::sleep(MEMBERS_INTERVAL).await;
     }
 }
 
+/// Announced instances by name, and when that was read.
+type Announced = collections::Map<String, (peers::Member, ids::Timestamp)>;
+
+fn introduce(context: &context::Context, reading: Reading, announced: &mut Announced) {
+    let now = context.now();
+    let mut members = Vec::new();
+    for record in reading.records {
+        let Some(value) = record.value else { continue };
+        match serde_json::from_slice::<peers::Member>(&value) {
+            Ok(member) => {
+                announced.insert(member.name.clone(), (member.clone(), now));
+                members.push(member);
+            }
+            Err(failure) => log::warn!("an announcement cannot be read: {failure}"),
+        }
+    }
+    context.apply(fleet::Event::Introduced(members));
+}
+
+/// Removes the announcements of instances that are gone for good, or they would add up for ever.
+async fn remove_gone(
+    store: &mut store::Store,
+    context: &context::Context,
+    announced: &mut Announced,
+) {
+    let now = context.now();
+    if !context.read(|fleet| fleet.is_keeper(now)) {
+        return;
+    }
+    let is_gone = |member: &peers::Member, read: ids::Timestamp| {
+        now >= read + constants::PEER_MEMORY && !context.read(|fleet| fleet.remembers(member))
+    };
+    let gone: Vec<_> = announced
+        .iter()
+        .filter(|(_, (member, read))| is_gone(member, *read))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in gone {
+        match store.append(MEMBERS_TOPIC, &name, &[]).await {
+            Ok(()) => {
+                announced.remove(&name);
+            }
+            // It is tried again after the next reading.
+            Err(failure) => return log::debug!("{name} is still announced: {failure}"),
+        }
+    }
+}
+
 async fn announce(store: &mut store::Store, own: &peers::Member) {
     let value = match serde_json::to_vec(own) {
         Ok(value) => value,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -325,6 +325,26 @@
     assert_eq!(world.coordinators(), [3, 4, 5]);
 }
 
+#[test]
+fn the_loss_of_a_coordinator_does_not_make_the_whole_fleet_coordinate() {
+    let mut world = World::new(60, FAST_DIGESTS, &world::servers());
+    let mut most = world.most_coordinators;
+    assert!(most <= 9, "{most} at the start");
+    world.most_coordinators = 0;
+    world.kill(ms(0), 0);
+    world.run(ms(4_000));
+    most = world.most_coordinators;
+    assert!(most <= 4, "{most} after the loss of one");
+    world.most_coordinators = 0;
+    for instance in 1..4 {
+        world.kill(ms(0), instance);
+    }
+    world.run(ms(4_000));
+    most = world.most_coordinators;
+    assert!(most <= 9, "{most} after the loss of all");
+    assert_eq!(world.coordinators().len(), 3);
+}
+
 #[test]
 fn the_first_change_after_a_complete_listing_is_told_to_peers() {
     let all = world::servers();
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -106,6 +106,8 @@
     sequence: u64,
     backends: Map<Bytes, Backend>,
     next_request: u64,
+    /// The most instances that coordinated at once.
+    pub most_coordinators: usize,
     /// Digests sent so far.
     pub datagrams: usize,
     pub records: Map<(usize, u64), Record>,
@@ -206,6 +208,7 @@
             sequence: 0,
             backends: Map::default(),
             next_request: 0,
+            most_coordinators: 0,
             datagrams: 0,
             records: Map::default(),
         };
@@ -224,10 +227,8 @@
         let catalog = sync::Arc::new(configuration());
         for index in 0..instances {
             // The store names all instances.
-            for other in (0..instances).filter(|other| *other != index) {
-                let member = member(other, world.addresses[other]);
-                world.apply(index, fleet::Event::Introduced(member));
-            }
+            let members = (0..instances).map(|other| member(other, world.addresses[other]));
+            world.apply(index, fleet::Event::Introduced(members.collect()));
             world.apply(index, fleet::Event::Configured(sync::Arc::clone(&catalog)));
             let listings = entries.iter().cloned().map(servers::Listing::Present).collect();
             world.apply(index, listed(listings));
@@ -433,6 +434,10 @@
         self.schedule(next, Action::Digest { instance });
     }
 
+    fn note_coordinators(&mut self) {
+        self.most_coordinators = self.most_coordinators.max(self.coordinators().len());
+    }
+
     fn send_parcels(&mut self, instance: usize) -> usize {
         let now = self.now;
         let Some(fleet) = self.instances[instance].as_mut() else { return 0 };
@@ -477,6 +482,7 @@
                 self.schedule(LATENCY, Action::Tell { to, from, message });
             }
             fleet::Effect::Announce => {
+                self.note_coordinators();
                 self.send_parcels(instance);
             }
             fleet::Effect::Admit { .. }
