Tell peers which servers were removed in place of the names of all

Cause: a peer that asked for newer servers was sent the names of all, 42 KB at 3,000 servers, for each change and each instance. Now it is sent the removals since its last change; one that was read after an outage of the store says so, and the peer waits for the server's return by itself. Removals are remembered up to 4,096, where they added up for ever. Test: a_peer_that_asks_for_servers_is_told_which_are_gone_and_which_may_come_back.

--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// The removal of an entry that may come back.
+#[derive(Debug, Clone, Copy)]
+struct Lapse {
+    at: ids::Timestamp,
+    offset: ids::Offset,
+}
+
+impl Lapse {
+    fn is_over(self, now: ids::Timestamp) -> bool {
+        now >= self.at + constants::LAPSED_ENTRY_GRACE
+    }
+}
+
 /// A server and what is known of it.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -92,7 +105,7 @@
     ejections: u32,
     ejected_until: ids::Timestamp,
     handover_paused_until: ids::Timestamp,
-    lapsed: Option<ids::Timestamp>,
+    lapsed: Option<Lapse>,
     listed: ids::Timestamp,
 }
 
@@ -133,7 +146,7 @@
 
     /// Returns whether it may get new work.
     pub fn is_usable(&self, now: ids::Timestamp) -> bool {
-        let is_listed = self.lapsed.is_none_or(|at| now < at + constants::LAPSED_ENTRY_GRACE);
+        let is_listed = self.lapsed.is_none_or(|lapse| !lapse.is_over(now));
         !self.entry.is_draining && is_listed && now >= self.ejected_until
     }
 
@@ -192,6 +205,20 @@
     }
 }
 
+/// A server that the store lists no more.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Removal {
+    /// Its name.
+    pub id: ids::ServerId,
+    /// The position of the removal.
+    pub offset: ids::Offset,
+    /// Whether it was read after an outage of the store, so that the server may come back.
+    pub is_after_outage: bool,
+}
+
+/// Removals that are remembered, so that an older entry of a server does not bring it back.
+const REMOVALS_KEPT: usize = 4_096;
+
 /// All servers.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -275,7 +302,7 @@
         }
         // A server that was leaving is not expected back.
         if is_after_outage && !server.entry.is_draining {
-            server.lapsed.get_or_insert(now);
+            server.lapsed.get_or_insert(Lapse { at: now, offset });
             return true;
         }
         self.forget(id, offset);
@@ -285,18 +312,43 @@
     fn forget(&mut self, id: &ids::ServerId, offset: ids::Offset) {
         self.servers.remove(id);
         self.removed.insert(id.clone(), offset);
+        self.forget_old_removals();
         self.index();
     }
 
+    fn forget_old_removals(&mut self) {
+        if self.removed.len() <= REMOVALS_KEPT {
+            return;
+        }
+        let mut offsets: Vec<_> = self.removed.values().copied().collect();
+        offsets.sort_unstable();
+        let middle = offsets[offsets.len() / 2];
+        self.removed.retain(|_, offset| *offset >= middle);
+    }
+
+    /// Returns what was removed at `position` or later.
+    pub fn removals_since(&self, position: ids::Offset) -> Vec<Removal> {
+        let removed = self.removed.iter().map(|(id, offset)| Removal {
+            id: id.clone(),
+            offset: *offset,
+            is_after_outage: false,
+        });
+        let lapsed = self.servers.values().filter_map(|server| {
+            let offset = server.lapsed?.offset;
+            Some(Removal { id: server.entry.id.clone(), offset, is_after_outage: true })
+        });
+        removed.chain(lapsed).filter(|removal| removal.offset >= position).collect()
+    }
+
     /// Forgets entries that lapsed while the store was away and did not come back.
     pub fn expire(&mut self, now: ids::Timestamp) -> Vec<ids::ServerId> {
         let gone: Vec<_> = self
             .servers
             .values()
-            .filter(|server| {
-                server.lapsed.is_some_and(|at| now >= at + constants::LAPSED_ENTRY_GRACE)
+            .filter_map(|server| {
+                let lapse = server.lapsed.filter(|lapse| lapse.is_over(now))?;
+                Some((server.entry.id.clone(), lapse.offset))
             })
-            .map(|server| (server.entry.id.clone(), server.entry.offset))
             .collect();
         for (id, offset) in &gone {
             self.forget(id, *offset);
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -54,6 +54,12 @@
         newer.get(index).copied()
     }
 
+    /// Returns the removals of servers that one has not heard of whose last change came before
+    /// `position`.
+    pub fn server_removals_since(&self, position: ids::Offset) -> Vec<servers::Removal> {
+        self.servers.removals_since(position)
+    }
+
     /// Returns the position after the last change of the list of servers; 0 before the first one.
     pub fn servers_at(&self) -> ids::Offset {
         self.servers_at
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -9,7 +9,6 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
-use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::quota;
@@ -47,9 +46,8 @@
 struct Reading {
     age_ms: Option<u64>,
     content: Option<catalog::Content>,
-    names: Vec<ids::ServerId>,
     entries: Vec<servers::Entry>,
-    servers_end: ids::Offset,
+    removals: Vec<servers::Removal>,
     servers_at: ids::Offset,
     past: Option<Vec<quota::Spending>>,
 }
@@ -83,14 +81,12 @@
     let age = context.store_read.get().map(|at| now.saturating_sub(at));
     context.read(|fleet| {
         let catalog = fleet.catalog().filter(|it| it.content.version > question.version);
-        let names = fleet.server_entries().into_iter().map(|entry| entry.id).collect();
         let tells_past = fleet.knows_past() && fleet.coordinates() && !question.knows_past;
         Reading {
             age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             content: catalog.map(|catalog| catalog.content.clone()),
-            names,
             entries: fleet.server_entries_since(question.servers_at),
-            servers_end: context.servers_end.get(),
+            removals: fleet.server_removals_since(question.servers_at),
             servers_at: fleet.servers_at(),
             past: tells_past.then(|| fleet.spending(now)),
         }
@@ -146,19 +142,29 @@
     if let Some(past) = reading.past {
         context.apply(fleet::Event::PastSpending(past));
     }
-    // A peer that has not heard of the store lately knows of no removals.
     let age = reading.age_ms.map(time::Duration::from_millis).filter(|age| *age < STALE);
-    let is_fresh = age.is_some();
     let read_at = age.map(|age| context.now().saturating_sub(age));
     context.store_read.set(context.store_read.get().max(read_at));
-    let is_newer = reading.servers_end > context.servers_end.get();
-    let names: collections::Set<_> = reading.names.into_iter().collect();
-    let listings = reading.entries.into_iter().map(servers::Listing::Present).collect();
-    let complete = (is_fresh && is_newer).then_some((names, reading.servers_end));
-    if complete.is_some() {
-        context.servers_end.set(reading.servers_end);
-    }
-    let told_at = is_fresh.then_some(reading.servers_at);
-    let is_after_outage = false;
+    let (lapsed, removed): (Vec<_>, Vec<_>) =
+        reading.removals.into_iter().partition(|removal| removal.is_after_outage);
+    let entries = reading.entries.into_iter().map(servers::Listing::Present);
+    list(context, entries.collect(), false, None);
+    list(context, lapsed.into_iter().map(removed_listing).collect(), true, None);
+    // Only now all is taken that came before the position.
+    let told_at = Some(reading.servers_at);
+    list(context, removed.into_iter().map(removed_listing).collect(), false, told_at);
+}
+
+fn removed_listing(removal: servers::Removal) -> servers::Listing {
+    servers::Listing::Removed { id: removal.id, offset: removal.offset }
+}
+
+fn list(
+    context: &context::Context,
+    listings: Vec<servers::Listing>,
+    is_after_outage: bool,
+    told_at: Option<ids::Offset>,
+) {
+    let complete = None;
     context.apply(fleet::Event::Listed { listings, complete, is_after_outage, told_at });
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -369,11 +369,37 @@
     let world = World::new(1, FAST_DIGESTS, &all);
     let told = world.servers_since(0, 0);
     assert_eq!(told.len(), all.len(), "one that knows none, of the very first one too");
+    assert!(world.removals_since(0, 0).is_empty());
     let mut names: Vec<_> = world.servers_since(0, 10).into_iter().map(|entry| entry.id).collect();
     names.sort_unstable();
     assert_eq!(names, ["desk-1", "desk-2"]);
 }
 
+#[test]
+fn a_peer_that_asks_for_servers_is_told_which_are_gone_and_which_may_come_back() {
+    let mut world = World::new(1, FAST_DIGESTS, &world::servers());
+    let removal = |name: &'static str, offset, is_after_outage| servers::Removal {
+        id: Bytes::from_static(name.as_bytes()),
+        offset,
+        is_after_outage,
+    };
+    let listing = |name: &'static str, offset| servers::Listing::Removed {
+        id: Bytes::from_static(name.as_bytes()),
+        offset,
+    };
+    world.list_at(0, listing("desk-0", 5));
+    world.list_after_outage(0, listing("desk-1", 6));
+    assert_eq!(
+        world.removals_since(0, 0),
+        [removal("desk-0", 5, false), removal("desk-1", 6, true)]
+    );
+    assert_eq!(world.removals_since(0, 6), [removal("desk-1", 6, true)]);
+    assert!(world.knows_server(0, "desk-1"));
+    world.run(ms(2_100));
+    assert!(!world.knows_server(0, "desk-1"), "it did not come back within 2 s");
+    assert_eq!(world.removals_since(0, 6), [removal("desk-1", 6, false)]);
+}
+
 #[test]
 fn a_store_that_is_away_is_not_asked_by_the_whole_fleet() {
     let mut world = World::new(40, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -320,6 +320,17 @@
         self.apply(instance, event);
     }
 
+    /// Gives an instance a change that was read after the store was away.
+    pub fn list_after_outage(&mut self, instance: usize, listing: servers::Listing) {
+        let event = fleet::Event::Listed {
+            listings: vec![listing],
+            complete: None,
+            is_after_outage: true,
+            told_at: None,
+        };
+        self.apply(instance, event);
+    }
+
     /// Gives an instance one change of the list of servers.
     pub fn list_at(&mut self, instance: usize, listing: servers::Listing) {
         self.apply(instance, listed(vec![listing]));
@@ -331,6 +342,12 @@
         fleet.map(|fleet| fleet.server_entries_since(position)).unwrap_or_default()
     }
 
+    /// Returns the removals that an instance tells a peer whose last change came before `position`.
+    pub fn removals_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Removal> {
+        let fleet = self.instances[instance].as_ref();
+        fleet.map(|fleet| fleet.server_removals_since(position)).unwrap_or_default()
+    }
+
     /// Returns whether an instance knows a server.
     pub fn knows_server(&self, instance: usize, name: &str) -> bool {
         let name = Bytes::from(name.to_string());
