--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -363,6 +363,28 @@
     assert_eq!(world.coordinators().len(), 3);
 }
 
+/// Returns the requests that arrive in the first seconds after a start of all, and those that are
+/// finished.
+fn serve_after_a_start_of_all(instances: usize, host: &'static str) -> (usize, usize) {
+    let all = world::servers();
+    let mut world = World::new(instances, FAST_DIGESTS, &all);
+    world.restart_all(&all);
+    press(&mut world, host, instances, 80, ms(3_000));
+    world.run(ms(6_000));
+    let finished = world.records.values().filter(|record| record.finished).count();
+    (world.records.len(), finished)
+}
+
+#[test]
+fn a_large_fleet_serves_within_a_second_after_all_were_lost() {
+    for instances in [40, 100] {
+        let (asked, finished) = serve_after_a_start_of_all(instances, "query");
+        assert!(finished * 10 >= asked * 9, "{finished} of {asked} at {instances} instances");
+        let (asked, finished) = serve_after_a_start_of_all(instances, "limited");
+        assert!(finished * 3 >= asked * 2, "{finished} of {asked} with a limit at {instances}");
+    }
+}
+
 #[test]
 fn the_first_change_after_a_complete_listing_is_told_to_peers() {
     let all = world::servers();
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -367,6 +367,27 @@
         }
     }
 
+    /// Starts all instances again, which know what the store tells: the others as they were, and
+    /// those of this start that were announced before.
+    pub fn restart_all(&mut self, entries: &[servers::Entry]) {
+        let count = self.addresses.len();
+        let old: Vec<_> = (0..count).map(|index| member(index, self.addresses[index])).collect();
+        let new = |index: usize| {
+            let incarnation = (count + index) as u64 + 1;
+            peers::Member { incarnation, started_unix_ms: incarnation, ..old[index].clone() }
+        };
+        for index in 0..count {
+            self.instances[index] = Some(restarted_fleet(new(index)));
+            let announced =
+                (0..count).map(|other| if other < index { new(other) } else { old[other].clone() });
+            self.apply(index, fleet::Event::Introduced(announced.collect()));
+            self.apply(index, fleet::Event::Configured(sync::Arc::new(configuration())));
+            let listings = entries.iter().cloned().map(servers::Listing::Present).collect();
+            self.apply(index, listed(listings));
+            self.apply(index, fleet::Event::PastSpending(Vec::new()));
+        }
+    }
+
     pub fn kill(&mut self, after: Duration, instance: usize) {
         self.schedule(after, Action::Kill { instance });
     }
@@ -671,17 +692,27 @@
     }
 }
 
-/// An instance that knows nothing yet.
+/// An instance of a system that starts for the first time, and knows nothing yet.
 pub fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
-    fleet::Fleet::new(fleet::Options {
-        own: member(index, own),
+    let is_first_start = true;
+    fleet::Fleet::new(options(member(index, own), is_first_start))
+}
+
+fn restarted_fleet(own: peers::Member) -> fleet::Fleet {
+    let is_first_start = false;
+    fleet::Fleet::new(options(own, is_first_start))
+}
+
+fn options(own: peers::Member, is_first_start: bool) -> fleet::Options {
+    fleet::Options {
+        seed: own.incarnation,
+        own,
         domain: "a".to_string(),
-        is_first_start: true,
+        is_first_start,
         quota_window: LIMIT_WINDOW,
         retries: budget::RetryBounds { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) },
         seeds: vec![address(1_000)],
-        seed: index as u64,
-    })
+    }
 }
 
 /// Three prefill engines, six decode engines and three plain servers.
