Name all servers to a peer whose missing removals are not all known

Cause: a teller that started after a server was removed never knew it, and told no removal; its peers kept the server, and its address went to another service. Now a teller knows from which position on it remembers removals, and names all servers to a peer that was last told before that. Test: one_that_started_after_a_removal_tells_the_names_of_all_servers.

--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -225,6 +225,8 @@
     servers: collections::Map<ids::ServerId, Server>,
     removed: collections::Map<ids::ServerId, ids::Offset>,
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
+    /// All removals from this position on are remembered; `None` before the first listing.
+    remembers_since: Option<ids::Offset>,
 }
 
 impl Directory {
@@ -247,6 +249,7 @@
         is_after_outage: bool,
         now: ids::Timestamp,
     ) -> Vec<ids::ServerId> {
+        self.remembers_since.get_or_insert(last + 1);
         let mut missing: Vec<_> = self
             .servers
             .iter()
@@ -324,6 +327,14 @@
         offsets.sort_unstable();
         let middle = offsets[offsets.len() / 2];
         self.removed.retain(|_, offset| *offset >= middle);
+        self.remembers_since = self.remembers_since.max(Some(middle));
+    }
+
+    /// Returns the names of all servers if not all removals at `position` or later are remembered:
+    /// this instance may have started after one.
+    pub fn names_unless_remembered(&self, position: ids::Offset) -> Option<Vec<ids::ServerId>> {
+        let is_remembered = self.remembers_since.is_some_and(|since| since <= position);
+        (!is_remembered).then(|| self.servers.keys().cloned().collect())
     }
 
     /// Returns what was removed at `position` or later.
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -54,6 +54,15 @@
         newer.get(index).copied()
     }
 
+    /// Returns the names of all servers if the removals that one lacks are not all known, whose last
+    /// change came before `position`.
+    pub fn server_names_unless_remembered(
+        &self,
+        position: ids::Offset,
+    ) -> Option<Vec<ids::ServerId>> {
+        self.servers.names_unless_remembered(position)
+    }
+
     /// Returns the removals of servers that one has not heard of whose last change came before
     /// `position`.
     pub fn server_removals_since(&self, position: ids::Offset) -> Vec<servers::Removal> {
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
+use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::quota;
@@ -48,6 +49,7 @@
     content: Option<catalog::Content>,
     entries: Vec<servers::Entry>,
     removals: Vec<servers::Removal>,
+    names: Option<Vec<ids::ServerId>>,
     servers_at: ids::Offset,
     past: Option<Vec<quota::Spending>>,
 }
@@ -87,6 +89,7 @@
             content: catalog.map(|catalog| catalog.content.clone()),
             entries: fleet.server_entries_since(question.servers_at),
             removals: fleet.server_removals_since(question.servers_at),
+            names: fleet.server_names_unless_remembered(question.servers_at),
             servers_at: fleet.servers_at(),
             past: tells_past.then(|| fleet.spending(now)),
         }
@@ -148,23 +151,31 @@
     let (lapsed, removed): (Vec<_>, Vec<_>) =
         reading.removals.into_iter().partition(|removal| removal.is_after_outage);
     let entries = reading.entries.into_iter().map(servers::Listing::Present);
-    list(context, entries.collect(), false, None);
-    list(context, lapsed.into_iter().map(removed_listing).collect(), true, None);
+    list(context, Listed { listings: entries.collect(), ..Listed::default() });
+    let listings = lapsed.into_iter().map(removed_listing).collect();
+    list(context, Listed { listings, is_after_outage: true, ..Listed::default() });
     // Only now all is taken that came before the position.
+    let listings = removed.into_iter().map(removed_listing).collect();
     let told_at = Some(reading.servers_at);
-    list(context, removed.into_iter().map(removed_listing).collect(), false, told_at);
+    let names = reading.names.map(|names| names.into_iter().collect());
+    let complete = names.map(|names| (names, reading.servers_at));
+    list(context, Listed { listings, complete, told_at, ..Listed::default() });
+}
+
+/// What a peer has told of servers.
+#[derive(Default)]
+struct Listed {
+    listings: Vec<servers::Listing>,
+    complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
+    is_after_outage: bool,
+    told_at: Option<ids::Offset>,
 }
 
 fn removed_listing(removal: servers::Removal) -> servers::Listing {
     servers::Listing::Removed { id: removal.id, offset: removal.offset }
 }
 
-fn list(
-    context: &context::Context,
-    listings: Vec<servers::Listing>,
-    is_after_outage: bool,
-    told_at: Option<ids::Offset>,
-) {
-    let complete = None;
+fn list(context: &context::Context, listed: Listed) {
+    let Listed { listings, complete, is_after_outage, told_at } = listed;
     context.apply(fleet::Event::Listed { listings, complete, is_after_outage, told_at });
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -440,6 +440,20 @@
     assert_eq!(world.removals_since(0, 6), [removal("desk-1", 6, false)]);
 }
 
+#[test]
+fn one_that_started_after_a_removal_tells_the_names_of_all_servers() {
+    let all = world::servers();
+    // The store has no record left of the first server, nor of its removal.
+    let mut world = World::new(1, FAST_DIGESTS, &all[1..]);
+    assert_eq!(world.names_told(0, 3).map(|names| names.len()), Some(11), "nothing was listed");
+    world.read_list(0, &all[1..], 5);
+    let names = world.names_told(0, 3).expect("the peer may know a server that is gone");
+    assert!(names.len() == 11 && !names.contains(&all[0].id), "{names:?}");
+    world.list_at(0, servers::Listing::Removed { id: all[1].id.clone(), offset: 7 });
+    assert_eq!(world.names_told(0, 5), None, "removals since then are told one by one");
+    assert_eq!(world.removals_since(0, 5).len(), 1);
+}
+
 #[test]
 fn a_store_that_is_away_is_not_asked_by_the_whole_fleet() {
     let mut world = World::new(40, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -342,6 +342,12 @@
         fleet.map(|fleet| fleet.server_entries_since(position)).unwrap_or_default()
     }
 
+    /// Returns the names that an instance tells a peer whose last change came before `position`, if
+    /// it does not know all removals since then.
+    pub fn names_told(&self, instance: usize, position: ids::Offset) -> Option<Vec<ids::ServerId>> {
+        self.instances[instance].as_ref()?.server_names_unless_remembered(position)
+    }
+
     /// Returns the removals that an instance tells a peer whose last change came before `position`.
     pub fn removals_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Removal> {
         let fleet = self.instances[instance].as_ref();
