--- /dev/null
+++ b/tests/fleet/coordination.rs
@@ -0,0 +1,148 @@
+//! Large fleets: who coordinates, what is told, and limits that one instance counts.
+
+use std::time::Duration;
+
+use crate::FAST_DIGESTS;
+use crate::ms;
+use crate::press;
+use crate::world;
+use crate::world::World;
+
+/// Returns the most requests for `host` that came in any window of a limit and were run.
+fn most_runs_in_a_window(world: &World, host: &str) -> usize {
+    let ran = |record: &&world::Record| record.runs > 0 && record.host == host;
+    let mut times: Vec<_> =
+        world.records.values().filter(ran).map(|record| record.arrived).collect();
+    times.sort_unstable();
+    let within = |start: &Duration| {
+        let end = *start + world::LIMIT_WINDOW;
+        times.iter().filter(|at| **at >= *start && **at < end).count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+/// What the limit of `limited` allows in a window.
+fn allowed_in_a_window() -> f64 {
+    world::LIMIT_PER_S * world::LIMIT_WINDOW.as_secs_f64() + world::LIMIT_BURST
+}
+
+#[test]
+fn digests_grow_with_the_fleet_and_not_with_its_square() {
+    let per_instance = |instances: usize| {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        let before = world.datagrams;
+        world.run(ms(10_000));
+        (world.datagrams - before) / instances
+    };
+    let (small, large) = (per_instance(30), per_instance(120));
+    assert!(large <= small * 5 / 4, "{small} digests each at 30 instances, {large} at 120");
+}
+
+#[test]
+fn a_workspace_that_presses_at_many_instances_gets_its_limit_and_no_more() {
+    let mut world = World::new(40, FAST_DIGESTS, &world::servers());
+    press(&mut world, "limited", 40, 400, ms(20_000));
+    world.run(ms(24_000));
+    let runs = world.records.values().filter(|record| record.runs > 0).count() as f64;
+    let most = most_runs_in_a_window(&world, "limited") as f64;
+    assert!(most <= allowed_in_a_window(), "{most} runs in a window");
+    let allowed = world::LIMIT_PER_S * 20.0;
+    assert!(runs >= allowed * 0.95, "{runs} runs, {allowed} allowed");
+    let not_once = world.records.values().filter(|record| record.ends != 1).count();
+    assert_eq!(not_once, 0);
+}
+
+#[test]
+fn a_limit_holds_while_the_coordinator_that_counts_it_ends() {
+    // The overshoot that the platform's bounds allow.
+    const OVERSHOOT: f64 = 1.1;
+    let mut world = World::new(40, FAST_DIGESTS, &world::servers());
+    press(&mut world, "limited", 40, 400, ms(20_000));
+    // Instance 0 has run longest and counts; 1 and 2 follow it.
+    world.kill(ms(6_000), 0);
+    world.kill(ms(11_000), 1);
+    world.run(ms(24_000));
+    let runs = world.records.values().filter(|record| record.runs > 0).count() as f64;
+    let most = most_runs_in_a_window(&world, "limited") as f64;
+    assert!(most <= allowed_in_a_window() * OVERSHOOT, "{most} runs in a window");
+    let allowed = world::LIMIT_PER_S * 20.0;
+    assert!(runs >= allowed * 0.9, "{runs} runs, {allowed} allowed");
+}
+
+#[test]
+fn all_instances_of_a_large_fleet_are_named_to_callers_and_lost_ones_are_not() {
+    let mut world = World::new(40, FAST_DIGESTS, &world::servers());
+    world.run(ms(2_000));
+    assert_eq!(world.caller_addresses(39).len(), 40);
+    world.kill(ms(0), 20);
+    world.kill(ms(0), 0);
+    world.run(ms(3_000));
+    let named = world.caller_addresses(39);
+    assert_eq!(named.len(), 38, "{named:?}");
+    assert!(!named.contains(&world::address(1_020)) && !named.contains(&world::address(1_000)));
+}
+
+#[test]
+fn coordinators_that_end_are_replaced() {
+    let mut world = World::new(40, FAST_DIGESTS, &world::servers());
+    assert_eq!(world.coordinators(), [0, 1, 2]);
+    for instance in 0..3 {
+        world.kill(ms(0), instance);
+    }
+    world.run(ms(4_000));
+    assert_eq!(world.coordinators(), [3, 4, 5]);
+}
+
+#[test]
+fn the_loss_of_a_coordinator_does_not_make_the_whole_fleet_coordinate() {
+    let mut world = World::new(60, FAST_DIGESTS, &world::servers());
+    let mut most = world.most_coordinators;
+    assert!(most <= 9, "{most} at the start");
+    world.most_coordinators = 0;
+    world.kill(ms(0), 0);
+    world.run(ms(4_000));
+    most = world.most_coordinators;
+    assert!(most <= 4, "{most} after the loss of one");
+    world.most_coordinators = 0;
+    for instance in 1..4 {
+        world.kill(ms(0), instance);
+    }
+    world.run(ms(4_000));
+    most = world.most_coordinators;
+    assert!(most <= 9, "{most} after the loss of all");
+    assert_eq!(world.coordinators().len(), 3);
+}
+
+/// Returns the requests that arrive in the first seconds after a start of all, and those that are
+/// finished.
+fn serve_after_a_start_of_all(instances: usize, host: &'static str) -> (usize, usize) {
+    let all = world::servers();
+    let mut world = World::new(instances, FAST_DIGESTS, &all);
+    world.restart_all(&all);
+    press(&mut world, host, instances, 80, ms(3_000));
+    world.run(ms(6_000));
+    let finished = world.records.values().filter(|record| record.finished).count();
+    (world.records.len(), finished)
+}
+
+#[test]
+fn a_large_fleet_serves_within_a_second_after_all_were_lost() {
+    for instances in [40, 100] {
+        let (asked, finished) = serve_after_a_start_of_all(instances, "query");
+        assert!(finished * 10 >= asked * 9, "{finished} of {asked} at {instances} instances");
+        let (asked, finished) = serve_after_a_start_of_all(instances, "limited");
+        assert!(finished * 3 >= asked * 2, "{finished} of {asked} with a limit at {instances}");
+    }
+}
+
+#[test]
+fn a_store_that_is_away_is_not_asked_by_the_whole_fleet() {
+    let mut world = World::new(40, FAST_DIGESTS, &world::servers());
+    world.run(ms(2_000));
+    world.set_reads_store(&[0, 1, 2], true);
+    world.run(ms(1_000));
+    assert_eq!(world.store_readers(), [0, 1, 2]);
+    world.set_reads_store(&[0, 1, 2], false);
+    world.run(ms(1_000));
+    assert_eq!(world.store_readers().len(), 9, "some try, as not all may be turned away");
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,5 +1,9 @@
 //! A small world of instances, engines and plain servers in virtual time, without sockets.
 
+mod backends;
+mod fixtures;
+mod views;
+
 use std::cmp;
 use std::collections::BinaryHeap;
 use std::net;
@@ -18,6 +22,16 @@
 use galenayard::core::fleet::servers;
 use galenayard::core::ids;
 
+pub use fixtures::address;
+pub use fixtures::configuration;
+pub use fixtures::entry;
+pub use fixtures::new_fleet;
+pub use fixtures::servers;
+
+use fixtures::listed;
+use fixtures::member;
+use fixtures::restarted_fleet;
+
 /// One way between two instances.
 const LATENCY: Duration = Duration::from_millis(2);
 const TICK: Duration = Duration::from_millis(50);
@@ -122,79 +136,6 @@
 /// The time until the instances of a large fleet know who coordinates.
 const SETTLED_AFTER: Duration = Duration::from_millis(2_500);
 
-pub fn address(port: u16) -> net::SocketAddr {
-    net::SocketAddr::from(([127, 0, 0, 1], port))
-}
-
-fn route(host: &str, service: &str, repeat: catalog::Repeat, is_stream: bool) -> catalog::Route {
-    let (timeout, objective) = if is_stream { (14_000, 900) } else { (1_000, 150) };
-    catalog::Route {
-        name: host.to_string(),
-        host: host.to_string(),
-        path_prefix: "/".to_string(),
-        is_stream,
-        repeat,
-        timeout: Duration::from_millis(timeout),
-        objective: Duration::from_millis(objective),
-        first_event_timeout: Duration::from_millis(3_600),
-        priority: 1,
-        services: vec![(service.into(), 1)],
-        attempts: 2,
-        is_open: true,
-    }
-}
-
-pub fn configuration() -> catalog::Catalog {
-    let routes = [
-        route("stream", "llm", catalog::Repeat::Once, true),
-        route("order", "desk", catalog::Repeat::Once, false),
-        route("query", "desk", catalog::Repeat::Idempotent, false),
-        catalog::Route { is_open: false, ..route("limited", "desk", catalog::Repeat::Once, false) },
-    ];
-    let limit = catalog::Limit {
-        rate_per_s: LIMIT_PER_S,
-        burst: LIMIT_BURST,
-        counts_tokens: false,
-        plain_tokens: 1.0,
-    };
-    let workspace = catalog::Workspace {
-        name: "w".into(),
-        keys: vec![catalog::key_digest(&Bytes::from_static(KEY))],
-        priority: None,
-        limit: Some(limit),
-    };
-    let engine = catalog::EngineShape { slots: 64, memory_tokens: MEMORY_TOKENS };
-    catalog::Catalog::new(catalog::Content {
-        version: 1,
-        routes: routes.into_iter().map(sync::Arc::new).collect(),
-        services: vec![
-            catalog::Service { name: "llm".into(), engine: Some(engine) },
-            catalog::Service { name: "desk".into(), engine: None },
-        ],
-        workspaces: Some(vec![sync::Arc::new(workspace)]),
-        caller_limits: catalog::CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            idle: Duration::from_secs(1),
-        },
-    })
-}
-
-pub fn entry(name: &str, service: &str, stage: Option<servers::Stage>) -> servers::Entry {
-    servers::Entry {
-        id: Bytes::from(name.to_string()),
-        service: service.into(),
-        address: address(1),
-        domain: "a".to_string(),
-        slots: if stage.is_some() { 64 } else { 6 },
-        is_draining: false,
-        stage,
-        cold_ms: 0,
-        born_ms: 1,
-        offset: 1,
-    }
-}
-
 impl World {
     /// Instances that hear of each other before the first request, and servers.
     pub fn new(instances: usize, digests_every: Duration, entries: &[servers::Entry]) -> Self {
@@ -265,102 +206,6 @@
         }
     }
 
-    /// Returns the peer that an instance would ask for a newer configuration.
-    pub fn newer_peer(&mut self, instance: usize) -> Option<net::SocketAddr> {
-        let now = self.now;
-        self.instances[instance].as_mut()?.newer_peer(now)
-    }
-
-    /// Returns the addresses that an instance names to callers.
-    pub fn caller_addresses(&self, instance: usize) -> Vec<net::SocketAddr> {
-        let fleet = self.instances[instance].as_ref();
-        fleet.map(|fleet| fleet.caller_addresses(self.now)).unwrap_or_default()
-    }
-
-    /// Tells instances whether the store answers them.
-    pub fn set_reads_store(&mut self, instances: &[usize], reads_store: bool) {
-        for index in instances {
-            if let Some(fleet) = self.instances[*index].as_mut() {
-                fleet.set_reads_store(reads_store);
-            }
-        }
-    }
-
-    /// Returns the instances that ask the store.
-    pub fn store_readers(&self) -> Vec<usize> {
-        let fleets = self.instances.iter().enumerate();
-        let reads = |fleet: &fleet::Fleet| fleet.should_read_store(self.now);
-        let readers = fleets.filter(|(_, fleet)| fleet.as_ref().is_some_and(reads));
-        readers.map(|(index, _)| index).collect()
-    }
-
-    /// Returns the instances that coordinate.
-    pub fn coordinators(&self) -> Vec<usize> {
-        let fleets = self.instances.iter().enumerate();
-        let coordinating =
-            fleets.filter(|(_, fleet)| fleet.as_ref().is_some_and(fleet::Fleet::coordinates));
-        coordinating.map(|(index, _)| index).collect()
-    }
-
-    /// Returns the peer that an instance would ask for newer servers.
-    pub fn peer_with_newer_servers(&self, instance: usize) -> Option<net::SocketAddr> {
-        self.instances[instance].as_ref()?.peer_with_newer_servers(self.now)
-    }
-
-    /// Lets an instance read the store's list of servers, which ends before `end`.
-    pub fn read_list(&mut self, instance: usize, entries: &[servers::Entry], end: ids::Offset) {
-        if let Some(fleet) = self.instances[instance].as_mut() {
-            fleet.set_reads_store(true);
-        }
-        let names = entries.iter().map(|entry| entry.id.clone()).collect();
-        let listings = entries.iter().cloned().map(servers::Listing::Present).collect();
-        let complete = Some((names, end));
-        let event =
-            fleet::Event::Listed { listings, complete, is_after_outage: false, told_at: None };
-        self.apply(instance, event);
-    }
-
-    /// Gives an instance a change that was read after the store was away.
-    pub fn list_after_outage(&mut self, instance: usize, listing: servers::Listing) {
-        let event = fleet::Event::Listed {
-            listings: vec![listing],
-            complete: None,
-            is_after_outage: true,
-            told_at: None,
-        };
-        self.apply(instance, event);
-    }
-
-    /// Gives an instance one change of the list of servers.
-    pub fn list_at(&mut self, instance: usize, listing: servers::Listing) {
-        self.apply(instance, listed(vec![listing]));
-    }
-
-    /// Returns the servers that an instance tells a peer whose last change came before `position`.
-    pub fn servers_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Entry> {
-        let fleet = self.instances[instance].as_ref();
-        fleet.map(|fleet| fleet.server_entries_since(position)).unwrap_or_default()
-    }
-
-    /// Returns the names that an instance tells a peer whose last change came before `position`, if
-    /// it does not know all removals since then.
-    pub fn names_told(&self, instance: usize, position: ids::Offset) -> Option<Vec<ids::ServerId>> {
-        self.instances[instance].as_ref()?.server_names_unless_remembered(position)
-    }
-
-    /// Returns the removals that an instance tells a peer whose last change came before `position`.
-    pub fn removals_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Removal> {
-        let fleet = self.instances[instance].as_ref();
-        fleet.map(|fleet| fleet.server_removals_since(position)).unwrap_or_default()
-    }
-
-    /// Returns whether an instance knows a server.
-    pub fn knows_server(&self, instance: usize, name: &str) -> bool {
-        let name = Bytes::from(name.to_string());
-        let entries = self.instances[instance].as_ref().map(fleet::Fleet::server_entries);
-        entries.unwrap_or_default().iter().any(|entry| entry.id == name)
-    }
-
     /// Tells an instance to leave.
     pub fn leave(&mut self, instance: usize, streams_until: Duration) {
         self.apply(instance, fleet::Event::Leaving { streams_until });
@@ -544,189 +389,8 @@
     fn record(&mut self, instance: usize, request: u64) -> &mut Record {
         self.records.entry((instance, request)).or_default()
     }
-
-    fn serve(&mut self, instance: usize, request: u64, dispatch: &fleet::Dispatch) {
-        let now = self.now;
-        let sends = {
-            let record = self.record(instance, request);
-            record.sends += 1;
-            record.last_send = now;
-            record.last_server = dispatch.server.clone();
-            record.sends
-        };
-        let health = self.backends[&dispatch.server].health;
-        let unhealthy = match health {
-            Health::Sound => None,
-            Health::Errs if request.is_multiple_of(2) => None,
-            Health::Errs => {
-                let is_run = dispatch.step != fleet::Step::Prefill;
-                self.record(instance, request).runs += u32::from(is_run);
-                Some((WORK, fleet::Outcome::Failed { status: 500 }))
-            }
-            Health::Unreachable => Some((Duration::from_millis(2), fleet::Outcome::Unsent)),
-            Health::Full => Some((Duration::from_millis(2), fleet::Outcome::Rejected)),
-            Health::Breaks => {
-                let is_run = dispatch.step != fleet::Step::Prefill;
-                self.record(instance, request).runs += u32::from(is_run);
-                Some((Duration::from_millis(20), fleet::Outcome::Broken))
-            }
-        };
-        if let Some((after, outcome)) = unhealthy {
-            self.schedule(after, Action::Progress { instance, request, sends, outcome });
-            return;
-        }
-        if dispatch.server.starts_with(b"desk") {
-            return self.serve_plain(instance, request, sends, dispatch);
-        }
-        self.serve_engine(instance, request, sends, dispatch);
-    }
-
-    fn serve_plain(
-        &mut self,
-        instance: usize,
-        request: u64,
-        sends: u32,
-        dispatch: &fleet::Dispatch,
-    ) {
-        let now = self.now;
-        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
-        backend.free_at.sort_unstable();
-        let begins = backend.free_at[0].max(now);
-        if begins > now + WORK * (PLAIN_QUEUE as u32 / 6) {
-            let outcome = fleet::Outcome::Rejected;
-            self.schedule(LATENCY, Action::Progress { instance, request, sends, outcome });
-            return;
-        }
-        backend.free_at[0] = begins + WORK;
-        let after = begins + WORK - now;
-        let record = self.record(instance, request);
-        record.runs += 1;
-        record.begun = Some(now + after);
-        let outcome = fleet::Outcome::Finished { status: 200 };
-        self.schedule(after, Action::Progress { instance, request, sends, outcome });
-    }
-
-    fn serve_engine(
-        &mut self,
-        instance: usize,
-        request: u64,
-        sends: u32,
-        dispatch: &fleet::Dispatch,
-    ) {
-        let now = self.now;
-        let is_decode = matches!(dispatch.step, fleet::Step::Decode { .. });
-        let rate = match dispatch.step {
-            fleet::Step::Prefill => PREFILL_TOKENS_PER_MS,
-            _ => PREFILL_TOKENS_PER_MS / 2.0,
-        };
-        let reading = if is_decode {
-            Duration::from_millis(5)
-        } else {
-            Duration::from_secs_f64(f64::from(PROMPT.prompt_tokens) / rate / 1_000.0)
-        };
-        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
-        let begins = if is_decode { now } else { backend.free_at[0].max(now) };
-        if !is_decode {
-            backend.free_at[0] = begins + reading;
-        }
-        let after = begins + reading - now;
-        if !is_decode {
-            self.record(instance, request).reads += 1;
-        }
-        if dispatch.step == fleet::Step::Prefill {
-            let outcome = fleet::Outcome::Prefilled { handle: "h".to_string() };
-            self.schedule(after, Action::Progress { instance, request, sends, outcome });
-            return;
-        }
-        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
-        let held = PROMPT.prompt_tokens + PROMPT.expected_tokens / 2;
-        backend.memory_tokens += held;
-        backend.most_memory_tokens = backend.most_memory_tokens.max(backend.memory_tokens);
-        let record = self.record(instance, request);
-        record.runs += 1;
-        record.memory = Some((dispatch.server.clone(), held));
-        let started = fleet::Outcome::Started;
-        self.schedule(after, Action::Progress { instance, request, sends, outcome: started });
-        let outcome = fleet::Outcome::Finished { status: 200 };
-        self.schedule(after + STREAM, Action::Progress { instance, request, sends, outcome });
-    }
-
-    fn free_memory(&mut self, instance: usize, request: u64) {
-        if let Some((server, held)) = self.record(instance, request).memory.take()
-            && let Some(backend) = self.backends.get_mut(&server)
-        {
-            backend.memory_tokens -= held;
-        }
-    }
-
-    fn progressed(&mut self, instance: usize, request: u64, sends: u32, outcome: fleet::Outcome) {
-        let now = self.now;
-        let record = self.record(instance, request);
-        if record.sends != sends {
-            return;
-        }
-        match &outcome {
-            fleet::Outcome::Started => record.begun = Some(now),
-            fleet::Outcome::Finished { .. } => {
-                record.finished = true;
-                record.ends += 1;
-                self.free_memory(instance, request);
-            }
-            _ => {}
-        }
-        self.apply(instance, fleet::Event::Progressed { request, outcome });
-    }
 }
 
 /// The tokens of every prompt in this world.
 pub const PROMPT: call::Tokens =
     call::Tokens { prompt_tokens: 5_200, output_tokens: 6_000, expected_tokens: 3_500 };
-
-fn listed(listings: Vec<servers::Listing>) -> fleet::Event {
-    fleet::Event::Listed { listings, complete: None, is_after_outage: false, told_at: None }
-}
-
-fn member(index: usize, address: net::SocketAddr) -> peers::Member {
-    peers::Member {
-        name: format!("instance-{index}"),
-        incarnation: index as u64 + 1,
-        peer_address: address,
-        caller_address: address,
-        is_ready: true,
-        capacity_cores: 0.25,
-        started_unix_ms: index as u64,
-    }
-}
-
-/// An instance of a system that starts for the first time, and knows nothing yet.
-pub fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
-    let is_first_start = true;
-    fleet::Fleet::new(options(member(index, own), is_first_start))
-}
-
-fn restarted_fleet(own: peers::Member) -> fleet::Fleet {
-    let is_first_start = false;
-    fleet::Fleet::new(options(own, is_first_start))
-}
-
-fn options(own: peers::Member, is_first_start: bool) -> fleet::Options {
-    fleet::Options {
-        seed: own.incarnation,
-        own,
-        domain: "a".to_string(),
-        is_first_start,
-        quota_window: LIMIT_WINDOW,
-        retries: budget::RetryBounds { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) },
-        seeds: vec![address(1_000)],
-    }
-}
-
-/// Three prefill engines, six decode engines and three plain servers.
-pub fn servers() -> Vec<servers::Entry> {
-    let engine = |index: usize| {
-        let stage = if index < 3 { servers::Stage::Prefill } else { servers::Stage::Decode };
-        entry(&format!("llm-{index}"), "llm", Some(stage))
-    };
-    let plain = |index: usize| entry(&format!("desk-{index}"), "desk", None);
-    (0..9).map(engine).chain((0..3).map(plain)).collect()
-}
--- /dev/null
+++ b/tests/fleet/world/backends.rs
@@ -0,0 +1,143 @@
+//! How servers of a virtual fleet answer.
+
+use super::*;
+
+impl World {
+    pub(super) fn serve(&mut self, instance: usize, request: u64, dispatch: &fleet::Dispatch) {
+        let now = self.now;
+        let sends = {
+            let record = self.record(instance, request);
+            record.sends += 1;
+            record.last_send = now;
+            record.last_server = dispatch.server.clone();
+            record.sends
+        };
+        let health = self.backends[&dispatch.server].health;
+        let unhealthy = match health {
+            Health::Sound => None,
+            Health::Errs if request.is_multiple_of(2) => None,
+            Health::Errs => {
+                let is_run = dispatch.step != fleet::Step::Prefill;
+                self.record(instance, request).runs += u32::from(is_run);
+                Some((WORK, fleet::Outcome::Failed { status: 500 }))
+            }
+            Health::Unreachable => Some((Duration::from_millis(2), fleet::Outcome::Unsent)),
+            Health::Full => Some((Duration::from_millis(2), fleet::Outcome::Rejected)),
+            Health::Breaks => {
+                let is_run = dispatch.step != fleet::Step::Prefill;
+                self.record(instance, request).runs += u32::from(is_run);
+                Some((Duration::from_millis(20), fleet::Outcome::Broken))
+            }
+        };
+        if let Some((after, outcome)) = unhealthy {
+            self.schedule(after, Action::Progress { instance, request, sends, outcome });
+            return;
+        }
+        if dispatch.server.starts_with(b"desk") {
+            return self.serve_plain(instance, request, sends, dispatch);
+        }
+        self.serve_engine(instance, request, sends, dispatch);
+    }
+
+    fn serve_plain(
+        &mut self,
+        instance: usize,
+        request: u64,
+        sends: u32,
+        dispatch: &fleet::Dispatch,
+    ) {
+        let now = self.now;
+        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
+        backend.free_at.sort_unstable();
+        let begins = backend.free_at[0].max(now);
+        if begins > now + WORK * (PLAIN_QUEUE as u32 / 6) {
+            let outcome = fleet::Outcome::Rejected;
+            self.schedule(LATENCY, Action::Progress { instance, request, sends, outcome });
+            return;
+        }
+        backend.free_at[0] = begins + WORK;
+        let after = begins + WORK - now;
+        let record = self.record(instance, request);
+        record.runs += 1;
+        record.begun = Some(now + after);
+        let outcome = fleet::Outcome::Finished { status: 200 };
+        self.schedule(after, Action::Progress { instance, request, sends, outcome });
+    }
+
+    fn serve_engine(
+        &mut self,
+        instance: usize,
+        request: u64,
+        sends: u32,
+        dispatch: &fleet::Dispatch,
+    ) {
+        let now = self.now;
+        let is_decode = matches!(dispatch.step, fleet::Step::Decode { .. });
+        let rate = match dispatch.step {
+            fleet::Step::Prefill => PREFILL_TOKENS_PER_MS,
+            _ => PREFILL_TOKENS_PER_MS / 2.0,
+        };
+        let reading = if is_decode {
+            Duration::from_millis(5)
+        } else {
+            Duration::from_secs_f64(f64::from(PROMPT.prompt_tokens) / rate / 1_000.0)
+        };
+        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
+        let begins = if is_decode { now } else { backend.free_at[0].max(now) };
+        if !is_decode {
+            backend.free_at[0] = begins + reading;
+        }
+        let after = begins + reading - now;
+        if !is_decode {
+            self.record(instance, request).reads += 1;
+        }
+        if dispatch.step == fleet::Step::Prefill {
+            let outcome = fleet::Outcome::Prefilled { handle: "h".to_string() };
+            self.schedule(after, Action::Progress { instance, request, sends, outcome });
+            return;
+        }
+        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
+        let held = PROMPT.prompt_tokens + PROMPT.expected_tokens / 2;
+        backend.memory_tokens += held;
+        backend.most_memory_tokens = backend.most_memory_tokens.max(backend.memory_tokens);
+        let record = self.record(instance, request);
+        record.runs += 1;
+        record.memory = Some((dispatch.server.clone(), held));
+        let started = fleet::Outcome::Started;
+        self.schedule(after, Action::Progress { instance, request, sends, outcome: started });
+        let outcome = fleet::Outcome::Finished { status: 200 };
+        self.schedule(after + STREAM, Action::Progress { instance, request, sends, outcome });
+    }
+
+    pub(super) fn free_memory(&mut self, instance: usize, request: u64) {
+        if let Some((server, held)) = self.record(instance, request).memory.take()
+            && let Some(backend) = self.backends.get_mut(&server)
+        {
+            backend.memory_tokens -= held;
+        }
+    }
+
+    pub(super) fn progressed(
+        &mut self,
+        instance: usize,
+        request: u64,
+        sends: u32,
+        outcome: fleet::Outcome,
+    ) {
+        let now = self.now;
+        let record = self.record(instance, request);
+        if record.sends != sends {
+            return;
+        }
+        match &outcome {
+            fleet::Outcome::Started => record.begun = Some(now),
+            fleet::Outcome::Finished { .. } => {
+                record.finished = true;
+                record.ends += 1;
+                self.free_memory(instance, request);
+            }
+            _ => {}
+        }
+        self.apply(instance, fleet::Event::Progressed { request, outcome });
+    }
+}
--- /dev/null
+++ b/tests/fleet/world/fixtures.rs
@@ -0,0 +1,125 @@
+//! Instances, servers and the configuration of a virtual fleet.
+
+use super::*;
+
+pub fn address(port: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn route(host: &str, service: &str, repeat: catalog::Repeat, is_stream: bool) -> catalog::Route {
+    let (timeout, objective) = if is_stream { (14_000, 900) } else { (1_000, 150) };
+    catalog::Route {
+        name: host.to_string(),
+        host: host.to_string(),
+        path_prefix: "/".to_string(),
+        is_stream,
+        repeat,
+        timeout: Duration::from_millis(timeout),
+        objective: Duration::from_millis(objective),
+        first_event_timeout: Duration::from_millis(3_600),
+        priority: 1,
+        services: vec![(service.into(), 1)],
+        attempts: 2,
+        is_open: true,
+    }
+}
+
+pub fn configuration() -> catalog::Catalog {
+    let routes = [
+        route("stream", "llm", catalog::Repeat::Once, true),
+        route("order", "desk", catalog::Repeat::Once, false),
+        route("query", "desk", catalog::Repeat::Idempotent, false),
+        catalog::Route { is_open: false, ..route("limited", "desk", catalog::Repeat::Once, false) },
+    ];
+    let limit = catalog::Limit {
+        rate_per_s: LIMIT_PER_S,
+        burst: LIMIT_BURST,
+        counts_tokens: false,
+        plain_tokens: 1.0,
+    };
+    let workspace = catalog::Workspace {
+        name: "w".into(),
+        keys: vec![catalog::key_digest(&Bytes::from_static(KEY))],
+        priority: None,
+        limit: Some(limit),
+    };
+    let engine = catalog::EngineShape { slots: 64, memory_tokens: MEMORY_TOKENS };
+    catalog::Catalog::new(catalog::Content {
+        version: 1,
+        routes: routes.into_iter().map(sync::Arc::new).collect(),
+        services: vec![
+            catalog::Service { name: "llm".into(), engine: Some(engine) },
+            catalog::Service { name: "desk".into(), engine: None },
+        ],
+        workspaces: Some(vec![sync::Arc::new(workspace)]),
+        caller_limits: catalog::CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            idle: Duration::from_secs(1),
+        },
+    })
+}
+
+pub fn entry(name: &str, service: &str, stage: Option<servers::Stage>) -> servers::Entry {
+    servers::Entry {
+        id: Bytes::from(name.to_string()),
+        service: service.into(),
+        address: address(1),
+        domain: "a".to_string(),
+        slots: if stage.is_some() { 64 } else { 6 },
+        is_draining: false,
+        stage,
+        cold_ms: 0,
+        born_ms: 1,
+        offset: 1,
+    }
+}
+
+pub fn member(index: usize, address: net::SocketAddr) -> peers::Member {
+    peers::Member {
+        name: format!("instance-{index}"),
+        incarnation: index as u64 + 1,
+        peer_address: address,
+        caller_address: address,
+        is_ready: true,
+        capacity_cores: 0.25,
+        started_unix_ms: index as u64,
+    }
+}
+
+/// An instance of a system that starts for the first time, and knows nothing yet.
+pub fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
+    let is_first_start = true;
+    fleet::Fleet::new(options(member(index, own), is_first_start))
+}
+
+pub fn restarted_fleet(own: peers::Member) -> fleet::Fleet {
+    let is_first_start = false;
+    fleet::Fleet::new(options(own, is_first_start))
+}
+
+fn options(own: peers::Member, is_first_start: bool) -> fleet::Options {
+    fleet::Options {
+        seed: own.incarnation,
+        own,
+        domain: "a".to_string(),
+        is_first_start,
+        quota_window: LIMIT_WINDOW,
+        retries: budget::RetryBounds { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) },
+        seeds: vec![address(1_000)],
+    }
+}
+
+/// Three prefill engines, six decode engines and three plain servers.
+pub fn servers() -> Vec<servers::Entry> {
+    let engine = |index: usize| {
+        let stage = if index < 3 { servers::Stage::Prefill } else { servers::Stage::Decode };
+        entry(&format!("llm-{index}"), "llm", Some(stage))
+    };
+    let plain = |index: usize| entry(&format!("desk-{index}"), "desk", None);
+    (0..9).map(engine).chain((0..3).map(plain)).collect()
+}
+
+pub fn listed(listings: Vec<servers::Listing>) -> fleet::Event {
+    fleet::Event::Listed { listings, complete: None, is_after_outage: false, told_at: None }
+}
--- /dev/null
+++ b/tests/fleet/world/views.rs
@@ -0,0 +1,101 @@
+//! What tests ask and tell a virtual fleet.
+
+use super::*;
+
+impl World {
+    /// Returns the peer that an instance would ask for a newer configuration.
+    pub fn newer_peer(&mut self, instance: usize) -> Option<net::SocketAddr> {
+        let now = self.now;
+        self.instances[instance].as_mut()?.newer_peer(now)
+    }
+
+    /// Returns the addresses that an instance names to callers.
+    pub fn caller_addresses(&self, instance: usize) -> Vec<net::SocketAddr> {
+        let fleet = self.instances[instance].as_ref();
+        fleet.map(|fleet| fleet.caller_addresses(self.now)).unwrap_or_default()
+    }
+
+    /// Tells instances whether the store answers them.
+    pub fn set_reads_store(&mut self, instances: &[usize], reads_store: bool) {
+        for index in instances {
+            if let Some(fleet) = self.instances[*index].as_mut() {
+                fleet.set_reads_store(reads_store);
+            }
+        }
+    }
+
+    /// Returns the instances that ask the store.
+    pub fn store_readers(&self) -> Vec<usize> {
+        let fleets = self.instances.iter().enumerate();
+        let reads = |fleet: &fleet::Fleet| fleet.should_read_store(self.now);
+        let readers = fleets.filter(|(_, fleet)| fleet.as_ref().is_some_and(reads));
+        readers.map(|(index, _)| index).collect()
+    }
+
+    /// Returns the instances that coordinate.
+    pub fn coordinators(&self) -> Vec<usize> {
+        let fleets = self.instances.iter().enumerate();
+        let coordinating =
+            fleets.filter(|(_, fleet)| fleet.as_ref().is_some_and(fleet::Fleet::coordinates));
+        coordinating.map(|(index, _)| index).collect()
+    }
+
+    /// Returns the peer that an instance would ask for newer servers.
+    pub fn peer_with_newer_servers(&self, instance: usize) -> Option<net::SocketAddr> {
+        self.instances[instance].as_ref()?.peer_with_newer_servers(self.now)
+    }
+
+    /// Lets an instance read the store's list of servers, which ends before `end`.
+    pub fn read_list(&mut self, instance: usize, entries: &[servers::Entry], end: ids::Offset) {
+        if let Some(fleet) = self.instances[instance].as_mut() {
+            fleet.set_reads_store(true);
+        }
+        let names = entries.iter().map(|entry| entry.id.clone()).collect();
+        let listings = entries.iter().cloned().map(servers::Listing::Present).collect();
+        let complete = Some((names, end));
+        let event =
+            fleet::Event::Listed { listings, complete, is_after_outage: false, told_at: None };
+        self.apply(instance, event);
+    }
+
+    /// Gives an instance a change that was read after the store was away.
+    pub fn list_after_outage(&mut self, instance: usize, listing: servers::Listing) {
+        let event = fleet::Event::Listed {
+            listings: vec![listing],
+            complete: None,
+            is_after_outage: true,
+            told_at: None,
+        };
+        self.apply(instance, event);
+    }
+
+    /// Gives an instance one change of the list of servers.
+    pub fn list_at(&mut self, instance: usize, listing: servers::Listing) {
+        self.apply(instance, listed(vec![listing]));
+    }
+
+    /// Returns the servers that an instance tells a peer whose last change came before `position`.
+    pub fn servers_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Entry> {
+        let fleet = self.instances[instance].as_ref();
+        fleet.map(|fleet| fleet.server_entries_since(position)).unwrap_or_default()
+    }
+
+    /// Returns the names that an instance tells a peer whose last change came before `position`, if
+    /// it does not know all removals since then.
+    pub fn names_told(&self, instance: usize, position: ids::Offset) -> Option<Vec<ids::ServerId>> {
+        self.instances[instance].as_ref()?.server_names_unless_remembered(position)
+    }
+
+    /// Returns the removals that an instance tells a peer whose last change came before `position`.
+    pub fn removals_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Removal> {
+        let fleet = self.instances[instance].as_ref();
+        fleet.map(|fleet| fleet.server_removals_since(position)).unwrap_or_default()
+    }
+
+    /// Returns whether an instance knows a server.
+    pub fn knows_server(&self, instance: usize, name: &str) -> bool {
+        let name = Bytes::from(name.to_string());
+        let entries = self.instances[instance].as_ref().map(fleet::Fleet::server_entries);
+        entries.unwrap_or_default().iter().any(|entry| entry.id == name)
+    }
+}
