Share what the change wrote twice: one listing, peers heard lately, the spacing of digests

A granted server's entry was listed by a copy of the listing's loop; two lists of sightings had the same filter; the spacing of digests of a small fleet stood as two constants of the same value. Behaviour is the same: clippy, the unit tests and those of fleet and router pass.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -389,11 +389,9 @@
     ) -> Option<ids::Offset> {
         let mut changed = None;
         for listing in listings {
-            let told = decision::Decision::listed(&listing);
-            let offset = listing.offset();
-            if self.servers.apply(listing, is_after_outage, now) {
-                effects.push(Effect::Log(told));
-                changed = changed.max(Some(offset + 1));
+            let end = listing.offset() + 1;
+            if self.list_one(listing, is_after_outage, now, effects) {
+                changed = changed.max(Some(end));
             }
         }
         if let Some((listed, end)) = complete {
@@ -406,6 +404,22 @@
         changed
     }
 
+    /// Takes one change; returns whether a belief changed.
+    fn list_one(
+        &mut self,
+        listing: servers::Listing,
+        is_after_outage: bool,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let told = decision::Decision::listed(&listing);
+        let has_changed = self.servers.apply(listing, is_after_outage, now);
+        if has_changed {
+            effects.push(Effect::Log(told));
+        }
+        has_changed
+    }
+
     fn note_change(
         &mut self,
         changed: Option<ids::Offset>,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -338,12 +338,8 @@
         effects: &mut Vec<Effect>,
     ) {
         for entry in entries {
-            let listing = servers::Listing::Present(entry);
-            let told = fleet::decision::Decision::listed(&listing);
             let is_after_outage = false;
-            if self.servers.apply(listing, is_after_outage, now) {
-                effects.push(Effect::Log(told));
-            }
+            self.list_one(servers::Listing::Present(entry), is_after_outage, now, effects);
         }
     }
 
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -174,7 +174,8 @@
 /// Addresses in one answer to callers: they read no more.
 pub const ADDRESSES_AT_MOST: usize = 64;
 
-/// The time between digests of a peer, for each member of a small fleet; see `router::gossip`.
+/// The shortest time between digests, for each member of a small fleet: bounds the datagrams to 125
+/// a second in each direction.
 pub const DIGEST_AGE_PER_MEMBER: time::Duration = time::Duration::from_millis(8);
 
 /// How long an instance that starts waits for most peers before it hands out what is left of a
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -24,9 +24,6 @@
 /// The longest time between two digests of a small fleet: a peer counts as silent after several.
 const INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// The shortest such time, for each peer: bounds the datagrams to 125 a second in each direction.
-const SPACING_PER_PEER: time::Duration = time::Duration::from_millis(8);
-
 /// The time between two digests to coordinators: three are lost before one counts as silent.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(350);
 
@@ -164,7 +161,8 @@
     pub fn pace(&self, targets: usize, now: ids::Timestamp) -> Pace {
         let targets = u32::try_from(targets.max(1)).unwrap_or(u32::MAX);
         if !self.is_coordinated(now) {
-            let shortest = SPACING_PER_PEER.saturating_mul(targets).min(BULLETIN_INTERVAL_AT_MOST);
+            let shortest = constants::DIGEST_AGE_PER_MEMBER.saturating_mul(targets);
+            let shortest = shortest.min(BULLETIN_INTERVAL_AT_MOST);
             return Pace { shortest, longest: INTERVAL.max(shortest), follows_load: true };
         }
         let longest = if self.coordinates {
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -285,10 +285,7 @@
     /// Returns some members that were heard lately: first those about which something changed, then
     /// a few others from `turn` on.
     pub fn sightings(&self, turn: usize, now: ids::Timestamp) -> Vec<Sighting> {
-        let heard = self.peers.values().filter_map(|peer| {
-            let age = now.saturating_sub(peer.heard?);
-            (age <= constants::PEER_SILENCE).then_some((peer, age))
-        });
+        let heard = self.heard_lately(now);
         let (changed, others): (Vec<_>, Vec<_>) =
             heard.partition(|(peer, _)| peer.is_changed_within(constants::NEWS_FOR, now));
         let changed = from_turn(changed, turn).take(constants::NEWS_TOLD);
@@ -298,11 +295,15 @@
 
     /// Returns all members that were heard lately.
     pub fn all_sightings(&self, now: ids::Timestamp) -> Vec<Sighting> {
-        let heard = self.peers.values().filter_map(|peer| {
+        self.heard_lately(now).map(|(peer, age)| peer.sighting(age)).collect()
+    }
+
+    /// Returns the peers that were heard lately, and how long ago.
+    fn heard_lately(&self, now: ids::Timestamp) -> impl Iterator<Item = (&Peer, time::Duration)> {
+        self.peers.values().filter_map(move |peer| {
             let age = now.saturating_sub(peer.heard?);
-            (age <= constants::PEER_SILENCE).then(|| peer.sighting(age))
-        });
-        heard.collect()
+            (age <= constants::PEER_SILENCE).then_some((peer, age))
+        })
     }
 
     /// Returns the peers that have just fallen silent.
