Keep a prefilled prompt when its decode server cannot be reached

Cause: a decode server that is down, replaced or full was found out only after the prompt was prefilled; the request then waited again and its prompt was prefilled a second time, although the prefill server still held the KV cache.

Ruled out: shorter ejections alone (the first request of each instance pays all the same).

Change: a request that its decode server did not run is sent to the next decode server with the same handle.

The test prefills 8 of 48 prompts twice without the change.

--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -1,6 +1,7 @@
 //! The consequences of a request's progress at a server: handovers, retries and the end of the
 //! request.
 
+use std::net;
 use std::time;
 
 use crate::core::fleet;
@@ -10,6 +11,7 @@
 use crate::core::fleet::Step;
 use crate::core::fleet::broker;
 use crate::core::fleet::call;
+use crate::core::fleet::constants;
 use crate::core::fleet::decision;
 use crate::core::fleet::live;
 use crate::core::fleet::message;
@@ -188,18 +190,33 @@
         let Some(source) = self.servers.get(&at.server).map(|server| server.entry.address) else {
             return self.wait_again(request, now, effects);
         };
-        let decode = at.decode_reservation.as_ref().map(|(decode, _)| decode);
-        let decode = decode.and_then(|decode| self.servers.get(decode));
-        let decode =
-            decode.filter(|server| server.is_usable(now)).map(|server| server.entry.id.clone());
-        let found = decode.or_else(|| {
+        let reserved = at.decode_reservation.as_ref().map(|(decode, _)| decode);
+        let reserved = reserved.and_then(|decode| self.servers.get(decode));
+        let reserved =
+            reserved.filter(|server| server.is_usable(now)).map(|server| server.entry.id.clone());
+        self.send_to_decode_server(request, reserved, source, handle, now, effects);
+    }
+
+    /// Sends a prefilled request to a decode server: the given one, or the best one with capacity.
+    /// Without any, the KV cache is released and the request waits again.
+    fn send_to_decode_server(
+        &mut self,
+        request: call::RequestNumber,
+        reserved: Option<ids::ServerId>,
+        source: net::SocketAddr,
+        handle: fleet::HandleId,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get(&request) else { return };
+        let found = reserved.or_else(|| {
             let query = placement::Query { claim: &live.claim, memory_share: 1.0, now };
             placement::best_decode_server(&self.servers, live.claim.engine?, query)
         });
         match found {
             Some(server) => {
                 let step = Step::Decode { source, handle };
-                let expected_ms = fleet::constants::DECODE_START_MS;
+                let expected_ms = constants::DECODE_START_MS;
                 self.send(request, &server, step, expected_ms, now, effects);
             }
             None => {
@@ -300,7 +317,7 @@
             return self.retry_prefill(request, at, now, effects);
         }
         if self.spend_retry(request, now) {
-            return self.retry_elsewhere(request, at, now, effects);
+            return self.retry_not_run(request, at, now, effects);
         }
         self.refuse_unserved(request, now, effects);
     }
@@ -339,7 +356,7 @@
             live.run_attempts = live.run_attempts.saturating_sub(1);
         }
         if live.can_try_another_server() && live.expires > now + MIN_RETRY_TIME {
-            return self.retry_elsewhere(request, at, now, effects);
+            return self.retry_not_run(request, at, now, effects);
         }
         self.refuse_unserved(request, now, effects);
     }
@@ -367,6 +384,24 @@
         self.wait_again(request, now, effects);
     }
 
+    /// Retries a request that its server did not run. After a handover the prefill server still
+    /// holds the KV cache, which another decode server can fetch.
+    fn retry_not_run(
+        &mut self,
+        request: call::RequestNumber,
+        at: &live::AtServer,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Step::Decode { source, handle } = &at.step else {
+            return self.retry_elsewhere(request, at, now, effects);
+        };
+        if let Some(live) = self.requests.get_mut(&request) {
+            live.claim.tried.push(at.server.clone());
+        }
+        self.send_to_decode_server(request, None, *source, handle.clone(), now, effects);
+    }
+
     /// Refuses a request that no server accepted.
     fn refuse_unserved(
         &mut self,
@@ -376,7 +411,7 @@
     ) {
         let Some(live) = self.requests.get(&request) else { return };
         let max_wait = live.expires.saturating_sub(now) / 3;
-        let wait = fleet::constants::MIN_RETRY_AFTER.min(max_wait);
+        let wait = constants::MIN_RETRY_AFTER.min(max_wait);
         let refusal = refusal::Refusal::retry_after(refusal::Reason::NoRetry, wait);
         self.refuse(request, refusal, now, effects);
     }
@@ -412,7 +447,7 @@
             matches!(&live.phase, live::Phase::AtServer(at) if at.step != Step::Prefill);
         if !is_at_server && !live.may_have_run {
             let reason = refusal::Reason::NoCapacity;
-            let wait = fleet::constants::MIN_RETRY_AFTER;
+            let wait = constants::MIN_RETRY_AFTER;
             let refusal = refusal::Refusal::retry_after(reason, wait);
             return self.refuse(request, refusal, now, effects);
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -78,6 +78,18 @@
     assert!(summary.most_memory_percent <= 100, "no request is preempted");
 }
 
+#[test]
+fn a_prompt_for_an_unreachable_decode_server_is_not_prefilled_again() {
+    let mut world = World::new(6, FAST_DIGESTS, &world::servers());
+    world.set_health(ms(0), "llm-4", Health::Unreachable);
+    world.set_health(ms(1_500), "llm-6", Health::Unreachable);
+    send_load(&mut world, "stream", 6, 12, ms(4_000));
+    world.run(ms(25_000));
+    let summary = summary(&world, ms(900));
+    assert_eq!(summary.prefilled_twice, 0, "{summary:?}");
+    assert_eq!(summary.on_time + summary.late, summary.requests, "{summary:?}");
+}
+
 #[test]
 fn a_burst_at_many_instances_with_slow_digests() {
     let mut world = World::new(40, SLOW_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -33,7 +33,7 @@
 use fixtures::restarted_fleet;
 
 /// The latency of a message between two instances, in one direction.
-const LATENCY: Duration = Duration::from_millis(2);
+pub const LATENCY: Duration = Duration::from_millis(2);
 const TICK: Duration = Duration::from_millis(50);
 pub const MEMORY_TOKENS: u32 = 96_000;
 const STREAM: Duration = Duration::from_millis(3_000);
@@ -93,6 +93,10 @@
     free_at: Vec<Duration>,
     memory_tokens: u32,
     most_memory_tokens: u32,
+    prefill_tokens_per_ms: f64,
+    /// The prompts sent for a handover and not prefilled yet.
+    prefilling: u32,
+    most_prefilling: u32,
 }
 
 /// The events of one request.
@@ -164,6 +168,9 @@
                 free_at: vec![Duration::ZERO; if entry.stage.is_some() { 1 } else { 6 }],
                 memory_tokens: 0,
                 most_memory_tokens: 0,
+                prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+                prefilling: 0,
+                most_prefilling: 0,
             };
             world.backends.insert(entry.id.clone(), backend);
         }
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -74,16 +74,16 @@
     ) {
         let now = self.now;
         let is_decode = matches!(dispatch.step, fleet::Step::Decode { .. });
+        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
         let rate = match dispatch.step {
-            fleet::Step::Prefill => PREFILL_TOKENS_PER_MS,
-            _ => PREFILL_TOKENS_PER_MS / 2.0,
+            fleet::Step::Prefill => backend.prefill_tokens_per_ms,
+            _ => backend.prefill_tokens_per_ms / 2.0,
         };
         let prefill_time = if is_decode {
             Duration::from_millis(5)
         } else {
             Duration::from_secs_f64(f64::from(PROMPT.prompt_tokens) / rate / 1_000.0)
         };
-        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
         let begins = if is_decode { now } else { backend.free_at[0].max(now) };
         if !is_decode {
             backend.free_at[0] = begins + prefill_time;
@@ -93,6 +93,9 @@
             self.record(instance, request).prefills += 1;
         }
         if dispatch.step == fleet::Step::Prefill {
+            let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
+            backend.prefilling += 1;
+            backend.most_prefilling = backend.most_prefilling.max(backend.prefilling);
             let outcome = fleet::Outcome::Prefilled { handle: "h".to_string() };
             self.schedule(after, Action::Progress { instance, request, sends, outcome });
             return;
@@ -126,10 +129,17 @@
         outcome: fleet::Outcome,
     ) {
         let now = self.now;
+        let is_prefilled = matches!(outcome, fleet::Outcome::Prefilled { .. });
         let record = self.record(instance, request);
-        if record.sends != sends {
+        let server = record.last_server.clone();
+        let is_current = record.sends == sends;
+        if is_prefilled && let Some(backend) = self.backends.get_mut(&server) {
+            backend.prefilling = backend.prefilling.saturating_sub(1);
+        }
+        if !is_current {
             return;
         }
+        let record = self.record(instance, request);
         match &outcome {
             fleet::Outcome::Started => record.begun = Some(now),
             fleet::Outcome::Finished { .. } => {
