Let owners grant reservations in small fleets too

Cause: in fleets of up to 15 instances each one decided by the digests of the others, which are 20 to 50 ms old. In a burst all instances with waiting requests send one to the same free prefill server: prompts took 1.2 to 1.8 s there, up to six at once, while a request that was placed at the same time at another server took 0.3 s.

Change: coordination from two instances on instead of sixteen: the owner of a service grants each reservation, one coordinator counts the limits.

--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -18,9 +18,9 @@
 /// store guarantees that a live server is listed again within 2 s.
 pub const EXPIRED_ENTRY_GRACE: time::Duration = time::Duration::from_secs(2);
 
-/// The fleet size from which on coordinators grant reservations and count limits. In smaller fleets
-/// every instance receives all work within about 20 ms and decides itself.
-pub const MIN_COORDINATED_MEMBERS: usize = 16;
+/// The fleet size from which on coordinators grant reservations and count limits. Instances that
+/// decide by each other's digests all take the same free place.
+pub const MIN_COORDINATED_MEMBERS: usize = 2;
 
 /// The number of instances that coordinate and read the store for all; the fleet tolerates the loss
 /// of two at the same time.
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -261,6 +261,11 @@
         self.schedule(after, Action::SetHealth { server, health });
     }
 
+    /// Returns the maximum number of prompts that a server had to prefill for handovers at once.
+    pub fn most_prefilling(&self, server: &str) -> u32 {
+        self.backends[&Bytes::from(server.to_string())].most_prefilling
+    }
+
     /// Returns the maximum number of KV cache tokens that requests held at a server.
     pub fn most_memory(&self, server: &str) -> u32 {
         self.backends[&Bytes::from(server.to_string())].most_memory_tokens
