Send returning callers to the engine that holds their prompt

Ruled out: a home for each prompt by rendezvous hashing (it would tell where a prompt may be, not whether it was prefilled); reports of held runs in digests (nothing is left of them after a total loss).

Change: the owner of a service remembers for 10 s which engine got a prompt, and one that begins to coordinate a fleet that was running before lists what the decode servers hold, once. A caller with a known prompt is sent there if the engine is usable and has capacity; nothing waits for it.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -19,6 +19,7 @@
 pub mod coordination;
 pub mod decision;
 pub mod estimate;
+pub mod kept;
 pub mod ledger;
 pub mod message;
 pub mod peers;
@@ -43,6 +44,8 @@
 pub enum Step {
     /// Run the whole request.
     Run,
+    /// Run a request whose prompt the server already holds.
+    Resume,
     /// Prefill the prompt and hold its KV cache for a decode server.
     Prefill,
     /// Fetch the KV cache of a prompt and generate the answer.
@@ -168,6 +171,13 @@
         /// The number of the request.
         request: call::RequestNumber,
     },
+    /// An engine has listed the prompts whose KV cache it holds.
+    PromptsListed {
+        /// The id of the engine.
+        server: ids::ServerId,
+        /// The prompts.
+        prompts: Vec<call::PromptId>,
+    },
     /// The settings were reloaded.
     SettingsChanged {
         /// The new bounds on retries.
@@ -224,6 +234,13 @@
         /// The KV cache handle at that server.
         handle: HandleId,
     },
+    /// List the prompts whose KV cache an engine holds.
+    ListPrompts {
+        /// The id of the engine.
+        server: ids::ServerId,
+        /// The address of the engine.
+        address: net::SocketAddr,
+    },
     /// Send peers the changed load with the next digest that is due.
     PublishLoad,
     /// Send peers a change that affects all instances immediately.
@@ -265,6 +282,9 @@
     domain: String,
     catalog: Option<sync::Arc<catalog::Catalog>>,
     servers: servers::Directory,
+    kept: kept::KeptPrompts,
+    /// Whether engines may hold prompts that this instance does not know of.
+    has_unlisted_prompts: bool,
     peers: peers::Peers,
     quotas: quota::Quotas,
     pending_history: Option<(Vec<quota::Spending>, ids::Timestamp)>,
@@ -297,6 +317,8 @@
             domain: options.domain,
             catalog: None,
             servers: servers::Directory::default(),
+            kept: kept::KeptPrompts::default(),
+            has_unlisted_prompts: !options.is_first_start,
             peers: peers::Peers::default(),
             quotas: quota::Quotas::new(options.quota_window, options.is_first_start),
             pending_history: None,
@@ -359,6 +381,11 @@
             }
             Event::CallerDisconnected { request } => self.disconnect(request, now, &mut effects),
             Event::RequestExpired { request } => self.expire_request(request, now, &mut effects),
+            Event::PromptsListed { server, prompts } => {
+                for prompt in prompts {
+                    self.kept.record(prompt, &server, now);
+                }
+            }
             Event::SettingsChanged { retries, quota_window } => {
                 self.budget.set_bounds(retries);
                 self.quotas.set_window(quota_window);
@@ -445,9 +472,24 @@
             self.ledger.recount(&mut self.servers);
             effects.push(Effect::AnnounceChange);
         }
+        self.list_prompts(effects);
         self.place_waiting(now, effects);
     }
 
+    /// Lists the prompts that engines hold, once this instance coordinates a fleet that was running
+    /// before.
+    fn list_prompts(&mut self, effects: &mut Vec<Effect>) {
+        if !self.has_unlisted_prompts || !self.is_coordinator {
+            return;
+        }
+        let engines: Vec<_> = self.servers.decode_servers().collect();
+        self.has_unlisted_prompts = engines.is_empty();
+        for server in engines {
+            let (server, address) = (server.entry.id.clone(), server.entry.address);
+            effects.push(Effect::ListPrompts { server, address });
+        }
+    }
+
     fn load_history(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let Some((spending, received)) = self.pending_history.take() else { return };
         let age_ms = waiting::millis(now.saturating_sub(received));
@@ -471,6 +513,7 @@
             self.quotas.remove_peer(removed);
         }
         self.update_peer_sync(now);
+        self.list_prompts(effects);
         self.drop_lost_holders(now);
         self.resend_charges(now, effects);
         self.resend_reservation_requests(now, effects);
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -102,6 +102,7 @@
                 engine,
                 service,
                 tokens,
+                prompt: call.prompt,
                 start_time: claim::start_time(prefill_ms),
                 priority: priority.unwrap_or(route.priority),
                 objective_at: now + route.objective,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -79,6 +79,7 @@
             begin_remaining_ms: waiting::millis(claim.begin_by.saturating_sub(now)),
             tried: claim.tried.clone(),
             domain: claim.domain.clone(),
+            prompt: claim.prompt,
         };
         effects.push(Effect::SendMessage { to, message: message::Message::Reserve(request) });
     }
@@ -300,6 +301,7 @@
             engine,
             start_time: claim::start_time(prefill_ms),
             tokens: request.tokens,
+            prompt: request.prompt,
             priority: request.priority,
             objective_at,
             begin_by: now + time::Duration::from_millis(request.begin_remaining_ms),
@@ -328,6 +330,7 @@
         let Some((placement, expected_ms)) = self.choose(&remote.claim, now) else { return false };
         let (to, claim) = (remote.from, remote.claim.clone());
         self.claims.remove(&ticket);
+        self.record_prompt(&claim, &placement, now);
         let reservations = placement.loads(&claim);
         self.ledger.insert(ticket, reservations, &mut self.servers, now);
         let expected_ms = expected_ms as u64;
--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -9,6 +9,9 @@
 /// The number of a request within this instance.
 pub type RequestNumber = u64;
 
+/// The id of the last part of a prompt, which belongs to one request or session.
+pub type PromptId = u64;
+
 /// The token counts of a language request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tokens {
@@ -56,4 +59,6 @@
     pub deadline: Option<time::Duration>,
     /// The token counts, if the request contains them.
     pub tokens: Option<Tokens>,
+    /// The id of its prompt, if the request contains one.
+    pub prompt: Option<PromptId>,
 }
--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -16,6 +16,8 @@
     pub engine: Option<catalog::EngineShape>,
     /// The token counts; those of a short prompt if the request contains none.
     pub tokens: call::Tokens,
+    /// The id of the prompt, if the request contains one.
+    pub prompt: Option<call::PromptId>,
     /// The priority, 0 first.
     pub priority: u8,
     /// The expected time from placing the request until its answer begins.
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -32,6 +32,9 @@
     pub tried: Vec<ids::ServerId>,
     /// The failure domain of the sender.
     pub domain: String,
+    /// The id of the prompt, if the request contains one.
+    #[serde(default)]
+    pub prompt: Option<call::PromptId>,
 }
 
 /// A request to take an amount from a workspace's limit, sent to the coordinator that counts the
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -29,6 +29,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Run => "run",
+            Self::Resume => "resume",
             Self::Prefill => "prefill",
             Self::Decode { .. } => "decode",
         }
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -20,6 +20,8 @@
     Plain(ids::ServerId),
     /// An engine that prefills the prompt and generates the answer.
     Direct(ids::ServerId),
+    /// An engine that still holds the KV cache of the prompt and generates the answer.
+    Kept(ids::ServerId),
     /// Two engines with a handover of the KV cache.
     Handover {
         /// The engine that prefills the prompt.
@@ -33,7 +35,7 @@
     /// Returns the servers in the order in which they are used.
     pub fn servers(&self) -> impl Iterator<Item = &ids::ServerId> {
         let (first, second) = match self {
-            Self::Plain(server) | Self::Direct(server) => (server, None),
+            Self::Plain(server) | Self::Direct(server) | Self::Kept(server) => (server, None),
             Self::Handover { prefill, decode } => (prefill, Some(decode)),
         };
         iter::once(first).chain(second)
@@ -51,6 +53,9 @@
             Self::Direct(server) => {
                 vec![(server.clone(), servers::Load { memory_tokens, ..prefill_load })]
             }
+            Self::Kept(server) => {
+                vec![(server.clone(), servers::Load { memory_tokens, ..one })]
+            }
             Self::Handover { prefill, decode } => vec![
                 (prefill.clone(), prefill_load),
                 (decode.clone(), servers::Load { memory_tokens, ..one }),
@@ -104,6 +109,22 @@
     }
 }
 
+/// Returns the placement at the engine that is assumed to hold the prompt, if it has capacity.
+pub fn kept_placement(
+    directory: &servers::Directory,
+    engine: &ids::ServerId,
+    query: Query<'_>,
+) -> Option<Candidate<Placement>> {
+    let shape = query.claim.engine?;
+    let server = directory.get(engine).filter(|server| query.admits(server))?;
+    let is_service = server.entry.service == query.claim.service;
+    if !is_service || !has_capacity(server, shape, query) {
+        return None;
+    }
+    let expected_ms = constants::DECODE_START_MS + query.penalty_ms(server);
+    Some(Candidate { placement: Placement::Kept(engine.clone()), expected_ms, backlog_ms: 0.0 })
+}
+
 /// Returns the placement with the earliest expected first event, if any engine has capacity.
 ///
 /// Prefill servers prefill prompts. A decode server prefills a prompt itself only where that does
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -405,6 +405,11 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
+    /// Returns the servers that generate answers to language requests.
+    pub fn decode_servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|server| server.entry.stage == Some(Stage::Decode))
+    }
+
     /// Returns the entries of all servers, for a peer that cannot read the store.
     pub fn entries(&self) -> Vec<Entry> {
         self.servers.values().map(|server| server.entry.clone()).collect()
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -248,10 +248,24 @@
             return false;
         }
         let Some((placement, expected_ms)) = self.choose(&live.claim, now) else { return false };
+        let claim = live.claim.clone();
+        self.record_prompt(&claim, &placement, now);
         self.use_placement(request, placement, expected_ms, now, effects);
         true
     }
 
+    /// Remembers which engine will hold the prompt of a placed request.
+    pub(super) fn record_prompt(
+        &mut self,
+        claim: &claim::Claim,
+        placement: &placement::Placement,
+        now: ids::Timestamp,
+    ) {
+        if let (Some(prompt), Some(engine)) = (claim.prompt, placement.servers().last()) {
+            self.kept.record(prompt, engine, now);
+        }
+    }
+
     /// Returns the best placement of a claim and its expected time. A claim that will miss its
     /// objective gets one only at engines with a short backlog.
     pub(super) fn choose(
@@ -265,7 +279,11 @@
             constants::KV_CACHE_SHARE
         };
         let query = placement::Query { claim, memory_share, now };
-        let best = placement::best(&self.servers, query)?;
+        let kept = claim
+            .prompt
+            .and_then(|prompt| self.kept.engine(prompt, now))
+            .and_then(|engine| placement::kept_placement(&self.servers, engine, query));
+        let best = kept.or_else(|| placement::best(&self.servers, query))?;
         let to_objective_ms = claim.objective_at.saturating_sub(now).as_secs_f64() * 1_000.0;
         let will_be_late = best.expected_ms > to_objective_ms * constants::OBJECTIVE_SHARE;
         let has_backlog = best.backlog_ms > constants::LATE_BACKLOG_MS;
@@ -288,6 +306,9 @@
             placement::Placement::Plain(server) | placement::Placement::Direct(server) => {
                 self.send(request, &server, fleet::Step::Run, expected_ms, now, effects);
             }
+            placement::Placement::Kept(server) => {
+                self.send(request, &server, fleet::Step::Resume, expected_ms, now, effects);
+            }
             placement::Placement::Handover { prefill, decode } => {
                 self.send(request, &prefill, fleet::Step::Prefill, expected_ms, now, effects);
                 self.reserve_decode(request, decode);
@@ -332,7 +353,9 @@
             servers::Load { prefilling: 1, tokens_to_prefill: tokens.prompt_tokens, ..one };
         let load = match (&step, live.claim.engine) {
             (_, None) => one,
-            (fleet::Step::Decode { .. }, Some(_)) => servers::Load { memory_tokens, ..one },
+            (fleet::Step::Decode { .. } | fleet::Step::Resume, Some(_)) => {
+                servers::Load { memory_tokens, ..one }
+            }
             (fleet::Step::Prefill, Some(_)) => prefill_load,
             (fleet::Step::Run, Some(_)) => servers::Load { memory_tokens, ..prefill_load },
         };
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,7 @@
 use crate::core::fleet;
 use crate::core::fleet::call;
 use crate::core::fleet::refusal;
+use crate::core::ids;
 use crate::router::body;
 use crate::router::dialect;
 
@@ -19,6 +20,8 @@
 const DEADLINE: &str = "deadline-ms";
 /// The prompt's tokens and the maximum of output tokens, separated by a comma.
 const TOKEN_COUNT: &str = "token-count";
+/// The parts of the prompt in order, as ID:TOKENS separated by commas, with hexadecimal ids.
+const PREFIX_HASH: &str = "prefix-hash";
 /// The caller's estimate of the output tokens.
 const LENGTH_HINT: &str = "length-hint";
 /// The id of the event after which a stream is resumed.
@@ -86,6 +89,16 @@
     kv_handle: String,
 }
 
+/// The parts of prompts that a server keeps.
+#[derive(serde::Deserialize)]
+struct PromptList {
+    held: Vec<KeptPart>,
+}
+
+/// An unused text, the id of the part, its tokens and the model.
+#[derive(serde::Deserialize)]
+struct KeptPart(serde::de::IgnoredAny, String, serde::de::IgnoredAny, serde::de::IgnoredAny);
+
 impl dialect::Dialect for PlatformDialect {
     fn read_id(&self, head: &http::request::Parts) -> Bytes {
         let id = head.headers.get(ATTEMPT_ID);
@@ -112,6 +125,7 @@
                 .map(|ms| time::Duration::from_secs_f64((ms / 1_000.0).min(86_400.0))),
             tokens: text(TOKEN_COUNT)
                 .and_then(|count| parse_token_counts(count, text(LENGTH_HINT))),
+            prompt: text(PREFIX_HASH).and_then(parse_last_part),
         })
     }
 
@@ -140,7 +154,7 @@
             set_header(&mut headers, LAST_EVENT_ID, id);
         }
         match &dispatch.step {
-            fleet::Step::Run => {}
+            fleet::Step::Run | fleet::Step::Resume => {}
             fleet::Step::Prefill => set_header(&mut headers, STAGE, "prefill"),
             fleet::Step::Decode { source, handle } => {
                 set_header(&mut headers, KV_SOURCE, &format!("{source}/{handle}"));
@@ -193,6 +207,23 @@
         request
     }
 
+    fn write_prompt_list_query(
+        &self,
+        server: &ids::ServerId,
+        address: net::SocketAddr,
+    ) -> http::Request<Full<Bytes>> {
+        let mut request = http::Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static("/-/kv-list");
+        set_header(request.headers_mut(), "host", &address.to_string());
+        set_header(request.headers_mut(), EXPECT_INSTANCE, &String::from_utf8_lossy(server));
+        request
+    }
+
+    fn read_prompt_list(&self, body: &[u8]) -> Result<Vec<call::PromptId>, serde_json::Error> {
+        let list: PromptList = serde_json::from_slice(body)?;
+        Ok(list.held.iter().filter_map(|part| parse_part_id(&part.1)).collect())
+    }
+
     fn read_discovery_query(&self, head: &http::request::Parts) -> dialect::DiscoveryQuery {
         match head.uri.path() {
             "/-/readyz" => dialect::DiscoveryQuery::Readiness,
@@ -233,6 +264,16 @@
     })
 }
 
+/// Returns the id of the last part of a prompt.
+fn parse_last_part(parts: &str) -> Option<call::PromptId> {
+    let (id, _tokens) = parts.rsplit(',').next()?.split_once(':')?;
+    parse_part_id(id)
+}
+
+fn parse_part_id(id: &str) -> Option<call::PromptId> {
+    u64::from_str_radix(id.trim(), 16).ok()
+}
+
 fn request_target(uri: &http::Uri) -> http::Uri {
     let path = uri.path_and_query().cloned();
     path.map(http::Uri::from).unwrap_or_default()
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,14 +1,18 @@
 //! Tests of reading the platform's configuration, entries and settings.
 
 use bytes::Bytes;
+use hyper::http;
 use proptest::prelude::*;
 
+use crate::core::fleet::call;
 use crate::core::fleet::servers;
 use crate::platform::configuration;
 use crate::platform::entries;
+use crate::platform::headers;
 use crate::platform::settings;
 use crate::platform::store;
 use crate::platform::watch;
+use crate::router::dialect::Dialect as _;
 
 const ENTRY: &str = r#"{"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"colombo",
     "Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Stage":"decode",
@@ -83,6 +87,39 @@
     assert_eq!(entries::listing(Bytes::from("i-1"), None, 4), Some(removed));
 }
 
+fn read_call(prefix: Option<&str>) -> call::Call {
+    let request = http::Request::builder().uri("/a/").header("host", "ficu.example");
+    let request = request.header("attempt-id", "9c41").header("token-count", "1460,80");
+    let request = match prefix {
+        Some(prefix) => request.header("prefix-hash", prefix),
+        None => request,
+    };
+    let (head, ()) = request.body(()).expect("the request is valid").into_parts();
+    headers::PlatformDialect.read_call(&head).expect("the head is valid")
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_its_id() {
+    let prompt = |prefix| read_call(Some(prefix)).prompt;
+    assert_eq!(prompt("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), Some(0xe440_2b7d));
+    assert_eq!(prompt("e4402b7d:250"), Some(0xe440_2b7d));
+    for forged in ["", "e4402b7d", "5c1e07a2:800,", "lima:3", "e4402b7d00000000f:250"] {
+        assert_eq!(prompt(forged), None, "{forged}");
+    }
+    assert_eq!(read_call(None).prompt, None);
+}
+
+#[test]
+fn the_list_of_a_servers_prompts_is_read_and_a_forged_one_is_an_error() {
+    let list = r#"{"epoch":4,"NextToken":9,"held":[["","5c1e07a2",800,"m"],["","lima",3,"m"]]}"#;
+    let prompts = headers::PlatformDialect.read_prompt_list(list.as_bytes());
+    assert_eq!(prompts.expect("it is valid"), [0x5c1e_07a2], "a part without an id is left out");
+    for forged in [&list[..40], "{}", r#"{"held":4}"#, r#"{"held":[[1]]}"#, ""] {
+        let read = headers::PlatformDialect.read_prompt_list(forged.as_bytes());
+        assert!(read.is_err(), "{forged}");
+    }
+}
+
 #[test]
 fn settings_are_read_and_a_missing_field_is_named_with_a_remedy() {
     let folder = std::env::temp_dir().join(format!("galenayard-settings-{}", std::process::id()));
--- a/src/router.rs
+++ b/src/router.rs
@@ -89,7 +89,7 @@
     let listener = callers::bind(options.callers)?;
     let gossip = gossip::Gossip::bind(options.peers)?;
     let mirror = callers::bind(options.peers)?;
-    let context = rc::Rc::new(context::Context::new(options.fleet.clone(), dialect));
+    let context = context::Context::new(options.fleet.clone(), dialect);
     for address in &options.discovery {
         let listener = callers::bind(*address)?;
         tokio::task::spawn_local(callers::serve_discovery(listener, rc::Rc::clone(&context)));
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -24,6 +24,10 @@
 /// The timeout of a request that releases a KV cache handle.
 const RELEASE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// The timeout of a query for the prompts that an engine holds; later it is of no use to the callers
+/// that return after a failure.
+const PROMPT_LIST_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// A command of the fleet state to the task of a request.
 #[derive(Debug)]
 pub enum Command {
@@ -49,6 +53,8 @@
 
 /// State shared by all tasks of an instance.
 pub struct Context {
+    /// This state, for tasks that it starts.
+    own: rc::Weak<Self>,
     /// Translates HTTP messages of callers and servers.
     pub dialect: rc::Rc<dyn dialect::Dialect>,
     /// The clock that the fleet state's timestamps come from.
@@ -75,8 +81,9 @@
 
 impl Context {
     /// Creates the state of an instance that has just started.
-    pub fn new(options: fleet::Options, dialect: rc::Rc<dyn dialect::Dialect>) -> Self {
-        Self {
+    pub fn new(options: fleet::Options, dialect: rc::Rc<dyn dialect::Dialect>) -> rc::Rc<Self> {
+        rc::Rc::new_cyclic(|own| Self {
+            own: rc::Weak::clone(own),
             dialect,
             clock: clock::Clock::start(),
             load_change: tokio::sync::Notify::new(),
@@ -88,7 +95,7 @@
             mailboxes: cell::RefCell::default(),
             next_request: cell::Cell::new(0),
             peer_socket: cell::OnceCell::new(),
-        }
+        })
     }
 
     /// Returns the present time.
@@ -149,6 +156,7 @@
             fleet::Effect::DeliverFailure { request } => self.command(request, Command::Deliver),
             fleet::Effect::ReleaseKvCache { address, handle } => self.release(address, &handle),
             fleet::Effect::SendMessage { to, message } => self.send_to_peer(to, &message),
+            fleet::Effect::ListPrompts { server, address } => self.list_prompts(server, address),
             fleet::Effect::PublishLoad => self.load_change.notify_one(),
             fleet::Effect::AnnounceChange => self.urgent_change.notify_one(),
             fleet::Effect::Log(decision) => {
@@ -201,6 +209,37 @@
         }
     }
 
+    /// Queries the prompts that an engine holds and passes them to the fleet state.
+    fn list_prompts(&self, server: ids::ServerId, address: net::SocketAddr) {
+        let Some(context) = self.own.upgrade() else { return };
+        let query = self.dialect.write_prompt_list_query(&server, address);
+        tokio::task::spawn_local(async move {
+            let name = String::from_utf8_lossy(&server).into_owned();
+            let listing =
+                tokio::time::timeout(PROMPT_LIST_TIMEOUT, upstream::call(address, query)).await;
+            let response = match listing {
+                Ok(Ok(response)) if response.status().is_success() => response,
+                Ok(Ok(response)) => {
+                    let status = response.status();
+                    return log::warn!("server {name} did not list its prompts: status {status}");
+                }
+                Ok(Err(failure)) => {
+                    return log::warn!("server {name} did not list its prompts: {failure}");
+                }
+                Err(_) => return log::warn!("server {name} did not list its prompts in time"),
+            };
+            match context.dialect.read_prompt_list(response.body()) {
+                Ok(prompts) => {
+                    log::info!("server {name} holds {} parts of prompts", prompts.len());
+                    context.apply(fleet::Event::PromptsListed { server, prompts });
+                }
+                Err(failure) => {
+                    log::warn!("ignoring the invalid list of prompts of server {name}: {failure}");
+                }
+            }
+        });
+    }
+
     fn release(&self, address: net::SocketAddr, handle: &str) {
         let request = self.dialect.write_release(address, handle);
         tokio::task::spawn_local(async move {
--- a/src/router/dialect.rs
+++ b/src/router/dialect.rs
@@ -9,6 +9,7 @@
 
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::ids;
 use crate::router::body;
 
 /// What the head of a server's response states besides its status.
@@ -70,6 +71,20 @@
     /// Writes the request that releases a KV cache handle at a server.
     fn write_release(&self, server: net::SocketAddr, handle: &str) -> http::Request<Full<Bytes>>;
 
+    /// Writes the query for the prompts whose KV cache a server holds.
+    fn write_prompt_list_query(
+        &self,
+        server: &ids::ServerId,
+        address: net::SocketAddr,
+    ) -> http::Request<Full<Bytes>>;
+
+    /// Reads the response to that query.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the response is malformed.
+    fn read_prompt_list(&self, body: &[u8]) -> Result<Vec<call::PromptId>, serde_json::Error>;
+
     /// Reads a request to the readiness and discovery listener.
     fn read_discovery_query(&self, head: &http::request::Parts) -> DiscoveryQuery;
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -100,6 +100,52 @@
     assert_eq!(summary.on_time + summary.late, summary.requests, "{summary:?}");
 }
 
+/// Sends streams, interrupts them by `interrupt` while they run, and sends their prompts again from
+/// other instances; returns how many of these were prefilled again.
+fn prefilled_again_after<F: Fn(&mut World)>(instances: usize, interrupt: F) -> usize {
+    const STREAMS: u64 = 20;
+    let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+    for prompt in 0..STREAMS {
+        world.arrive_with_prompt(ms(prompt * 50), prompt as usize % instances, prompt);
+    }
+    world.run(ms(2_000));
+    interrupt(&mut world);
+    let returned = world.now + ms(1_000);
+    for prompt in 0..STREAMS {
+        world.arrive_with_prompt(
+            ms(1_000 + prompt * 10),
+            (prompt as usize + 1) % instances,
+            prompt,
+        );
+    }
+    world.run(ms(15_000));
+    let returned = world.records.values().filter(|record| record.arrived >= returned);
+    let (again, held): (Vec<_>, Vec<_>) = returned.partition(|record| record.prefills > 0);
+    assert_eq!(again.len() + held.len(), STREAMS as usize);
+    assert!(held.iter().all(|record| record.finished && record.ends == 1));
+    again.len()
+}
+
+#[test]
+fn callers_that_return_get_the_engine_that_holds_their_prompt() {
+    assert_eq!(prefilled_again_after(6, |_| {}), 0);
+    assert_eq!(prefilled_again_after(20, |_| {}), 0);
+}
+
+#[test]
+fn the_prompts_of_all_callers_are_found_again_after_the_loss_of_all_instances() {
+    let restart = |world: &mut World| world.restart_all(&world::servers());
+    assert_eq!(prefilled_again_after(6, restart), 0);
+    assert_eq!(prefilled_again_after(20, restart), 0);
+}
+
+#[test]
+fn a_lost_engine_costs_its_returning_callers_only_their_prompts() {
+    let lost = |world: &mut World| world.set_health(ms(0), "llm-3", Health::Unreachable);
+    let again = prefilled_again_after(6, lost);
+    assert!((1..=8).contains(&again), "{again} of 20 prompts were held by one of six engines");
+}
+
 #[test]
 fn overloaded_slow_prefill_servers_serve_those_that_can_be_on_time() {
     let mut world = World::new(6, FAST_DIGESTS, &world::servers());
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -59,14 +59,43 @@
 
 #[derive(Debug)]
 enum Action {
-    Arrive { instance: usize, host: &'static str, tokens: Option<call::Tokens> },
-    Message { to: net::SocketAddr, from: net::SocketAddr, message: message::Message },
-    Progress { instance: usize, request: u64, sends: u32, outcome: fleet::Outcome },
-    Tick { instance: usize },
-    Digest { instance: usize },
-    Kill { instance: usize },
-    List { change: servers::EntryChange },
-    SetHealth { server: Bytes, health: Health },
+    Arrive {
+        instance: usize,
+        host: &'static str,
+        tokens: Option<call::Tokens>,
+        prompt: Option<call::PromptId>,
+    },
+    Message {
+        to: net::SocketAddr,
+        from: net::SocketAddr,
+        message: message::Message,
+    },
+    Progress {
+        instance: usize,
+        request: u64,
+        sends: u32,
+        outcome: fleet::Outcome,
+    },
+    Tick {
+        instance: usize,
+    },
+    Digest {
+        instance: usize,
+    },
+    Kill {
+        instance: usize,
+    },
+    List {
+        change: servers::EntryChange,
+    },
+    SetHealth {
+        server: Bytes,
+        health: Health,
+    },
+    Apply {
+        instance: usize,
+        event: fleet::Event,
+    },
 }
 
 struct Scheduled(Duration, u64, Action);
@@ -97,6 +126,8 @@
     /// The prompts sent for a handover and not prefilled yet.
     prefilling: u32,
     most_prefilling: u32,
+    /// The prompts whose KV cache it holds.
+    prompts: Vec<call::PromptId>,
 }
 
 /// The events of one request.
@@ -104,6 +135,7 @@
 pub struct Record {
     pub host: &'static str,
     pub arrived: Duration,
+    pub prompt: Option<call::PromptId>,
     pub prefills: u32,
     pub runs: u32,
     pub sends: u32,
@@ -171,6 +203,7 @@
                 prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
                 prefilling: 0,
                 most_prefilling: 0,
+                prompts: Vec::new(),
             };
             world.backends.insert(entry.id.clone(), backend);
         }
@@ -203,7 +236,13 @@
         host: &'static str,
         tokens: Option<call::Tokens>,
     ) {
-        self.schedule(after, Action::Arrive { instance, host, tokens });
+        self.schedule(after, Action::Arrive { instance, host, tokens, prompt: None });
+    }
+
+    /// Schedules the arrival of a stream with the given prompt.
+    pub fn arrive_with_prompt(&mut self, after: Duration, instance: usize, prompt: call::PromptId) {
+        let (host, tokens, prompt) = ("stream", Some(PROMPT), Some(prompt));
+        self.schedule(after, Action::Arrive { instance, host, tokens, prompt });
     }
 
     /// Applies another version of the configuration at some instances.
@@ -290,7 +329,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Arrive { instance, host, tokens } => self.arrived(instance, host, tokens),
+            Action::Arrive { instance, host, tokens, prompt } => {
+                self.arrived(instance, host, tokens, prompt);
+            }
             Action::Message { to, from, message } => {
                 if let Some(index) = self.addresses.iter().position(|known| *known == to) {
                     self.apply(index, fleet::Event::Received { from, message });
@@ -310,6 +351,7 @@
                     self.apply(index, listed(vec![change.clone()]));
                 }
             }
+            Action::Apply { instance, event } => self.apply(instance, event),
             Action::SetHealth { server, health } => {
                 if let Some(backend) = self.backends.get_mut(&server) {
                     backend.health = health;
@@ -318,13 +360,19 @@
         }
     }
 
-    fn arrived(&mut self, instance: usize, host: &'static str, tokens: Option<call::Tokens>) {
+    fn arrived(
+        &mut self,
+        instance: usize,
+        host: &'static str,
+        tokens: Option<call::Tokens>,
+        prompt: Option<call::PromptId>,
+    ) {
         if self.instances[instance].is_none() {
             return;
         }
         let request = self.next_request;
         self.next_request += 1;
-        let record = Record { host, arrived: self.now, ..Record::default() };
+        let record = Record { host, arrived: self.now, prompt, ..Record::default() };
         self.records.insert((instance, request), record);
         let call = call::Call {
             id: Bytes::from(request.to_string()),
@@ -333,6 +381,7 @@
             key: (host == "limited").then(|| Bytes::from_static(KEY)),
             deadline: None,
             tokens,
+            prompt,
         };
         self.apply(instance, fleet::Event::Arrived { request, call });
     }
@@ -400,6 +449,11 @@
                 self.note_coordinators();
                 self.send_digests(instance);
             }
+            fleet::Effect::ListPrompts { server, .. } => {
+                let prompts = self.backends[&server].prompts.clone();
+                let event = fleet::Event::PromptsListed { server, prompts };
+                self.schedule(LATENCY * 2, Action::Apply { instance, event });
+            }
             fleet::Effect::Admit { .. }
             | fleet::Effect::ReleaseKvCache { .. }
             | fleet::Effect::PublishLoad
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -73,7 +73,13 @@
         dispatch: &fleet::Dispatch,
     ) {
         let now = self.now;
-        let is_decode = matches!(dispatch.step, fleet::Step::Decode { .. });
+        let prompt = self.record(instance, request).prompt;
+        let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
+        let is_kept = prompt.is_some_and(|prompt| backend.prompts.contains(&prompt));
+        if dispatch.step != fleet::Step::Prefill {
+            backend.prompts.extend(prompt);
+        }
+        let is_decode = is_kept || matches!(dispatch.step, fleet::Step::Decode { .. });
         let Some(backend) = self.backends.get_mut(&dispatch.server) else { return };
         let rate = match dispatch.step {
             fleet::Step::Prefill => backend.prefill_tokens_per_ms,
