Order positions in the store by era and offset

Cause: after a drill the store may come back from a copy some seconds old, with offsets that are given out again. An entry with a lower offset than the known one was ignored and a removal with a higher one kept a server out: a fleet could keep servers that had left, refuse listed ones, or read nothing at all.

Ruled out: a new listing alone (a copy lists servers that drained or left in the seconds that are gone); waiting until all servers have written again (nothing could be served in between).

Change: a position holds the era of the header Store-Era above the offset. A reader that sees a higher era, or 410, lists everything anew; what is known of a server holds until the server writes again; one that the copy lacks stays usable for the time in which servers return. An answer of a lower era is refused and one without an era belongs to the known one. Configurations go by version as before; spending is written twice a second anyway, and readers announce themselves again. On the wire positions stay integers, so that older builds understand them.

Measured: the property test over random writes, restores and removals fails with the era left out of the order and with the copy's entries taken at their word.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -123,11 +123,11 @@
         changes: Vec<servers::EntryChange>,
         /// The ids of all servers in a complete listing, and the position of the next change after
         /// it.
-        complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
-        /// Whether the store was unreachable immediately before these changes were read.
-        is_after_outage: bool,
+        complete: Option<(collections::Set<ids::ServerId>, ids::StorePosition)>,
+        /// The state of the store from which the changes were read.
+        source: servers::Source,
         /// The position after the sender's last change, if a peer sent the changes.
-        sender_position: Option<ids::Offset>,
+        sender_position: Option<ids::StorePosition>,
     },
     /// A message of a peer was received.
     Received {
@@ -295,7 +295,7 @@
     grants: collections::Map<ledger::Ticket, (placement::Placement, u64)>,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
-    servers_position: ids::Offset,
+    servers_position: ids::StorePosition,
     seeds: Vec<net::SocketAddr>,
     is_coordinator: bool,
     /// Other instances have counted the limits, so that this one does not know all spending.
@@ -349,14 +349,9 @@
         let mut effects = Vec::new();
         match event {
             Event::Configured(catalog) => self.configure(catalog, now, &mut effects),
-            Event::ServersChanged { changes, complete, is_after_outage, sender_position } => {
-                let changed = self.apply_server_changes(
-                    changes,
-                    complete,
-                    is_after_outage,
-                    now,
-                    &mut effects,
-                );
+            Event::ServersChanged { changes, complete, source, sender_position } => {
+                let changed =
+                    self.apply_server_changes(changes, complete, source, now, &mut effects);
                 self.server_list_changed(sender_position.or(changed), now, &mut effects);
             }
             Event::Received { from, message } => self.receive(from, message, now, &mut effects),
@@ -424,21 +419,21 @@
     fn apply_server_changes(
         &mut self,
         changes: Vec<servers::EntryChange>,
-        complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
-        is_after_outage: bool,
+        complete: Option<(collections::Set<ids::ServerId>, ids::StorePosition)>,
+        source: servers::Source,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
-    ) -> Option<ids::Offset> {
+    ) -> Option<ids::StorePosition> {
         let mut changed = None;
         for change in changes {
             let end = change.offset() + 1;
-            if self.apply_server_change(change, is_after_outage, now, effects) {
+            if self.apply_server_change(change, source, now, effects) {
                 changed = changed.max(Some(end));
             }
         }
         if let Some((listed, end)) = complete {
             let last = end.saturating_sub(1);
-            for server in self.servers.retain_listed(&listed, last, is_after_outage, now) {
+            for server in self.servers.retain_listed(&listed, last, source, now) {
                 effects.push(Effect::Log(decision::Decision::server_gone(&server)));
                 changed = changed.max(Some(end));
             }
@@ -450,12 +445,12 @@
     fn apply_server_change(
         &mut self,
         change: servers::EntryChange,
-        is_after_outage: bool,
+        source: servers::Source,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) -> bool {
         let line = decision::Decision::listed(&change);
-        let has_changed = self.servers.apply(change, is_after_outage, now);
+        let has_changed = self.servers.apply(change, source, now);
         if has_changed {
             effects.push(Effect::Log(line));
         }
@@ -464,7 +459,7 @@
 
     fn server_list_changed(
         &mut self,
-        changed: Option<ids::Offset>,
+        changed: Option<ids::StorePosition>,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -363,10 +363,9 @@
         effects: &mut Vec<Effect>,
     ) {
         for entry in entries {
-            let is_after_outage = false;
             self.apply_server_change(
                 servers::EntryChange::Put(entry),
-                is_after_outage,
+                servers::Source::Steady,
                 now,
                 effects,
             );
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -28,7 +28,7 @@
         is_draining: bool,
         /// The position of the change in the store; 0 if the entry expired or is missing from a
         /// complete listing.
-        offset: ids::Offset,
+        offset: ids::StorePosition,
     },
     /// A server is ejected: it gets no work for some time.
     ServerEjected {
@@ -109,7 +109,7 @@
         /// The time since the request arrived.
         waited_ms: u64,
         /// The position of the server's entry in the store.
-        offset: ids::Offset,
+        offset: ids::StorePosition,
     },
     /// The first event of a stream has arrived.
     Started {
--- a/src/core/fleet/ledger/tests.rs
+++ b/src/core/fleet/ledger/tests.rs
@@ -26,7 +26,7 @@
         born_ms: 1,
         offset: 1,
     };
-    directory.apply(servers::EntryChange::Put(entry), false, at(0));
+    directory.apply(servers::EntryChange::Put(entry), servers::Source::Steady, at(0));
     directory
 }
 
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -68,7 +68,7 @@
     pub version: u64,
     /// The position after the last change of the sender's list of servers.
     #[serde(rename = "servers_at")]
-    pub servers_position: ids::Offset,
+    pub servers_position: ids::StorePosition,
     /// Whether the sender is a coordinator.
     #[serde(rename = "coordinates")]
     pub is_coordinator: bool,
@@ -109,7 +109,7 @@
     last_changed: ids::Timestamp,
     sequence: u64,
     version: u64,
-    servers_position: ids::Offset,
+    servers_position: ids::StorePosition,
     is_coordinator: bool,
     reads_store: bool,
 }
@@ -355,7 +355,10 @@
 
     /// Returns the coordinator or reader of the store with the newest list of servers, and the
     /// position of that list.
-    pub fn newest_servers(&self, now: ids::Timestamp) -> Option<(ids::Offset, net::SocketAddr)> {
+    pub fn newest_servers(
+        &self,
+        now: ids::Timestamp,
+    ) -> Option<(ids::StorePosition, net::SocketAddr)> {
         self.peers
             .values()
             .filter(|peer| peer.reads_store || peer.is_coordinator)
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -42,7 +42,7 @@
     pub born_ms: u64,
     /// The position of the entry in the store; of two entries, the one with the higher position is
     /// newer.
-    pub offset: ids::Offset,
+    pub offset: ids::StorePosition,
 }
 
 /// The load that requests put on a server.
@@ -80,7 +80,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Expiry {
     at: ids::Timestamp,
-    offset: ids::Offset,
+    offset: ids::StorePosition,
 }
 
 impl Expiry {
@@ -189,6 +189,18 @@
     Replaced,
 }
 
+/// The state of the store from which changes were read.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The store was reachable all the time.
+    #[default]
+    Steady,
+    /// The store was unreachable immediately before.
+    AfterOutage,
+    /// The store was restored from a copy that lacks the newest changes; servers write theirs again.
+    Restored,
+}
+
 /// A change of a server entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryChange {
@@ -199,13 +211,13 @@
         /// The id of the server.
         id: ids::ServerId,
         /// The position of the removal.
-        offset: ids::Offset,
+        offset: ids::StorePosition,
     },
 }
 
 impl EntryChange {
     /// Returns the position of the change.
-    pub fn offset(&self) -> ids::Offset {
+    pub fn offset(&self) -> ids::StorePosition {
         match self {
             Self::Put(entry) => entry.offset,
             Self::Removed { offset, .. } => *offset,
@@ -219,7 +231,7 @@
     /// The id of the server.
     pub id: ids::ServerId,
     /// The position of the removal.
-    pub offset: ids::Offset,
+    pub offset: ids::StorePosition,
     /// Whether the removal was read after an outage of the store, so that the server may return.
     pub is_after_outage: bool,
 }
@@ -232,38 +244,43 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     servers: collections::Map<ids::ServerId, Server>,
-    removed: collections::Map<ids::ServerId, ids::Offset>,
+    removed: collections::Map<ids::ServerId, ids::StorePosition>,
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
     /// The position from which on all removals are remembered; `None` before the first complete
     /// listing.
-    removals_known_since: Option<ids::Offset>,
+    removals_known_since: Option<ids::StorePosition>,
 }
 
 impl Directory {
-    /// Applies a change; `is_after_outage` if the store was unreachable immediately before.
-    ///
-    /// Returns whether the view of the server changed.
-    pub fn apply(
-        &mut self,
-        change: EntryChange,
-        is_after_outage: bool,
-        now: ids::Timestamp,
-    ) -> bool {
+    /// Applies a change; returns whether the view of the server changed.
+    pub fn apply(&mut self, change: EntryChange, source: Source, now: ids::Timestamp) -> bool {
         match change {
+            EntryChange::Put(entry) if source == Source::Restored => self.restore(entry, now),
             EntryChange::Put(entry) => self.insert(entry, now),
-            EntryChange::Removed { id, offset } => self.remove(&id, offset, is_after_outage, now),
+            EntryChange::Removed { id, offset } => self.remove(&id, offset, source, now),
         }
     }
 
+    /// Applies an entry of a restored store. What is known of the server is newer, until the server
+    /// writes again.
+    fn restore(&mut self, entry: Entry, now: ids::Timestamp) -> bool {
+        if self.removed.contains_key(&entry.id) {
+            return false;
+        }
+        let Some(server) = self.servers.get_mut(&entry.id) else { return self.insert(entry, now) };
+        server.entry.offset = server.entry.offset.max(entry.offset);
+        false
+    }
+
     /// Removes the servers that a complete listing, whose last change is at `last`, does not
     /// contain, and returns their ids.
     pub fn retain_listed(
         &mut self,
         listed: &collections::Set<ids::ServerId>,
-        last: ids::Offset,
-        is_after_outage: bool,
+        last: ids::StorePosition,
+        source: Source,
         now: ids::Timestamp,
     ) -> Vec<ids::ServerId> {
         self.removals_known_since.get_or_insert(last + 1);
@@ -273,7 +290,7 @@
             .filter(|(id, server)| !listed.contains(*id) && server.entry.offset <= last)
             .map(|(id, _)| id.clone())
             .collect();
-        missing.retain(|id| self.remove(id, last, is_after_outage, now));
+        missing.retain(|id| self.remove(id, last, source, now));
         missing
     }
 
@@ -313,8 +330,8 @@
     fn remove(
         &mut self,
         id: &ids::ServerId,
-        offset: ids::Offset,
-        is_after_outage: bool,
+        offset: ids::StorePosition,
+        source: Source,
         now: ids::Timestamp,
     ) -> bool {
         let Some(server) = self.servers.get_mut(id) else { return false };
@@ -322,7 +339,7 @@
             return false;
         }
         // A server that was draining is not expected to return.
-        if is_after_outage && !server.entry.is_draining {
+        if source != Source::Steady && !server.entry.is_draining {
             server.expired.get_or_insert(Expiry { at: now, offset });
             return true;
         }
@@ -330,7 +347,7 @@
         true
     }
 
-    fn delete(&mut self, id: &ids::ServerId, offset: ids::Offset) {
+    fn delete(&mut self, id: &ids::ServerId, offset: ids::StorePosition) {
         self.servers.remove(id);
         self.removed.insert(id.clone(), offset);
         self.drop_old_removals();
@@ -350,13 +367,16 @@
 
     /// Returns the ids of all servers if some removals at `position` or later may be unknown, for
     /// example because this instance started after them.
-    pub fn names_unless_removals_known(&self, position: ids::Offset) -> Option<Vec<ids::ServerId>> {
+    pub fn names_unless_removals_known(
+        &self,
+        position: ids::StorePosition,
+    ) -> Option<Vec<ids::ServerId>> {
         let is_known = self.removals_known_since.is_some_and(|since| since <= position);
         (!is_known).then(|| self.servers.keys().cloned().collect())
     }
 
     /// Returns the removals at `position` or later.
-    pub fn removals_since(&self, position: ids::Offset) -> Vec<Removal> {
+    pub fn removals_since(&self, position: ids::StorePosition) -> Vec<Removal> {
         let removed = self.removed.iter().map(|(id, offset)| Removal {
             id: id.clone(),
             offset: *offset,
@@ -531,3 +551,6 @@
         server.work_ms += constants::SPEED_SMOOTHING * (elapsed_ms - server.work_ms);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/fleet/servers/tests.rs
@@ -0,0 +1,166 @@
+//! Tests of the list of servers against a store that is restored from older copies.
+
+use std::time;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+
+use super::Directory;
+use super::Entry;
+use super::EntryChange;
+use super::Source;
+use crate::core::collections;
+use crate::core::ids;
+
+const SERVERS: usize = 4;
+const HEARTBEAT: time::Duration = time::Duration::from_millis(1_200);
+/// The time after a removal or draining within which a server must not be used any more.
+const REMOVAL_BOUND: time::Duration = time::Duration::from_secs(4);
+
+/// A store with one key per server.
+#[derive(Debug, Clone, Default)]
+struct Store {
+    era: u64,
+    log: Vec<(usize, Option<bool>)>,
+}
+
+impl Store {
+    fn write(&mut self, server: usize, is_draining: Option<bool>) {
+        self.log.push((server, is_draining));
+    }
+
+    fn change(&self, index: usize) -> EntryChange {
+        let (server, is_draining) = self.log[index];
+        let id = Bytes::from(format!("i-{server}"));
+        let offset = ids::store_position(self.era, index as u64);
+        match is_draining {
+            Some(is_draining) => EntryChange::Put(entry(id, is_draining, offset)),
+            None => EntryChange::Removed { id, offset },
+        }
+    }
+
+    /// Returns the newest entry of each listed server.
+    fn newest(&self) -> Vec<EntryChange> {
+        let last = |server| self.log.iter().rposition(|(other, _)| *other == server);
+        let indexes = (0..SERVERS).filter_map(last);
+        indexes.filter(|index| self.log[*index].1.is_some()).map(|it| self.change(it)).collect()
+    }
+}
+
+fn entry(id: ids::ServerId, is_draining: bool, offset: ids::StorePosition) -> Entry {
+    Entry {
+        id,
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "a".to_string(),
+        slots: 1,
+        is_draining,
+        stage: None,
+        cold_ms: 0,
+        born_ms: 1,
+        offset,
+    }
+}
+
+/// The instance that follows the store.
+#[derive(Default)]
+struct Reader {
+    directory: Directory,
+    era: u64,
+    next: Option<usize>,
+}
+
+impl Reader {
+    fn read(&mut self, store: &Store, now: ids::Timestamp) {
+        let is_restored = self.era != store.era;
+        if is_restored {
+            self.next = None;
+        }
+        match self.next {
+            Some(next) => {
+                for index in next..store.log.len() {
+                    self.directory.apply(store.change(index), Source::Steady, now);
+                }
+            }
+            None => {
+                let source = if is_restored { Source::Restored } else { Source::Steady };
+                let changes = store.newest();
+                let listed: collections::Set<_> = changes
+                    .iter()
+                    .map(|change| match change {
+                        EntryChange::Put(entry) => entry.id.clone(),
+                        EntryChange::Removed { id, .. } => id.clone(),
+                    })
+                    .collect();
+                for change in changes {
+                    self.directory.apply(change, source, now);
+                }
+                let end = ids::store_position(store.era, store.log.len() as u64);
+                self.directory.retain_listed(&listed, end.saturating_sub(1), source, now);
+            }
+        }
+        self.era = store.era;
+        self.next = Some(store.log.len());
+        self.directory.delete_expired(now);
+    }
+
+    fn uses(&self, server: usize, now: ids::Timestamp) -> bool {
+        let id = Bytes::from(format!("i-{server}"));
+        self.directory.get(&id).is_some_and(|server| server.is_usable(now))
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(21), ..ProptestConfig::default() })]
+
+    /// Whatever the store forgets, no server is used 4 s after it was seen to drain or leave, and
+    /// each server that is alive is used within two heartbeats.
+    #[test]
+    fn a_restored_store_brings_no_server_back_and_keeps_none_out(
+        steps in proptest::collection::vec((0_u8..6, 0_usize..SERVERS, 0_usize..12), 1..40),
+    ) {
+        let mut store = Store::default();
+        let mut reader = Reader::default();
+        let mut now = time::Duration::ZERO;
+        // Whether each server is alive, and since when it is not.
+        let mut alive = [true; SERVERS];
+        let mut left = [time::Duration::ZERO; SERVERS];
+        for server in 0..SERVERS {
+            store.write(server, Some(false));
+        }
+        reader.read(&store, now);
+        for (action, server, amount) in steps {
+            match action {
+                0 if alive[server] => {
+                    alive[server] = false;
+                    left[server] = now;
+                    store.write(server, if amount % 2 == 0 { Some(true) } else { None });
+                }
+                1 if alive[server] => store.write(server, Some(false)),
+                2 => {
+                    let kept = store.log.len().saturating_sub(amount);
+                    store.log.truncate(kept);
+                    store.era += 1;
+                }
+                _ => {}
+            }
+            now += HEARTBEAT / 4;
+            reader.read(&store, now);
+            for (server, is_alive) in alive.into_iter().enumerate() {
+                let is_overdue = !is_alive && now > left[server] + REMOVAL_BOUND;
+                prop_assert!(!(is_overdue && reader.uses(server, now)), "{server} left: {store:?}");
+            }
+        }
+        for _ in 0..2 {
+            for server in (0..SERVERS).filter(|server| alive[*server]) {
+                store.write(server, Some(false));
+            }
+            now += HEARTBEAT;
+            reader.read(&store, now);
+        }
+        for (server, is_alive) in alive.into_iter().enumerate() {
+            prop_assert_eq!(reader.uses(server, now), is_alive, "{}: {:?}", server, store);
+        }
+    }
+}
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -31,7 +31,7 @@
 
     /// Returns the server entries that changed at `position` or later, for a peer that knows all
     /// earlier changes.
-    pub fn server_entries_since(&self, position: ids::Offset) -> Vec<servers::Entry> {
+    pub fn server_entries_since(&self, position: ids::StorePosition) -> Vec<servers::Entry> {
         let mut entries = self.servers.entries();
         entries.retain(|entry| entry.offset >= position);
         entries
@@ -61,19 +61,19 @@
     /// Returns the ids of all servers if some removals at `position` or later may be unknown.
     pub fn server_names_unless_removals_known(
         &self,
-        position: ids::Offset,
+        position: ids::StorePosition,
     ) -> Option<Vec<ids::ServerId>> {
         self.servers.names_unless_removals_known(position)
     }
 
     /// Returns the removals of servers at `position` or later, for a peer that knows all earlier
     /// changes.
-    pub fn server_removals_since(&self, position: ids::Offset) -> Vec<servers::Removal> {
+    pub fn server_removals_since(&self, position: ids::StorePosition) -> Vec<servers::Removal> {
         self.servers.removals_since(position)
     }
 
     /// Returns the position after the last change of the server list; 0 before the first one.
-    pub fn servers_position(&self) -> ids::Offset {
+    pub fn servers_position(&self) -> ids::StorePosition {
         self.servers_position
     }
 
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -28,6 +28,20 @@
 /// The position of a record in a stream of the platform's log.
 pub type Offset = u64;
 
+/// The position of a record in the platform's store: its era in the upper 24 bits and its offset in
+/// the lower 40 bits, so that a record written after the store was restored from a copy is newer than
+/// all records before, although offsets are given out again.
+pub type StorePosition = u64;
+
+const STORE_OFFSET_BITS: u32 = 40;
+
+/// Builds the position of a record from the era of the store and the record's offset.
+pub fn store_position(era: u64, offset: Offset) -> StorePosition {
+    let max_era = u64::MAX >> STORE_OFFSET_BITS;
+    let max_offset = (1 << STORE_OFFSET_BITS) - 1;
+    (era.min(max_era) << STORE_OFFSET_BITS) | offset.min(max_offset)
+}
+
 /// A number that matches an append with its answer.
 pub type AppendToken = u64;
 
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -39,7 +39,7 @@
 pub fn read(
     id: ids::ServerId,
     value: &[u8],
-    offset: ids::Offset,
+    offset: ids::StorePosition,
 ) -> Result<servers::Entry, serde_json::Error> {
     let read: Entry = serde_json::from_slice(value)?;
     Ok(servers::Entry {
@@ -61,7 +61,7 @@
 pub fn listing(
     key: Bytes,
     value: Option<&[u8]>,
-    offset: ids::Offset,
+    offset: ids::StorePosition,
 ) -> Option<servers::EntryChange> {
     let Some(value) = value else {
         return Some(servers::EntryChange::Removed { id: key, offset });
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -30,9 +30,13 @@
     /// The response was not received before the timeout.
     #[error("no response before the timeout; the call may have taken effect")]
     TimedOut,
-    /// The requested offset is no longer stored.
-    #[error("the records at this offset are deleted; read the newest record of each key")]
+    /// The requested offset is not stored: its record has expired, or the store was restored from a
+    /// copy that lacks it.
+    #[error("there is no record at this offset; read the newest record of each key")]
     Deleted,
+    /// The response comes from before the store was restored.
+    #[error("the response of era {0} is outdated; era {1} was read before")]
+    OutdatedEra(u64, u64),
     /// The store responded with an error status.
     #[error("the store responded with status {0}; try again later")]
     Refused(u16),
@@ -59,8 +63,13 @@
     pub records: Vec<Record>,
     /// The offset at which the next read starts.
     pub next: ids::Offset,
+    /// The era of the store, which rises each time that the store is restored from a copy.
+    pub era: u64,
 }
 
+/// The response header with the era of the store.
+const ERA: &str = "store-era";
+
 /// One page of the newest records.
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -84,12 +93,14 @@
 pub struct Store {
     address: net::SocketAddr,
     connection: Option<upstream::Connection>,
+    /// The highest era of a response so far.
+    era: u64,
 }
 
 impl Store {
     /// Creates a client, which connects at its first call.
     pub fn new(address: net::SocketAddr) -> Self {
-        Self { address, connection: None }
+        Self { address, connection: None, era: 0 }
     }
 
     /// Reads the newest record of each key.
@@ -100,6 +111,7 @@
     pub async fn newest(&mut self, topic: &str) -> Result<Records, StoreError> {
         let mut records = Vec::new();
         let mut next = None;
+        let mut era = None;
         loop {
             let after = records.last().map(|record: &Record| record.key.clone());
             let after = after
@@ -108,6 +120,10 @@
             let body = self.call(http::Method::GET, &path, Bytes::new(), TIMEOUT).await?;
             let page: NewestPage =
                 serde_json::from_slice(&body).map_err(|_| StoreError::Unreadable("newest"))?;
+            if *era.get_or_insert(self.era) != self.era {
+                // The pages come from different copies.
+                return Err(StoreError::Deleted);
+            }
             // Pages are not a snapshot: the next read starts at the end offset of the first page,
             // so that it returns all later changes.
             let end = *next.get_or_insert(page.end_offset);
@@ -118,7 +134,7 @@
                 records.push(Record { key: item.key.into(), value, offset: item.offset });
             }
             if !page.has_more {
-                return Ok(Records { records, next: end });
+                return Ok(Records { records, next: end, era: self.era });
             }
         }
     }
@@ -139,7 +155,7 @@
             "/-/log-read?Topic={topic}&part=0&Source={from}&MaxSize={MAX_READ_BYTES}&WaitMs={wait_ms}"
         );
         let body = self.call(http::Method::GET, &path, Bytes::new(), wait + TIMEOUT).await?;
-        parse(body, from)
+        Ok(Records { era: self.era, ..parse(body, from)? })
     }
 
     /// Appends a record; an empty value removes the key.
@@ -162,6 +178,21 @@
         Ok(())
     }
 
+    /// Notes the era of a response. A response without a valid one belongs to the era known so far.
+    fn check_era(&mut self, headers: &http::HeaderMap) -> Result<(), StoreError> {
+        let Some(value) = headers.get(ERA) else { return Ok(()) };
+        let era = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
+        let Some(era) = era else {
+            log::warn!("ignoring the invalid era {value:?} of the store");
+            return Ok(());
+        };
+        if era < self.era {
+            return Err(StoreError::OutdatedEra(era, self.era));
+        }
+        self.era = era;
+        Ok(())
+    }
+
     async fn call(
         &mut self,
         method: http::Method,
@@ -189,6 +220,7 @@
         let (connection, response) =
             tokio::time::timeout(timeout, exchange).await.map_err(|_| StoreError::TimedOut)??;
         self.connection = Some(connection);
+        self.check_era(response.headers())?;
         match response.status().as_u16() {
             200 => Ok(response.into_body()),
             410 => Err(StoreError::Deleted),
@@ -226,7 +258,7 @@
         let value = (!record.is_empty()).then_some(record);
         records.push(Record { key, value, offset });
     }
-    Ok(Records { records, next })
+    Ok(Records { records, next, era: 0 })
 }
 
 #[cfg(test)]
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -3,8 +3,11 @@
 use bytes::BufMut as _;
 use bytes::Bytes;
 use bytes::BytesMut;
+use hyper::http;
 use proptest::prelude::*;
 
+use super::ERA;
+use super::Store;
 use super::parse;
 
 fn records(parts: &[&[u8]]) -> Bytes {
@@ -36,6 +39,24 @@
     assert!(parse(body.slice(..15), 0).is_err());
 }
 
+#[test]
+fn the_era_of_the_store_only_rises() {
+    let mut store = Store::new(([127, 0, 0, 1], 1).into());
+    let mut check = |value: &'static str| {
+        let mut headers = http::HeaderMap::new();
+        headers.insert(ERA, http::HeaderValue::from_static(value));
+        let is_accepted = store.check_era(&headers).is_ok();
+        (is_accepted, store.era)
+    };
+    assert_eq!(check("3"), (true, 3));
+    assert_eq!(check("3"), (true, 3));
+    assert_eq!(check("7"), (true, 7), "it may rise by more than one between two calls");
+    assert_eq!(check("6"), (false, 7), "a response from before the restore");
+    assert_eq!(check("soon"), (true, 7), "an invalid one says nothing");
+    assert_eq!(check("-1"), (true, 7));
+    assert!(store.check_era(&http::HeaderMap::new()).is_ok());
+}
+
 proptest! {
     #[test]
     fn no_input_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -5,12 +5,15 @@
 use std::sync;
 use std::time;
 
+use bytes::Bytes;
+
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
 use crate::core::fleet::peers;
 use crate::core::fleet::quota;
+use crate::core::fleet::servers;
 use crate::core::ids;
 use crate::platform::configuration;
 use crate::platform::entries;
@@ -71,22 +74,33 @@
     topic: &'static str,
     /// The offset of the next read; `None` if the newest records are to be read.
     next: Option<ids::Offset>,
+    /// The era of the store at the last successful read.
+    era: Option<u64>,
     /// Whether a failure was logged since the last successful read; further ones are not logged.
     is_failing: bool,
 }
 
+/// A record with its position.
+struct Record {
+    key: Bytes,
+    value: Option<Bytes>,
+    position: ids::StorePosition,
+}
+
 /// The records that a read has returned.
 struct Batch {
-    records: Vec<store::Record>,
+    records: Vec<Record>,
     /// Whether it has the newest record of every key.
     is_complete: bool,
-    /// The offset after the last record.
-    next: ids::Offset,
+    /// Whether the store was restored from a copy since the batch before.
+    is_restored: bool,
+    /// The position after the last record.
+    next: ids::StorePosition,
 }
 
 impl TopicReader {
     fn new(address: net::SocketAddr, topic: &'static str) -> Self {
-        Self { store: store::Store::new(address), topic, next: None, is_failing: false }
+        Self { store: store::Store::new(address), topic, next: None, era: None, is_failing: false }
     }
 
     /// Reads the next records; returns `None` after a failure.
@@ -101,8 +115,32 @@
                     log::info!("topic {} of the store is readable again", self.topic);
                 }
                 let is_complete = self.next.is_none();
+                let is_restored = self.era.is_some_and(|era| era < records.era);
+                if is_restored && !is_complete {
+                    // The offset belongs to the era before: read everything anew.
+                    self.next = None;
+                    return None;
+                }
+                if is_restored {
+                    let (topic, era, before) = (self.topic, records.era, self.era);
+                    log::warn!(
+                        "the store was restored: topic {topic} is read anew in era {era} from offset {}, after era {before:?}",
+                        records.next
+                    );
+                    metrics::counter!("store_restores_total", "topic" => topic).increment(1);
+                }
+                metrics::gauge!("store_era").set(records.era as f64);
+                self.era = Some(records.era);
                 self.next = Some(records.next);
-                Some(Batch { records: records.records, is_complete, next: records.next })
+                let position = |offset| ids::store_position(records.era, offset);
+                let next = position(records.next);
+                let records = records.records.into_iter();
+                let records = records.map(|record| Record {
+                    key: record.key,
+                    value: record.value,
+                    position: position(record.offset),
+                });
+                Some(Batch { records: records.collect(), is_complete, is_restored, next })
             }
             Err(failure) => {
                 if matches!(failure, store::StoreError::Deleted) {
@@ -138,8 +176,8 @@
                     context.apply(fleet::Event::Configured(catalog));
                 }
                 Err(failure) => {
-                    let offset = record.offset;
-                    log::warn!("ignoring the invalid configuration at offset {offset}: {failure}");
+                    let position = record.position;
+                    log::warn!("ignoring the invalid configuration at {position}: {failure}");
                 }
             }
         }
@@ -161,13 +199,18 @@
         let now = context.now();
         let last = context.store_read_at.replace(Some(now));
         let is_after_outage = last.is_some_and(|last| now.saturating_sub(last) > OUTAGE_THRESHOLD);
-        // A complete listing that ends before the last known offset is outdated.
-        let is_old = batch.is_complete && batch.next < context.servers_end_offset.get();
+        let source = match (batch.is_restored, is_after_outage) {
+            (true, _) => servers::Source::Restored,
+            (false, true) => servers::Source::AfterOutage,
+            (false, false) => servers::Source::Steady,
+        };
+        // A complete listing that ends before the last known position is outdated.
+        let is_old = batch.is_complete && batch.next < context.servers_end.get();
         if is_old {
             reader.next = None;
         } else {
-            context.servers_end_offset.set(batch.next);
-            apply_server_records(&context, batch, is_after_outage);
+            context.servers_end.set(batch.next);
+            apply_server_records(&context, batch, source);
         }
         tokio::time::sleep(SERVERS_INTERVAL).await;
     }
@@ -202,7 +245,7 @@
 }
 
 /// Applies records of the servers' topic to the fleet state.
-fn apply_server_records(context: &context::Context, batch: Batch, is_after_outage: bool) {
+fn apply_server_records(context: &context::Context, batch: Batch, source: servers::Source) {
     let names: collections::Set<_> = batch
         .records
         .iter()
@@ -212,19 +255,14 @@
     let changes: Vec<_> = batch
         .records
         .into_iter()
-        .filter_map(|record| entries::listing(record.key, record.value.as_deref(), record.offset))
+        .filter_map(|record| entries::listing(record.key, record.value.as_deref(), record.position))
         .collect();
     if changes.is_empty() && !batch.is_complete {
         return;
     }
     let complete = batch.is_complete.then_some((names, batch.next));
     let sender_position = None;
-    context.apply(fleet::Event::ServersChanged {
-        changes,
-        complete,
-        is_after_outage,
-        sender_position,
-    });
+    context.apply(fleet::Event::ServersChanged { changes, complete, source, sender_position });
 }
 
 async fn follow_members(address: net::SocketAddr, context: rc::Rc<context::Context>) {
@@ -235,6 +273,10 @@
     loop {
         wait_until_reader(&context).await;
         if let Some(batch) = reader.read(time::Duration::ZERO).await {
+            if batch.is_restored {
+                // The copy may lack the announcement.
+                announce(&mut reader.store, &own).await;
+            }
             discover_members(&context, batch, &mut announced);
             remove_departed(&mut reader.store, &context, &mut announced).await;
         }
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -67,8 +67,8 @@
     pub stopping: tokio::sync::watch::Sender<bool>,
     /// When the store's servers were last read, by this instance or by a peer that it asked.
     pub store_read_at: cell::Cell<Option<ids::Timestamp>>,
-    /// The end offset of the servers' topic when it was last read.
-    pub servers_end_offset: cell::Cell<ids::Offset>,
+    /// The end of the servers' topic when it was last read.
+    pub servers_end: cell::Cell<ids::StorePosition>,
     fleet: cell::RefCell<fleet::Fleet>,
     mailboxes: cell::RefCell<
         collections::Map<call::RequestNumber, tokio::sync::mpsc::UnboundedSender<Command>>,
@@ -90,7 +90,7 @@
             urgent_change: tokio::sync::Notify::new(),
             stopping: tokio::sync::watch::Sender::new(false),
             store_read_at: cell::Cell::new(None),
-            servers_end_offset: cell::Cell::new(0),
+            servers_end: cell::Cell::new(0),
             fleet: cell::RefCell::new(fleet::Fleet::new(options)),
             mailboxes: cell::RefCell::default(),
             next_request: cell::Cell::new(0),
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -43,7 +43,7 @@
     version: u64,
     /// The position after its last change of the list of servers.
     #[serde(rename = "servers_at")]
-    servers_position: ids::Offset,
+    servers_position: ids::StorePosition,
     /// Whether it knows the spending history.
     #[serde(rename = "knows_past")]
     knows_history: bool,
@@ -65,7 +65,7 @@
     names: Option<Vec<ids::ServerId>>,
     /// The position after the last change of the list of servers.
     #[serde(rename = "servers_at")]
-    servers_position: ids::Offset,
+    servers_position: ids::StorePosition,
     /// The spending history, if the responding instance is a coordinator that knows it and the
     /// requesting one does not.
     #[serde(rename = "past")]
@@ -179,7 +179,7 @@
     let changes = expired.into_iter().map(removed_listing).collect();
     apply_listings(
         context,
-        ListingUpdate { changes, is_after_outage: true, ..ListingUpdate::default() },
+        ListingUpdate { changes, source: servers::Source::AfterOutage, ..ListingUpdate::default() },
     );
     // The offset is passed with the last update: only then are all changes before it applied.
     let changes = removed.into_iter().map(removed_listing).collect();
@@ -196,9 +196,9 @@
 #[derive(Default)]
 struct ListingUpdate {
     changes: Vec<servers::EntryChange>,
-    complete: Option<(collections::Set<ids::ServerId>, ids::Offset)>,
-    is_after_outage: bool,
-    sender_position: Option<ids::Offset>,
+    complete: Option<(collections::Set<ids::ServerId>, ids::StorePosition)>,
+    source: servers::Source,
+    sender_position: Option<ids::StorePosition>,
 }
 
 fn removed_listing(removal: servers::Removal) -> servers::EntryChange {
@@ -206,11 +206,6 @@
 }
 
 fn apply_listings(context: &context::Context, update: ListingUpdate) {
-    let ListingUpdate { changes, complete, is_after_outage, sender_position } = update;
-    context.apply(fleet::Event::ServersChanged {
-        changes,
-        complete,
-        is_after_outage,
-        sender_position,
-    });
+    let ListingUpdate { changes, complete, source, sender_position } = update;
+    context.apply(fleet::Event::ServersChanged { changes, complete, source, sender_position });
 }
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -124,7 +124,7 @@
     fleet::Event::ServersChanged {
         changes,
         complete: None,
-        is_after_outage: false,
+        source: servers::Source::Steady,
         sender_position: None,
     }
 }
--- a/tests/fleet/world/views.rs
+++ b/tests/fleet/world/views.rs
@@ -58,7 +58,7 @@
         let event = fleet::Event::ServersChanged {
             changes,
             complete,
-            is_after_outage: false,
+            source: servers::Source::Steady,
             sender_position: None,
         };
         self.apply(instance, event);
@@ -69,7 +69,7 @@
         let event = fleet::Event::ServersChanged {
             changes: vec![change],
             complete: None,
-            is_after_outage: true,
+            source: servers::Source::AfterOutage,
             sender_position: None,
         };
         self.apply(instance, event);
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -167,7 +167,7 @@
         context.apply(fleet::Event::ServersChanged {
             changes,
             complete: None,
-            is_after_outage: false,
+            source: servers::Source::Steady,
             sender_position: None,
         });
     }
