Let connections at the start wait for the configuration

Cause: an instance answers 503 in the 10 to 30 ms between its first listening and its first configuration; after a loss of all instances some ten callers meet that, and each spends its only retry.

Ruled out: binding the socket later (a refused connection costs the caller the address as well).

Change: connections are not accepted before there is a configuration, for 250 ms at most.

The test gets 503 without the change.

--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -32,6 +32,14 @@
 const DEFAULT_BODY_BYTES: usize = 4 * 1_024 * 1_024;
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
+/// How long an instance that has just started leaves connections unaccepted until it has a
+/// configuration. It usually has one within some milliseconds, while a refusal costs each caller a
+/// retry.
+const CONFIGURATION_GRACE: time::Duration = time::Duration::from_millis(250);
+
+/// How often it checks for the configuration in that time.
+const CONFIGURATION_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
 /// The delay after a connection could not be accepted: file descriptors may be free again by then.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -52,12 +60,21 @@
 
 /// Accepts callers' connections and serves their requests for as long as the instance runs.
 pub async fn serve(listener: tokio::net::TcpListener, context: rc::Rc<context::Context>) {
+    if tokio::time::timeout(CONFIGURATION_GRACE, wait_for_configuration(&context)).await.is_err() {
+        log::warn!("no configuration yet; requests are refused until there is one");
+    }
     loop {
         let Some(stream) = accept(&listener).await else { continue };
         tokio::task::spawn_local(serve_connection(stream, rc::Rc::clone(&context)));
     }
 }
 
+async fn wait_for_configuration(context: &context::Context) {
+    while context.read(|fleet| fleet.catalog().is_none()) {
+        tokio::time::sleep(CONFIGURATION_CHECK_INTERVAL).await;
+    }
+}
+
 /// Accepts a connection; returns `None` after a failure, which it logs.
 pub async fn accept(listener: &tokio::net::TcpListener) -> Option<tokio::net::TcpStream> {
     let accepted = match listener.accept().await {
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -161,19 +161,23 @@
     let context =
         router::serve(options, dialect, rc::Rc::new(NoMetrics)).await.expect("the sockets bind");
     if !addresses.is_empty() {
-        let catalog = sync::Arc::new(catalog::Catalog::new(content()));
-        context.apply(fleet::Event::Configured(catalog));
-        let changes = addresses.iter().enumerate().map(|(index, at)| entry(index, *at)).collect();
-        context.apply(fleet::Event::ServersChanged {
-            changes,
-            complete: None,
-            source: servers::Source::Steady,
-            sender_position: None,
-        });
+        configure(&context, addresses);
     }
     (callers, context)
 }
 
+fn configure(context: &context::Context, addresses: &[net::SocketAddr]) {
+    let catalog = sync::Arc::new(catalog::Catalog::new(content()));
+    context.apply(fleet::Event::Configured(catalog));
+    let changes = addresses.iter().enumerate().map(|(index, at)| entry(index, *at)).collect();
+    context.apply(fleet::Event::ServersChanged {
+        changes,
+        complete: None,
+        source: servers::Source::Steady,
+        sender_position: None,
+    });
+}
+
 async fn send(to: net::SocketAddr, request: &str) -> String {
     let mut stream = tokio::net::TcpStream::connect(to).await.expect("the instance listens");
     stream.write_all(request.as_bytes()).await.expect("the request leaves");
@@ -184,6 +188,10 @@
     text.lines().filter(|line| !line.starts_with("date:")).collect::<Vec<_>>().join("\n")
 }
 
+async fn send_owned(to: net::SocketAddr, request: String) -> String {
+    send(to, &request).await
+}
+
 fn request(route: &str) -> String {
     format!(
         "POST /{route}/x?y=1 HTTP/1.1\r\nHost: host\r\nAttempt-Id: a1\r\nDeadline-Ms: 3000\r\n\
@@ -327,6 +335,25 @@
     });
 }
 
+#[test]
+fn a_request_at_the_start_waits_for_the_configuration() {
+    run(async {
+        let response: &[u8] =
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+        let responses = rc::Rc::new(cell::RefCell::new([response].into_iter().collect()));
+        let address = server(responses, ReceivedRequests::default()).await;
+        let (callers, context) = start(&[]).await;
+        let sending = tokio::task::spawn_local(send_owned(callers, request("order")));
+        // Enough turns of the event loop for an instance that accepts at once to refuse.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        configure(&context, &[address]);
+        let got = sending.await.expect("the request is sent");
+        assert!(got.starts_with("HTTP/1.1 200"), "{got}");
+    });
+}
+
 #[test]
 fn requests_that_cannot_be_served_are_refused() {
     run(async {
