Share equally what the known spending of others leaves of a limit

Without a coordinator an instance spends its equal part of a limit. It compared a sixth of the limit with all known spending, which after a start is that of the whole fleet: 40 requests of workspaces at a third of their limits were refused in half a second after a loss of all instances.

Ruled out: the history (known before the first refusal), the charge (fits each time).

Change: the equal part is of what the known spending of others leaves, and the refusal names what was compared.

The test is refused without the change.

--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -1,8 +1,7 @@
-//! Reservations, which one owner per service grants in fleets too large for each instance to know
-//! all work immediately.
+//! Reservations, which one owner per service grants for all instances.
 //!
-//! Load pattern: each of many instances receives a request a second, and all choose the same server
-//! before they learn of each other's requests.
+//! Load pattern: several instances have waiting requests, and all choose the server that becomes free
+//! before they learn of each other's choice.
 
 use std::time;
 
--- a/src/core/fleet/limits.rs
+++ b/src/core/fleet/limits.rs
@@ -1,5 +1,4 @@
-//! Charging a request to its workspace's limit: directly in a small fleet, and through the
-//! coordinator that counts the limits in a large one.
+//! Charging a request to its workspace's limit, through the coordinator that counts the limits.
 //!
 //! Load pattern: one workspace sends many times its rate at hundreds of instances, each of which
 //! receives a few requests a second.
@@ -41,8 +40,10 @@
         if !self.is_coordinated(now) {
             let members = u32::try_from(self.peers.instance_count(now)).unwrap_or(u32::MAX);
             let digest_age = constants::DIGEST_INTERVAL_PER_MEMBER.saturating_mul(members);
-            let result = self.quotas.take(&workspace.name, amount, digest_age, now);
-            return self.apply_local_charge(request, &workspace.name, amount, result, now, effects);
+            let name = &workspace.name;
+            let result = self.quotas.take(name, amount, digest_age, now);
+            let result = result.map_err(|wait| (wait, self.quotas.view(name, amount)));
+            return self.apply_local_charge(request, amount, result, now, effects);
         }
         let awaiting = live::AwaitingCharge {
             amount,
@@ -81,11 +82,14 @@
         }
         let name = &workspace.name;
         let result = if is_own {
-            self.quotas.take(name, amount, time::Duration::ZERO, now)
+            let result = self.quotas.take(name, amount, time::Duration::ZERO, now);
+            result.map_err(|wait| (wait, self.quotas.view(name, amount)))
         } else {
-            self.quotas.take_equal_share(name, amount, self.peers.member_count(now), now)
+            let members = self.peers.member_count(now);
+            let result = self.quotas.take_equal_share(name, amount, members, now);
+            result.map_err(|wait| (wait, self.quotas.equal_share_view(name, amount, members)))
         };
-        self.apply_local_charge(request, name, amount, result, now, effects);
+        self.apply_local_charge(request, amount, result, now, effects);
     }
 
     fn send_charge(
@@ -109,16 +113,14 @@
     fn apply_local_charge(
         &mut self,
         request: call::RequestNumber,
-        workspace: &quota::WorkspaceName,
         amount: f64,
-        result: Result<(), time::Duration>,
+        result: Result<(), (time::Duration, Option<refusal::SpendingView>)>,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
         match result {
             Ok(()) => self.continue_charged(request, amount, now, effects),
-            Err(wait) => {
-                let spending = self.quotas.view(workspace, amount);
+            Err((wait, spending)) => {
                 self.refuse_over_limit(request, wait, spending, now, effects);
             }
         }
--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -1,5 +1,5 @@
-//! The rate and burst limit of each workspace over the whole fleet. In a small fleet every instance
-//! counts the reports of all others; in a large one a coordinator counts for all.
+//! The rate and burst limit of each workspace over the whole fleet, which a coordinator counts for all
+//! instances.
 //!
 //! Load patterns: one workspace sends many times its rate at all instances at the same time; the
 //! whole fleet fails under such load and starts again without its counts.
@@ -41,6 +41,8 @@
 struct Account {
     limit: catalog::Limit,
     window: window::Window,
+    /// The part of the window that was spent at this instance.
+    own_window: window::Window,
     /// The spending that peers reported within `PEER_RATE_WINDOW`.
     peer_spending: window::Window,
     /// The spending at this instance since its start.
@@ -55,11 +57,13 @@
 impl Account {
     fn take(&mut self, amount: f64, length: time::Duration, now: ids::Timestamp) {
         self.window.add(amount, now + length);
+        self.own_window.add(amount, now + length);
         self.change_own(now).taken += amount;
     }
 
     fn give_back(&mut self, amount: f64, length: time::Duration, now: ids::Timestamp) {
         self.window.add(-amount, now + length);
+        self.own_window.add(-amount, now + length);
         self.change_own(now).given_back += amount;
     }
 
@@ -75,6 +79,12 @@
     fn allowed(&self, length: time::Duration) -> f64 {
         self.limit.rate_per_s * length.as_secs_f64() + self.limit.burst
     }
+
+    /// Returns the equal part for one of the members of what the known spending of others leaves.
+    fn equal_share(&self, length: time::Duration, members: usize) -> f64 {
+        let others = self.window.total - self.own_window.total;
+        (self.allowed(length) - others) / members.max(1) as f64
+    }
 }
 
 /// The limits of all workspaces and the spending that counts against them.
@@ -148,6 +158,7 @@
         let mut account = Account {
             limit,
             window: window::Window::default(),
+            own_window: window::Window::default(),
             peer_spending: window::Window::default(),
             own: Tally::default(),
             own_baseline: Tally::default(),
@@ -200,6 +211,19 @@
         Some(refusal::SpendingView { charge, spent, allowed })
     }
 
+    /// Returns the spending at this instance and its equal share of the limit, which a charge is
+    /// compared with while no coordinator answers.
+    pub fn equal_share_view(
+        &self,
+        workspace: &WorkspaceName,
+        charge: f64,
+        members: usize,
+    ) -> Option<refusal::SpendingView> {
+        let account = self.accounts.get(workspace)?;
+        let allowed = account.equal_share(self.window, members);
+        Some(refusal::SpendingView { charge, spent: account.own_window.total, allowed })
+    }
+
     /// Records an amount that a coordinator granted to this instance.
     pub fn record_taken(&mut self, workspace: &WorkspaceName, amount: f64, now: ids::Timestamp) {
         if let Some(account) = self.accounts.get_mut(workspace) {
@@ -223,6 +247,7 @@
         self.take(workspace, amount, time::Duration::ZERO, now)?;
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.own.taken -= amount;
+            account.own_window.add(-amount, now + self.window);
         }
         self.count(peer, sync::Arc::clone(workspace), baseline, baseline, now);
         if let Some(known) = self.peers.get_mut(&(peer, sync::Arc::clone(workspace))) {
@@ -231,7 +256,8 @@
         Ok(())
     }
 
-    /// Takes `amount` from this instance's equal share of a limit, while no coordinator answers.
+    /// Takes `amount` from this instance's equal share of a limit, while no coordinator answers: of
+    /// what the known spending of others leaves of it.
     ///
     /// # Errors
     ///
@@ -248,8 +274,8 @@
         if is_reserved_for_peers(account, self.are_peers_synced, self.window) {
             return Err(constants::MIN_RETRY_AFTER);
         }
-        let share = account.allowed(self.window) / members.max(1) as f64;
-        if account.window.total + amount > share {
+        account.own_window.expire(now);
+        if account.own_window.total + amount > account.equal_share(self.window, members) {
             return Err(constants::MIN_RETRY_AFTER);
         }
         self.record_taken(workspace, amount, now);
--- a/src/core/fleet/quota/tests.rs
+++ b/src/core/fleet/quota/tests.rs
@@ -169,6 +169,17 @@
     assert!(quotas.take(&name, ALLOWED, at(0), at(8_150)).is_ok());
 }
 
+#[test]
+fn an_instance_that_has_just_started_shares_what_the_spending_history_leaves() {
+    let mut quotas = new_quotas(false, 0);
+    let name = sync::Arc::from("w");
+    let history = Spending { workspace: "w".to_string(), spent: vec![(1_000, ALLOWED * 0.4)] };
+    quotas.load_history(&[history], 0, at(0));
+    let share = ALLOWED * 0.6 / 6.0;
+    assert!(quotas.take_equal_share(&name, share * 0.9, 6, at(10)).is_ok());
+    assert!(quotas.take_equal_share(&name, share * 0.2, 6, at(20)).is_err());
+}
+
 #[test]
 fn an_instance_that_knows_no_peers_yet_leaves_the_rest_of_a_limit_alone() {
     let mut quotas = new_quotas(false, 0);
