--- a/src/core/fleet/quota.rs
+++ b/src/core/fleet/quota.rs
@@ -15,19 +15,20 @@
 
 pub mod tally;
 
+mod account;
 mod window;
 
 pub use tally::Tally;
 
+use account::Account;
+use account::REPORT_PERIOD;
+
 /// The name of a workspace, as key of its limit.
 pub type WorkspaceName = sync::Arc<str>;
 
 /// The window over which the spending rate of peers is measured.
 const PEER_RATE_WINDOW: time::Duration = time::Duration::from_millis(1_000);
 
-/// The time for which changed spending is repeated in every digest: many digests, as some are lost.
-const REPORT_PERIOD: time::Duration = time::Duration::from_secs(5);
-
 /// The spending of one workspace by age, as written to the store.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Spending {
@@ -37,56 +38,6 @@
     pub spent: Vec<(u64, f64)>,
 }
 
-#[derive(Debug, Clone)]
-struct Account {
-    limit: catalog::Limit,
-    window: window::Window,
-    /// The part of the window that was spent at this instance.
-    own_window: window::Window,
-    /// The spending that peers reported within `PEER_RATE_WINDOW`.
-    peer_spending: window::Window,
-    /// The spending at this instance since its start.
-    own: Tally,
-    /// The spending at this instance before the changes that are reported now.
-    own_baseline: Tally,
-    own_changed: Option<ids::Timestamp>,
-    /// The part of the own spending that the spending history contains.
-    own_in_history: f64,
-}
-
-impl Account {
-    fn take(&mut self, amount: f64, length: time::Duration, now: ids::Timestamp) {
-        self.window.add(amount, now + length);
-        self.own_window.add(amount, now + length);
-        self.change_own(now).taken += amount;
-    }
-
-    fn give_back(&mut self, amount: f64, length: time::Duration, now: ids::Timestamp) {
-        self.window.add(-amount, now + length);
-        self.own_window.add(-amount, now + length);
-        self.change_own(now).given_back += amount;
-    }
-
-    fn change_own(&mut self, now: ids::Timestamp) -> &mut Tally {
-        let is_recent = self.own_changed.is_some_and(|at| now.saturating_sub(at) <= REPORT_PERIOD);
-        if !is_recent {
-            self.own_baseline = self.own;
-        }
-        self.own_changed = Some(now);
-        &mut self.own
-    }
-
-    fn allowed(&self, length: time::Duration) -> f64 {
-        self.limit.rate_per_s * length.as_secs_f64() + self.limit.burst
-    }
-
-    /// Returns the equal part for one of the members of what the known spending of others leaves.
-    fn equal_share(&self, length: time::Duration, members: usize) -> f64 {
-        let others = self.window.total - self.own_window.total;
-        (self.allowed(length) - others) / members.max(1) as f64
-    }
-}
-
 /// The limits of all workspaces and the spending that counts against them.
 #[derive(Debug)]
 pub struct Quotas {
@@ -167,7 +118,7 @@
         };
         let is_just_started = now.saturating_sub(started) < self.window;
         if self.is_history_unknown && is_just_started {
-            fill_window(&mut account, self.window, now);
+            account.fill_window(self.window, now);
         }
         account
     }
@@ -193,7 +144,7 @@
         let unreported =
             account.peer_spending.total * digest_age.as_secs_f64() / PEER_RATE_WINDOW.as_secs_f64();
         let allowed = account.allowed(self.window);
-        if is_reserved_for_peers(account, self.are_peers_synced, self.window) {
+        if account.is_reserved_for_peers(self.are_peers_synced, self.window) {
             return Err(constants::PEER_SYNC_TIMEOUT);
         }
         let excess = account.window.total + unreported + amount - allowed;
@@ -271,7 +222,7 @@
     ) -> Result<(), time::Duration> {
         let Some(account) = self.accounts.get_mut(workspace) else { return Ok(()) };
         account.window.expire(now);
-        if is_reserved_for_peers(account, self.are_peers_synced, self.window) {
+        if account.is_reserved_for_peers(self.are_peers_synced, self.window) {
             return Err(constants::MIN_RETRY_AFTER);
         }
         account.own_window.expire(now);
@@ -293,7 +244,7 @@
         for account in self.accounts.values_mut() {
             account.window = window::Window::default();
             account.own_in_history = account.own.net_spent();
-            fill_window(account, self.window, now);
+            account.fill_window(self.window, now);
         }
     }
 
@@ -481,26 +432,5 @@
     }
 }
 
-/// Returns whether the rest of a limit is left alone, as all instances that start together would
-/// spend the same rest.
-fn is_reserved_for_peers(
-    account: &Account,
-    are_peers_synced: bool,
-    window: time::Duration,
-) -> bool {
-    let reserved_from = account.allowed(window) * constants::UNSYNCED_LIMIT_SHARE;
-    !are_peers_synced && account.window.total > reserved_from
-}
-
-/// Counts rate and burst as spent, so that no more than the rate becomes free from now on.
-fn fill_window(account: &mut Account, length: time::Duration, now: ids::Timestamp) {
-    let steps = u32::try_from(length.as_millis() / window::SLOT.as_millis()).unwrap_or(1).max(1);
-    let each = account.limit.rate_per_s * length.as_secs_f64() / f64::from(steps);
-    for step in 1..=steps {
-        account.window.add(each, now + window::SLOT * step);
-    }
-    account.window.add(account.limit.burst, now + length);
-}
-
 #[cfg(test)]
 mod tests;
