--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -95,6 +95,8 @@
     version: u64,
     has_gone_route: bool,
     has_second_key: bool,
+    /// The servers that have left.
+    left: Vec<String>,
     ip: [u8; 3],
     faults: Vec<String>,
 }
@@ -124,6 +126,7 @@
         version: 0,
         has_gone_route: true,
         has_second_key: true,
+        left: Vec::new(),
         ip,
         faults: Vec::new(),
     };
@@ -188,6 +191,10 @@
 
     fn configure(&mut self) {
         self.version += 1;
+        self.write_configuration();
+    }
+
+    fn write_configuration(&self) {
         let mut paths = vec![("/order/", "non_idempotent"), ("/query/", "idempotent")];
         paths.push(("/second/", "non_idempotent"));
         if self.has_gone_route {
@@ -238,7 +245,7 @@
         let machine = self.rng.random_range(0..self.machines.len());
         let server = self.rng.random_range(0..self.servers.len());
         let span = time::Duration::from_millis(self.rng.random_range(500..2_500));
-        let kind = self.rng.random_range(0..11);
+        let kind = self.rng.random_range(0..12);
         self.faults.push(format!("{kind} {machine} {server} {span:?}"));
         match kind {
             0 => {
@@ -260,6 +267,7 @@
             }
             8 => self.break_store(span),
             9 => self.replace_server(server).await?,
+            10 => self.restore_store(),
             _ => self.change_configuration(),
         }
         Ok(())
@@ -310,15 +318,36 @@
         });
     }
 
+    /// The store comes back from an older copy; the operator and the servers write again.
+    fn restore_store(&mut self) {
+        let lost_records = self.rng.random_range(1..40);
+        self.store.restore(lost_records);
+        self.write_configuration();
+        let (left, store) = (self.left.clone(), rc::Rc::clone(&self.store));
+        let gone = entry(self.no_server(), "draining");
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(HEARTBEAT).await;
+            for name in left {
+                store.put("keyed.servers", &name, gone.as_bytes());
+            }
+        });
+    }
+
+    /// Returns an address at which no server listens.
+    fn no_server(&self) -> net::SocketAddr {
+        let [a, b, c] = self.ip;
+        net::SocketAddr::from(([a, b, c, 3], 1))
+    }
+
     /// A server leaves, and another one comes.
     async fn replace_server(&mut self, server: usize) -> io::Result<()> {
         self.add_server().await?;
         let (name, _, beats) = self.servers.remove(server);
         beats.abort();
-        let [a, b, c] = self.ip;
-        let anywhere = net::SocketAddr::from(([a, b, c, 3], 1));
-        self.store.put("keyed.servers", &name, entry(anywhere, "draining").as_bytes());
+        let gone = entry(self.no_server(), "draining");
+        self.store.put("keyed.servers", &name, gone.as_bytes());
         self.judge.note_left(&name);
+        self.left.push(name);
         Ok(())
     }
 
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -34,6 +34,8 @@
 pub struct Store {
     topics: cell::RefCell<BTreeMap<String, Topic>>,
     mode: cell::Cell<Mode>,
+    /// How often it was restored from a copy.
+    era: cell::Cell<u64>,
     appended: tokio::sync::Notify,
 }
 
@@ -54,6 +56,7 @@
         let store = rc::Rc::new(Self {
             topics: cell::RefCell::default(),
             mode: cell::Cell::new(Mode::Up),
+            era: cell::Cell::new(1),
             appended: tokio::sync::Notify::new(),
         });
         let serving = rc::Rc::clone(&store);
@@ -70,6 +73,16 @@
         self.mode.set(mode);
     }
 
+    /// Restores it from a copy that lacks the newest records of each topic.
+    pub fn restore(&self, lost_records: usize) {
+        self.era.set(self.era.get() + 1);
+        for topic in self.topics.borrow_mut().values_mut() {
+            let kept = topic.records.len().saturating_sub(lost_records);
+            topic.records.truncate(kept);
+        }
+        self.appended.notify_waiters();
+    }
+
     /// Appends a record as the operator or a server would.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut topics = self.topics.borrow_mut();
@@ -83,6 +96,12 @@
             Mode::Busy => return http::response(503, ""),
             Mode::Silent => std::future::pending().await,
         }
+        let mut response = self.respond(request).await;
+        response.headers_mut().insert("store-era", hyper::http::HeaderValue::from(self.era.get()));
+        response
+    }
+
+    async fn respond(&self, request: hyper::Request<Incoming>) -> http::Response {
         let topic = http::parameter(&request, "Topic").unwrap_or_default();
         match request.uri().path() {
             "/-/log-newest" => http::response(200, self.newest(&topic)),
@@ -145,7 +164,7 @@
         let until = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
         loop {
             let appended = self.appended.notified();
-            let body = self.records(topic, from);
+            let Some(body) = self.records(topic, from) else { return http::response(410, "{}") };
             let is_over = tokio::time::Instant::now() >= until;
             if body.len() > 16 || is_over {
                 return http::response(200, body);
@@ -155,15 +174,19 @@
         }
     }
 
-    fn records(&self, topic: &str, from: usize) -> Vec<u8> {
+    /// Returns the records from an offset on; `None` if there is no such offset.
+    fn records(&self, topic: &str, from: usize) -> Option<Vec<u8>> {
         let topics = self.topics.borrow();
         let records = topics.get(topic).map(|topic| topic.records.as_slice()).unwrap_or_default();
+        if from > records.len() {
+            return None;
+        }
         let mut body = (records.len() as u64).to_be_bytes().to_vec();
         body.extend_from_slice(&0_u64.to_be_bytes());
         for record in records.iter().skip(from) {
             body.extend_from_slice(&(record.len() as u32).to_be_bytes());
             body.extend_from_slice(record);
         }
-        body
+        Some(body)
     }
 }
