List the prompts of engines that become known late

Ruled out: a later list of all (the callers return within a second).

Change: for 3 s each decode server is asked as soon as its entry is known, once.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -285,6 +285,7 @@
     kept: kept::KeptPrompts,
     /// Whether engines may hold prompts that this instance does not know of.
     has_unlisted_prompts: bool,
+    lists_prompts_until: Option<ids::Timestamp>,
     peers: peers::Peers,
     quotas: quota::Quotas,
     pending_history: Option<(Vec<quota::Spending>, ids::Timestamp)>,
@@ -320,6 +321,7 @@
             servers: servers::Directory::default(),
             kept: kept::KeptPrompts::default(),
             has_unlisted_prompts: !options.is_first_start,
+            lists_prompts_until: None,
             peers: peers::Peers::default(),
             quotas: quota::Quotas::new(options.quota_window, options.is_first_start),
             pending_history: None,
@@ -468,20 +470,19 @@
             self.ledger.recount(&mut self.servers);
             effects.push(Effect::AnnounceChange);
         }
-        self.list_prompts(effects);
+        self.list_prompts(now, effects);
         self.place_waiting(now, effects);
     }
 
-    /// Lists the prompts that engines hold, once this instance coordinates a fleet that was running
-    /// before.
-    fn list_prompts(&mut self, effects: &mut Vec<Effect>) {
+    /// Lists the prompts that engines hold once this instance coordinates a fleet that was running
+    /// before, as their entries become known.
+    fn list_prompts(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         if !self.has_unlisted_prompts || !self.is_coordinator {
             return;
         }
-        let engines: Vec<_> = self.servers.decode_servers().collect();
-        self.has_unlisted_prompts = engines.is_empty();
-        for server in engines {
-            let (server, address) = (server.entry.id.clone(), server.entry.address);
+        let until = *self.lists_prompts_until.get_or_insert(now + constants::PROMPT_LISTING_PERIOD);
+        self.has_unlisted_prompts = now <= until;
+        for (server, address) in self.servers.take_unlisted_decode_servers() {
             effects.push(Effect::ListPrompts { server, address });
         }
     }
@@ -509,7 +510,7 @@
             self.quotas.remove_peer(removed);
         }
         self.update_peer_sync(now);
-        self.list_prompts(effects);
+        self.list_prompts(now, effects);
         self.drop_lost_holders(now);
         self.resend_charges(now, effects);
         self.resend_reservation_requests(now, effects);
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -134,6 +134,10 @@
 /// rejected.
 pub const HANDOVER_PAUSE: time::Duration = time::Duration::from_secs(3);
 
+/// The time for which an instance that begins to coordinate lists what engines hold: the entries of
+/// a large fleet arrive in several parts.
+pub const PROMPT_LISTING_PERIOD: time::Duration = time::Duration::from_secs(3);
+
 /// The time for which a stream is assumed to hold its KV cache, for estimates of waits.
 pub const STREAM_DURATION_MS: f64 = 3_500.0;
 
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -1,5 +1,6 @@
 //! The backend servers: their entries in the store, their learned speed and health, and their load.
 
+use std::net;
 use std::time;
 
 use crate::core::collections;
@@ -82,6 +83,8 @@
     handover_paused_until: ids::Timestamp,
     expired: Option<Expiry>,
     listed: ids::Timestamp,
+    /// Whether the server was asked for the prompts that it holds.
+    has_listed_prompts: bool,
 }
 
 impl Server {
@@ -104,6 +107,7 @@
             handover_paused_until: ids::Timestamp::ZERO,
             expired: None,
             listed: now,
+            has_listed_prompts: false,
         }
     }
 
@@ -349,9 +353,17 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
-    /// Returns the servers that generate answers to language requests.
-    pub fn decode_servers(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|server| server.entry.stage == Some(Stage::Decode))
+    /// Returns the ids and addresses of the decode servers that were not returned before.
+    pub fn take_unlisted_decode_servers(&mut self) -> Vec<(ids::ServerId, net::SocketAddr)> {
+        let is_new = |server: &&mut Server| {
+            server.entry.stage == Some(Stage::Decode) && !server.has_listed_prompts
+        };
+        let unlisted = self.servers.values_mut().filter(is_new);
+        let taken = unlisted.map(|server| {
+            server.has_listed_prompts = true;
+            (server.entry.id.clone(), server.entry.address)
+        });
+        taken.collect()
     }
 
     /// Returns the entries of all servers, for a peer that cannot read the store.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -139,6 +139,19 @@
     assert_eq!(prefilled_again_after(20, restart), 0);
 }
 
+#[test]
+fn the_prompts_of_engines_that_become_known_late_are_found_again() {
+    let restart = |world: &mut World| {
+        let (early, late): (Vec<_>, Vec<_>) =
+            world::servers().into_iter().partition(|entry| entry.id < "llm-5");
+        world.restart_all(&early);
+        for (index, entry) in late.into_iter().enumerate() {
+            world.list(ms(100 + 100 * index as u64), servers::EntryChange::Put(entry));
+        }
+    };
+    assert_eq!(prefilled_again_after(6, restart), 0);
+}
+
 #[test]
 fn a_lost_engine_costs_its_returning_callers_only_their_prompts() {
     let lost = |world: &mut World| world.set_health(ms(0), "llm-3", Health::Unreachable);
