Estimate the start time of a request in one place

Cause: arriving and remote claims each put the expected prefill and the margins together.

Ruled out: a method of the list of servers (it knows no margins of waiting).

Change: Fleet::start_time serves both; claim::start_time goes. Behaviour as before.

--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -94,16 +94,15 @@
             if route.is_stream { expires.min(now + route.first_event_timeout) } else { expires };
         let engine = catalog.engine(&service);
         let tokens = call.tokens.unwrap_or_default();
-        let prefill_ms = engine.map(|_| self.servers.prefill_ms(&service, tokens.prompt_tokens));
         let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
         Ok(live::LiveRequest {
             call: call.clone(),
             claim: claim::Claim {
+                start_time: self.start_time(engine, &service, tokens),
                 engine,
                 service,
                 tokens,
                 prompt: call.prompt,
-                start_time: claim::start_time(prefill_ms),
                 priority: priority.unwrap_or(route.priority),
                 objective_at: now + route.objective,
                 begin_by,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -294,11 +294,9 @@
         }
         let engine = self.catalog.as_ref().and_then(|catalog| catalog.engine(&request.service));
         let objective_at = now + time::Duration::from_millis(request.objective_remaining_ms);
-        let prefill_ms =
-            engine.map(|_| self.servers.prefill_ms(&request.service, request.tokens.prompt_tokens));
         let claim = claim::Claim {
             engine,
-            start_time: claim::start_time(prefill_ms),
+            start_time: self.start_time(engine, &request.service, request.tokens),
             tokens: request.tokens,
             prompt: request.prompt,
             priority: request.priority,
--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -4,7 +4,6 @@
 
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
-use crate::core::fleet::constants;
 use crate::core::ids;
 
 /// A request for placement at a server.
@@ -49,13 +48,3 @@
         now + self.start_time >= self.objective_at
     }
 }
-
-/// Returns the time from placing a request until its answer begins, as expected for engines that
-/// prefill its prompt in `prefill_ms`, or for a plain service.
-pub fn start_time(prefill_ms: Option<f64>) -> time::Duration {
-    let start_ms = match prefill_ms {
-        Some(prefill_ms) => prefill_ms + constants::HANDOVER_MS + constants::OBJECTIVE_MARGIN_MS,
-        None => constants::INITIAL_PLAIN_WORK_MS,
-    };
-    time::Duration::from_secs_f64(start_ms / 1_000.0)
-}
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -254,6 +254,23 @@
         true
     }
 
+    /// Returns the expected time from placing a request until its answer begins.
+    pub(super) fn start_time(
+        &self,
+        engine: Option<catalog::EngineShape>,
+        service: &catalog::ServiceId,
+        tokens: call::Tokens,
+    ) -> time::Duration {
+        let start_ms = match engine {
+            Some(_) => {
+                let prefill_ms = self.servers.prefill_ms(service, tokens.prompt_tokens);
+                prefill_ms + constants::HANDOVER_MS + constants::OBJECTIVE_MARGIN_MS
+            }
+            None => constants::INITIAL_PLAIN_WORK_MS,
+        };
+        time::Duration::from_secs_f64(start_ms / 1_000.0)
+    }
+
     /// Remembers which engine will hold the prompt of a placed request.
     pub(super) fn record_prompt(
         &mut self,
