Let the store's client give records their position

Cause: the reader of topics copied each record into a twin of the client's type to add the era, and the decoder filled in an era of 0 that its caller replaced.

Ruled out: nothing else; behaviour as before.

Change: the decoder takes the era, and a record holds its position; the twin goes. One expectation names the field position instead of offset, with the same value.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -52,8 +52,8 @@
     pub key: Bytes,
     /// The value; `None` if the key was removed.
     pub value: Option<Bytes>,
-    /// The offset of the record in its topic.
-    pub offset: ids::Offset,
+    /// The position of the record in its topic.
+    pub position: ids::StorePosition,
 }
 
 /// The result of a read.
@@ -131,7 +131,8 @@
                 let value = base64::prelude::BASE64_STANDARD.decode(item.value);
                 let value = value.map_err(|_| StoreError::Unreadable("value"))?;
                 let value = (!value.is_empty()).then(|| Bytes::from(value));
-                records.push(Record { key: item.key.into(), value, offset: item.offset });
+                let position = ids::store_position(self.era, item.offset);
+                records.push(Record { key: item.key.into(), value, position });
             }
             if !page.has_more {
                 return Ok(Records { records, next: end, era: self.era });
@@ -155,7 +156,7 @@
             "/-/log-read?Topic={topic}&part=0&Source={from}&MaxSize={MAX_READ_BYTES}&WaitMs={wait_ms}"
         );
         let body = self.call(http::Method::GET, &path, Bytes::new(), wait + TIMEOUT).await?;
-        Ok(Records { era: self.era, ..parse(body, from)? })
+        parse(body, from, self.era)
     }
 
     /// Appends a record; an empty value removes the key.
@@ -229,8 +230,8 @@
     }
 }
 
-/// Decodes the records of a read from offset `from`.
-fn parse(mut body: Bytes, from: ids::Offset) -> Result<Records, StoreError> {
+/// Decodes the records of a read from offset `from` of an era.
+fn parse(mut body: Bytes, from: ids::Offset, era: u64) -> Result<Records, StoreError> {
     if body.len() < 16 {
         return Err(StoreError::Unreadable("offsets"));
     }
@@ -256,9 +257,9 @@
         }
         let key = record.split_to(key_length);
         let value = (!record.is_empty()).then_some(record);
-        records.push(Record { key, value, offset });
+        records.push(Record { key, value, position: ids::store_position(era, offset) });
     }
-    Ok(Records { records, next, era: 0 })
+    Ok(Records { records, next, era })
 }
 
 #[cfg(test)]
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -24,19 +24,19 @@
 #[test]
 fn records_are_read_in_order_and_truncated_ones_are_skipped() {
     let body = records(&[b"\x03abcvalue", b"\x03abc", b"\xffshort", b""]);
-    let read = parse(body, 5).expect("the frame is whole");
+    let read = parse(body, 5, 0).expect("the frame is whole");
     assert_eq!(read.next, 9);
     assert_eq!(read.records.len(), 2);
     assert_eq!(read.records[0].key, "abc");
     assert_eq!(read.records[0].value.as_deref(), Some(&b"value"[..]));
-    assert_eq!((read.records[1].offset, &read.records[1].value), (6, &None));
+    assert_eq!((read.records[1].position, &read.records[1].value), (6, &None));
 }
 
 #[test]
 fn a_truncated_response_is_an_error() {
     let body = records(&[b"\x01kv"]);
-    assert!(parse(body.slice(..body.len() - 1), 0).is_err());
-    assert!(parse(body.slice(..15), 0).is_err());
+    assert!(parse(body.slice(..body.len() - 1), 0, 0).is_err());
+    assert!(parse(body.slice(..15), 0, 0).is_err());
 }
 
 #[test]
@@ -61,6 +61,6 @@
     #[test]
     fn no_input_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         // Only a panic fails the test.
-        let _ = parse(Bytes::from(bytes), 0);
+        let _ = parse(Bytes::from(bytes), 0, 0);
     }
 }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -5,8 +5,6 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
-
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
@@ -80,16 +78,9 @@
     is_failing: bool,
 }
 
-/// A record with its position.
-struct Record {
-    key: Bytes,
-    value: Option<Bytes>,
-    position: ids::StorePosition,
-}
-
 /// The records that a read has returned.
 struct Batch {
-    records: Vec<Record>,
+    records: Vec<store::Record>,
     /// Whether it has the newest record of every key.
     is_complete: bool,
     /// Whether the store was restored from a copy since the batch before.
@@ -132,15 +123,8 @@
                 metrics::gauge!("store_era").set(records.era as f64);
                 self.era = Some(records.era);
                 self.next = Some(records.next);
-                let position = |offset| ids::store_position(records.era, offset);
-                let next = position(records.next);
-                let records = records.records.into_iter();
-                let records = records.map(|record| Record {
-                    key: record.key,
-                    value: record.value,
-                    position: position(record.offset),
-                });
-                Some(Batch { records: records.collect(), is_complete, is_restored, next })
+                let next = ids::store_position(records.era, records.next);
+                Some(Batch { records: records.records, is_complete, is_restored, next })
             }
             Err(failure) => {
                 if matches!(failure, store::StoreError::Deleted) {
