Log how each stream of a server ends

Cause: the log said 'finished 200' for a whole stream, for one that broke off inside an event, and for one whose reset might be taken as its end, so the hypotheses on broken-off streams could not be told apart.

Ruled out: a line in each chunk (too many), and only a metric (does not name the request).

Change: the decision stream_ended and the counter streams_ended_total: how the server marks the end, why relaying ended, the last whole event, and the bytes after it. Behaviour as before.

--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -7,6 +7,55 @@
 use crate::core::fleet::servers;
 use crate::core::ids;
 
+/// How a server marks the end of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Framing {
+    /// The answer has a length.
+    Length,
+    /// The answer has chunks and a last one.
+    Chunked,
+    /// The answer ends with its connection.
+    ConnectionClose,
+}
+
+impl Framing {
+    /// Returns the name of the framing in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::ConnectionClose => "connection_close",
+        }
+    }
+}
+
+/// Why relaying a server's stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StreamEnd {
+    /// The whole stream was relayed.
+    Finished,
+    /// The caller has disconnected.
+    CallerDisconnected,
+    /// The request's deadline has passed.
+    Expired,
+    /// The server's stream ended prematurely.
+    Interrupted,
+}
+
+impl StreamEnd {
+    /// Returns the name of the reason in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Finished => "finished",
+            Self::CallerDisconnected => "caller_disconnected",
+            Self::Expired => "expired",
+            Self::Interrupted => "interrupted",
+        }
+    }
+}
+
 /// A decision about a request, or a change of the view of the fleet.
 #[derive(Debug, Clone, PartialEq, serde::Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
@@ -143,6 +192,21 @@
         /// The time since the request arrived.
         since_arrival_ms: u64,
     },
+    /// A server's stream has ended, or was abandoned.
+    StreamEnded {
+        /// The caller's id of the request.
+        request: String,
+        /// The id of the server.
+        server: String,
+        /// How the server marks the end of the stream.
+        framing: Framing,
+        /// Why relaying the stream ended.
+        end: StreamEnd,
+        /// The id of the last whole event that was relayed, if it has one.
+        last_event: Option<String>,
+        /// The number of bytes after the last whole event.
+        partial_bytes: usize,
+    },
     /// A request is ended by an answer of this instance.
     Refused {
         /// The caller's id of the request.
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -11,6 +11,7 @@
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::decision;
 use crate::core::fleet::message;
 use crate::core::fleet::refusal;
 use crate::core::ids;
@@ -159,13 +160,16 @@
             fleet::Effect::ListPrompts { server, address } => self.list_prompts(server, address),
             fleet::Effect::PublishLoad => self.load_change.notify_one(),
             fleet::Effect::AnnounceChange => self.urgent_change.notify_one(),
-            fleet::Effect::Log(decision) => {
-                meters::record_decision(&decision);
-                lines::write_decision(&decision);
-            }
+            fleet::Effect::Log(decision) => self.log(&decision),
         }
     }
 
+    /// Logs a decision and updates the metrics that depend on it.
+    pub fn log(&self, decision: &decision::Decision) {
+        meters::record_decision(decision);
+        lines::write_decision(decision);
+    }
+
     /// Waits for a change to send to peers without delay: an urgent one or, with `includes_load`, a
     /// change of load.
     pub async fn wait_for_change(&self, includes_load: bool) {
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -34,6 +34,10 @@
             let labels = labels(route, workspace.as_deref());
             metrics::histogram!("answer_ms", &labels).record(*since_arrival_ms as f64);
         }
+        decision::Decision::StreamEnded { framing, end, .. } => {
+            let labels = [("framing", framing.name()), ("end", end.name())];
+            metrics::counter!("streams_ended_total", &labels).increment(1);
+        }
         decision::Decision::ServerEjected { .. } => {
             metrics::counter!("ejected_total").increment(1);
         }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -39,9 +39,9 @@
         self.partial.clear();
     }
 
-    /// Removes and returns the bytes after the last complete event.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
+    /// Returns the bytes after the last complete event.
+    pub fn partial(&self) -> &[u8] {
+        &self.partial
     }
 }
 
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -10,6 +10,7 @@
 
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::decision;
 use crate::core::fleet::refusal;
 use crate::core::ids;
 use crate::router::body;
@@ -61,6 +62,7 @@
 
 /// A stream of events from a server.
 struct Stream {
+    server: ids::ServerId,
     head: http::response::Parts,
     body: Incoming,
     /// All bytes read so far.
@@ -222,7 +224,9 @@
             let mut events = relay::EventBuffer::default();
             return match read_first_event(&mut body, &mut events).await {
                 Some((first, has_ended)) => {
-                    Attempt::Stream(Box::new(Stream { head, body, first, has_ended, connection }))
+                    let server = dispatch.server.clone();
+                    let stream = Stream { server, head, body, first, has_ended, connection };
+                    Attempt::Stream(Box::new(stream))
                 }
                 None => lost,
             };
@@ -287,16 +291,19 @@
         let mut stream = Some(first);
         while let Some(current) = stream.take() {
             self.report_outcome(fleet::Outcome::Started);
-            match self.relay_events(current, &chunks).await {
-                RelayEnd::Finished => {
+            let (server, framing) = (current.server.clone(), framing(&current.head));
+            let end = self.relay_events(current, &chunks).await;
+            self.log_stream_end(&server, framing, end);
+            match end {
+                decision::StreamEnd::Finished => {
                     self.report_outcome(fleet::Outcome::Finished { status: 200 });
                     self.guard.has_ended = true;
                     return;
                 }
                 // Dropping the task reports that the caller has disconnected.
-                RelayEnd::CallerDisconnected => return,
-                RelayEnd::Expired => self.report_expired(),
-                RelayEnd::Interrupted => self.report_outcome(fleet::Outcome::Truncated),
+                decision::StreamEnd::CallerDisconnected => return,
+                decision::StreamEnd::Expired => self.report_expired(),
+                decision::StreamEnd::Interrupted => self.report_outcome(fleet::Outcome::Truncated),
             }
             stream = self.next_stream(&chunks).await;
         }
@@ -306,6 +313,22 @@
         let _ = chunks.send(Err(body::StreamInterrupted)).await;
     }
 
+    fn log_stream_end(
+        &self,
+        server: &ids::ServerId,
+        framing: decision::Framing,
+        end: decision::StreamEnd,
+    ) {
+        self.guard.context.log(&decision::Decision::StreamEnded {
+            request: String::from_utf8_lossy(&self.call.id).into_owned(),
+            server: String::from_utf8_lossy(server).into_owned(),
+            framing,
+            end,
+            last_event: self.events.last_id().map(str::to_string),
+            partial_bytes: self.events.partial().len(),
+        });
+    }
+
     /// Waits until the stream is resumed at another server; returns `None` if it is not.
     async fn next_stream(
         &mut self,
@@ -338,7 +361,7 @@
         &mut self,
         stream: Stream,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
-    ) -> RelayEnd {
+    ) -> decision::StreamEnd {
         let Stream { mut body, first, has_ended, connection: _connection, .. } = stream;
         self.events.discard_partial();
         let mut next = self.events.push(&first);
@@ -348,8 +371,8 @@
                 let sent = tokio::time::timeout(self.remaining(), chunks.send(Ok(events))).await;
                 match sent {
                     Ok(Ok(())) => {}
-                    Ok(Err(_)) => return RelayEnd::CallerDisconnected,
-                    Err(_) => return RelayEnd::Expired,
+                    Ok(Err(_)) => return decision::StreamEnd::CallerDisconnected,
+                    Err(_) => return decision::StreamEnd::Expired,
                 }
             }
             if has_ended {
@@ -357,12 +380,12 @@
             }
             let frame = tokio::select! {
                 frame = tokio::time::timeout(self.remaining(), body.frame()) => frame,
-                () = chunks.closed() => return RelayEnd::CallerDisconnected,
+                () = chunks.closed() => return decision::StreamEnd::CallerDisconnected,
             };
             match frame {
-                Err(_) => return RelayEnd::Expired,
+                Err(_) => return decision::StreamEnd::Expired,
                 Ok(None) => has_ended = true,
-                Ok(Some(Err(_))) => return RelayEnd::Interrupted,
+                Ok(Some(Err(_))) => return decision::StreamEnd::Interrupted,
                 Ok(Some(Ok(frame))) => {
                     next = frame.data_ref().and_then(|bytes| self.events.push(bytes));
                 }
@@ -372,31 +395,33 @@
 
     /// Relays the bytes after the last complete event of a stream whose body ended normally. In a
     /// resumable stream, these bytes mean that it was cut off.
-    async fn relay_partial(&mut self, chunks: &tokio::sync::mpsc::Sender<body::Chunk>) -> RelayEnd {
-        let rest = self.events.take_partial();
+    async fn relay_partial(
+        &mut self,
+        chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
+    ) -> decision::StreamEnd {
+        let rest = Bytes::copy_from_slice(self.events.partial());
         if rest.is_empty() {
-            return RelayEnd::Finished;
+            return decision::StreamEnd::Finished;
         }
         if self.is_resumable {
-            return RelayEnd::Interrupted;
+            return decision::StreamEnd::Interrupted;
         }
         match chunks.send(Ok(rest)).await {
-            Ok(()) => RelayEnd::Finished,
-            Err(_) => RelayEnd::CallerDisconnected,
+            Ok(()) => decision::StreamEnd::Finished,
+            Err(_) => decision::StreamEnd::CallerDisconnected,
         }
     }
 }
 
-/// Why relaying a stream ended.
-enum RelayEnd {
-    /// The whole stream was relayed.
-    Finished,
-    /// The caller has disconnected.
-    CallerDisconnected,
-    /// The request's deadline has passed.
-    Expired,
-    /// The server's stream ended prematurely.
-    Interrupted,
+/// Returns how the server marks the end of a response.
+fn framing(head: &http::response::Parts) -> decision::Framing {
+    if head.headers.contains_key(http::header::TRANSFER_ENCODING) {
+        decision::Framing::Chunked
+    } else if head.headers.contains_key(http::header::CONTENT_LENGTH) {
+        decision::Framing::Length
+    } else {
+        decision::Framing::ConnectionClose
+    }
 }
 
 /// Reads until the first event is complete; returns all bytes read and whether the body has ended.
