Reproduce streams that are broken off inside an event

Cause: callers received a stream that a crash had broken off as a complete answer (ORDER).

Ruled out: a reset that is taken as the end; the tests close the connection in the normal way.

A stream that ends inside an event, framed by its connection, a length or a last chunk, ends with the last chunk at the caller; one without any event is a complete, empty answer.

--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -21,6 +21,8 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
+mod broken_streams;
+
 const KEY: &str = "the-key";
 
 struct NoMetrics;
