Never end a stream as complete that was broken off inside an event

Cause: the end of a stream was the absence of an error. A server that crashes in the middle of a stream without a length closes its connection, which for such an answer is also its regular end; the bytes after the last whole event were passed on and the caller's body ended with its last chunk. Resumable streams alone took these bytes as a break.

Ruled out: a reset taken as the end (it is an error for all framings, and would have cost the 5 ms).

Change: a stream is finished only at an event boundary, whatever its framing and whether or not it may be resumed; without any framing it needs an event at least. An answer of another type whose end is marked is relayed as it is. The body to the caller states its end: a relay that stops without stating it, for whatever reason, breaks the caller's connection.

--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -40,8 +40,10 @@
     CallerDisconnected,
     /// The request's deadline has passed.
     Expired,
-    /// The server's stream ended prematurely.
+    /// The connection to the server failed.
     Interrupted,
+    /// The server's stream ended after a part of an event.
+    InsideEvent,
 }
 
 impl StreamEnd {
@@ -52,6 +54,7 @@
             Self::CallerDisconnected => "caller_disconnected",
             Self::Expired => "expired",
             Self::Interrupted => "interrupted",
+            Self::InsideEvent => "inside_event",
         }
     }
 }
--- a/src/router/body.rs
+++ b/src/router/body.rs
@@ -14,8 +14,14 @@
 #[error("the server's stream was interrupted; the caller's connection is closed")]
 pub struct StreamInterrupted;
 
-/// Data of a stream, or the error that ends it.
-pub type Chunk = Result<Bytes, StreamInterrupted>;
+/// A part of a stream.
+#[derive(Debug)]
+pub enum Chunk {
+    /// Some bytes of the body.
+    Data(Bytes),
+    /// The body is complete. A stream that closes without this part is interrupted.
+    End,
+}
 
 /// The body of a response to a caller.
 pub enum Body {
@@ -44,9 +50,11 @@
             Self::Full(full) => pin::Pin::new(full)
                 .poll_frame(context)
                 .map_err(|never: convert::Infallible| match never {}),
-            Self::Stream(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(body::Frame::data))),
+            Self::Stream(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(body::Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(StreamInterrupted)),
+            }),
         }
     }
 
@@ -64,3 +72,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// The blank line that ends an event, with either kind of line break.
-const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+/// The blank line that ends an event, with each kind of line break.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\r\n\r\n", b"\r\r"];
 
 /// Collects bytes into complete events.
 #[derive(Debug, Default)]
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -28,6 +28,9 @@
 /// Statuses that tell a caller that the request has not run: it may send it again.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// The media type of a stream of events.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
 /// The HTTP response to a caller.
 pub type Response = http::Response<body::Body>;
 
@@ -65,10 +68,8 @@
     server: ids::ServerId,
     head: http::response::Parts,
     body: Incoming,
-    /// All bytes read so far.
+    /// All bytes read so far; empty if the body ended without any.
     first: Bytes,
-    /// Whether the body ended with these bytes.
-    has_ended: bool,
     /// Closes the connection when dropped, so it is held until the stream ends.
     connection: upstream::Connection,
 }
@@ -220,16 +221,13 @@
         {
             return lost;
         }
-        if self.is_stream && is_success && !is_prefill {
-            let mut events = relay::EventBuffer::default();
-            return match read_first_event(&mut body, &mut events).await {
-                Some((first, has_ended)) => {
-                    let server = dispatch.server.clone();
-                    let stream = Stream { server, head, body, first, has_ended, connection };
-                    Attempt::Stream(Box::new(stream))
-                }
-                None => lost,
-            };
+        if self.is_stream && is_success && !is_prefill && is_event_stream(&head) {
+            let Some(first) = read_first_event(&mut body).await else { return lost };
+            if first.is_empty() && framing(&head) == decision::Framing::ConnectionClose {
+                return lost;
+            }
+            let server = dispatch.server.clone();
+            return Attempt::Stream(Box::new(Stream { server, head, body, first, connection }));
         }
         let Ok(body) = body.collect().await else { return lost };
         let body = body.to_bytes();
@@ -295,22 +293,26 @@
             let end = self.relay_events(current, &chunks).await;
             self.log_stream_end(&server, framing, end);
             match end {
-                decision::StreamEnd::Finished => {
-                    self.report_outcome(fleet::Outcome::Finished { status: 200 });
-                    self.guard.has_ended = true;
-                    return;
-                }
+                decision::StreamEnd::Finished => return self.finish_stream(&chunks).await,
                 // Dropping the task reports that the caller has disconnected.
                 decision::StreamEnd::CallerDisconnected => return,
                 decision::StreamEnd::Expired => self.report_expired(),
-                decision::StreamEnd::Interrupted => self.report_outcome(fleet::Outcome::Truncated),
+                decision::StreamEnd::Interrupted | decision::StreamEnd::InsideEvent => {
+                    self.report_outcome(fleet::Outcome::Truncated);
+                }
             }
             stream = self.next_stream(&chunks).await;
         }
         self.guard.has_ended = true;
         tokio::time::sleep(FLUSH_PAUSE).await;
-        // Sending fails only if the caller has disconnected, and then no error is needed.
-        let _ = chunks.send(Err(body::StreamInterrupted)).await;
+    }
+
+    async fn finish_stream(&mut self, chunks: &tokio::sync::mpsc::Sender<body::Chunk>) {
+        self.report_outcome(fleet::Outcome::Finished { status: 200 });
+        self.guard.has_ended = true;
+        if chunks.send(body::Chunk::End).await.is_err() {
+            log::debug!("the caller disconnected before the end of its stream was sent");
+        }
     }
 
     fn log_stream_end(
@@ -362,29 +364,28 @@
         stream: Stream,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
     ) -> decision::StreamEnd {
-        let Stream { mut body, first, has_ended, connection: _connection, .. } = stream;
+        let Stream { mut body, first, connection: _connection, .. } = stream;
         self.events.discard_partial();
         let mut next = self.events.push(&first);
-        let mut has_ended = has_ended;
         loop {
             if let Some(events) = next.take() {
-                let sent = tokio::time::timeout(self.remaining(), chunks.send(Ok(events))).await;
-                match sent {
+                let chunk = body::Chunk::Data(events);
+                match tokio::time::timeout(self.remaining(), chunks.send(chunk)).await {
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return decision::StreamEnd::CallerDisconnected,
                     Err(_) => return decision::StreamEnd::Expired,
                 }
             }
-            if has_ended {
-                return self.relay_partial(chunks).await;
-            }
             let frame = tokio::select! {
                 frame = tokio::time::timeout(self.remaining(), body.frame()) => frame,
                 () = chunks.closed() => return decision::StreamEnd::CallerDisconnected,
             };
             match frame {
                 Err(_) => return decision::StreamEnd::Expired,
-                Ok(None) => has_ended = true,
+                Ok(None) if !self.events.partial().is_empty() => {
+                    return decision::StreamEnd::InsideEvent;
+                }
+                Ok(None) => return decision::StreamEnd::Finished,
                 Ok(Some(Err(_))) => return decision::StreamEnd::Interrupted,
                 Ok(Some(Ok(frame))) => {
                     next = frame.data_ref().and_then(|bytes| self.events.push(bytes));
@@ -392,25 +393,14 @@
             }
         }
     }
+}
 
-    /// Relays the bytes after the last complete event of a stream whose body ended normally. In a
-    /// resumable stream, these bytes mean that it was cut off.
-    async fn relay_partial(
-        &mut self,
-        chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
-    ) -> decision::StreamEnd {
-        let rest = Bytes::copy_from_slice(self.events.partial());
-        if rest.is_empty() {
-            return decision::StreamEnd::Finished;
-        }
-        if self.is_resumable {
-            return decision::StreamEnd::Interrupted;
-        }
-        match chunks.send(Ok(rest)).await {
-            Ok(()) => decision::StreamEnd::Finished,
-            Err(_) => decision::StreamEnd::CallerDisconnected,
-        }
-    }
+/// Returns whether a response on the route of a stream must end at an event boundary: unless it is
+/// of another type and its end is marked.
+fn is_event_stream(head: &http::response::Parts) -> bool {
+    let content_type = head.headers.get(http::header::CONTENT_TYPE);
+    content_type.is_none_or(|it| it.as_bytes().starts_with(EVENT_STREAM_TYPE))
+        || framing(head) == decision::Framing::ConnectionClose
 }
 
 /// Returns how the server marks the end of a response.
@@ -424,20 +414,18 @@
     }
 }
 
-/// Reads until the first event is complete; returns all bytes read and whether the body has ended.
-/// Returns `None` if the connection fails first.
-async fn read_first_event(
-    body: &mut Incoming,
-    events: &mut relay::EventBuffer,
-) -> Option<(Bytes, bool)> {
+/// Reads until the first event is complete and returns all bytes read; none if the body ends without
+/// any. Returns `None` if the connection fails or the body ends inside the event.
+async fn read_first_event(body: &mut Incoming) -> Option<Bytes> {
+    let mut events = relay::EventBuffer::default();
     let mut bytes = bytes::BytesMut::new();
     loop {
-        let Some(frame) = body.frame().await else { return Some((bytes.freeze(), true)) };
+        let Some(frame) = body.frame().await else { return bytes.is_empty().then(Bytes::new) };
         let frame = frame.ok()?;
         let Some(data) = frame.data_ref() else { continue };
         bytes.extend_from_slice(data);
         if events.push(data).is_some() {
-            return Some((bytes.freeze(), false));
+            return Some(bytes.freeze());
         }
     }
 }
--- a/tests/router/broken_streams.rs
+++ b/tests/router/broken_streams.rs
@@ -93,3 +93,19 @@
         assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{got}");
     });
 }
+
+#[test]
+fn an_answer_of_another_type_on_the_route_of_a_stream_is_relayed_only_if_its_end_is_marked() {
+    const MARKED: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
+        Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+    const UNMARKED: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
+        Content-Type: application/json\r\n\r\n{}";
+    run(async {
+        let (got, _) = run_request("stream", &[MARKED]).await;
+        assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("{}"), "{got}");
+    });
+    run(async {
+        let (got, _) = run_request("stream", &[UNMARKED]).await;
+        assert!(got.starts_with("HTTP/1.1 502"), "{got}");
+    });
+}
