Deliver streams to callers of HTTP/1.0 whole or not at all

HTTP/1.0 has no chunks, so the answer ends with its connection, and a broken stream looks like a whole one.

Cause: the instance chose a framing that cannot tell the two apart.

Ruled out: a reset of the connection, which may also drop events that the caller has not read yet.

Change: a response to such a caller is collected and gets a length; a stream that breaks off is answered 502.

--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -123,7 +123,12 @@
     let mut response = match Limited::new(incoming, body_bytes).collect().await {
         Ok(body) => {
             let body: Bytes = body.to_bytes();
-            requests::serve(rc::Rc::clone(&context), head, body).await
+            let version = head.version;
+            let response = requests::serve(rc::Rc::clone(&context), head, body).await;
+            match version {
+                http::Version::HTTP_10 => with_length(response, &context).await,
+                _ => response,
+            }
         }
         Err(failure) => {
             let is_over_limit = failure.is::<http_body_util::LengthLimitError>();
@@ -142,6 +147,23 @@
     response
 }
 
+/// Collects the body of a response. HTTP/1.0 has no chunks: its callers could not tell a stream that
+/// broke off from a whole one.
+async fn with_length(
+    response: requests::Response,
+    context: &context::Context,
+) -> requests::Response {
+    let (head, body) = response.into_parts();
+    match body.collect().await {
+        Ok(body) => http::Response::from_parts(head, body::Body::full(body.to_bytes())),
+        Err(failure) => {
+            log::debug!("a stream to a caller of HTTP/1.0 is not delivered: {failure}");
+            let refusal = refusal::Refusal::new(refusal::Reason::OutcomeUnknown);
+            context.dialect.write_refusal(refusal)
+        }
+    }
+}
+
 /// Serves readiness checks and the addresses to which callers may connect.
 pub async fn serve_discovery(listener: tokio::net::TcpListener, context: rc::Rc<context::Context>) {
     loop {
--- a/tests/router/broken_streams.rs
+++ b/tests/router/broken_streams.rs
@@ -1,8 +1,16 @@
 //! Tests that an answer that was broken off never reaches its caller as complete.
 
+use std::cell;
+use std::rc;
+
 use super::COMPLETE_RESPONSE;
+use super::ReceivedRequests;
+use super::request;
 use super::run;
 use super::run_request;
+use super::send;
+use super::server;
+use super::start;
 
 /// Streams that end inside their second event.
 const BROKEN_OFF: [(&str, &[u8]); 3] = [
@@ -109,3 +117,17 @@
         assert!(got.starts_with("HTTP/1.1 502"), "{got}");
     });
 }
+
+#[test]
+fn a_stream_to_a_caller_of_http_1_0_is_delivered_whole_or_not_at_all() {
+    for (response, status) in [(BROKEN_OFF[0].1, "502"), (UNFRAMED_REMAINDER, "200")] {
+        run(async {
+            let responses = rc::Rc::new(cell::RefCell::new([response].into_iter().collect()));
+            let address = server(responses, ReceivedRequests::default()).await;
+            let (callers, _context) = start(&[address]).await;
+            let got = send(callers, &request("stream").replace("HTTP/1.1", "HTTP/1.0")).await;
+            assert!(got.starts_with(&format!("HTTP/1.0 {status}")), "{got}");
+            assert!(got.contains("content-length: "), "{got}");
+        });
+    }
+}
