Run streams in the soak, with and without a marked end

Cause: the soak had only plain calls, so it could not show streams that were broken off.

Ruled out: a stand-in that resets its connection (the proxy does that already, and it was no fault).

Change: two routes with streams in the soak; servers leave the end unmarked or break off inside an event, drawn from the attempt; callers resume, and the judge compares each complete stream with the whole one.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -11,6 +11,7 @@
 
 use crate::http;
 use crate::judge;
+use crate::streams;
 
 /// The work of a request.
 const WORK: time::Duration = time::Duration::from_millis(20);
@@ -18,6 +19,15 @@
 /// Requests that it runs at once; more are rejected.
 const SLOTS: u32 = 12;
 
+/// A slot that is taken until it is dropped.
+struct Slot(rc::Rc<cell::Cell<u32>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The body of the answer to an attempt.
 pub fn body(server: &str, attempt: &str) -> String {
     format!("{server} has run {attempt}")
@@ -45,8 +55,8 @@
 
 async fn answer(
     name: &str,
-    judge: &judge::Judge,
-    running: &cell::Cell<u32>,
+    judge: &rc::Rc<judge::Judge>,
+    running: &rc::Rc<cell::Cell<u32>>,
     request: hyper::Request<Incoming>,
 ) -> http::Response {
     let header = |name: &str| {
@@ -57,7 +67,9 @@
     let workspace = header("tenant").unwrap_or_default();
     let has_key = header("authorization").is_some();
     let is_other = header("expect-instance").is_some_and(|expected| expected != name);
+    let last_event = header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
     let path = request.uri().path().to_string();
+    let is_stream = judge::is_stream(&path);
     // The answer does not depend on the body.
     let _ = request.into_body().collect().await;
     if is_other {
@@ -76,10 +88,19 @@
         path,
         has_key,
     });
-    tokio::time::sleep(WORK).await;
-    running.set(running.get() - 1);
-    judge.note_answered(&attempt);
-    let mut answer = http::response(200, body(name, &attempt));
+    let slot = Slot(rc::Rc::clone(running));
+    let (judge, answered) = (rc::Rc::clone(judge), attempt.clone());
+    let finish = move || {
+        drop(slot);
+        judge.note_answered(&answered);
+    };
+    let mut answer = if is_stream {
+        streams::response(last_event, streams::Ending::draw(&attempt, name), finish)
+    } else {
+        tokio::time::sleep(WORK).await;
+        finish();
+        http::response(200, body(name, &attempt))
+    };
     for (key, value) in [("attempt-id", attempt.as_str()), ("server-stamp", name)] {
         if let Ok(value) = hyper::header::HeaderValue::from_str(value) {
             answer.headers_mut().insert(key, value);
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -15,6 +15,7 @@
 use rand::SeedableRng as _;
 
 use crate::judge;
+use crate::streams;
 
 /// How long a caller waits for an answer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
@@ -55,6 +56,25 @@
     pub is_idempotent: bool,
 }
 
+/// A stream that was broken off and can be resumed.
+#[derive(Debug, Clone)]
+struct BrokenStream {
+    kind: Kind,
+    /// The attempt that brought its first event.
+    first_attempt: String,
+    /// The whole events so far, and their number.
+    text: String,
+    events: u64,
+}
+
+/// The end of a request.
+struct Ended {
+    /// Whether its connection may be used again.
+    is_reusable: bool,
+    /// Its stream, if it was broken off and can be resumed.
+    broken: Option<BrokenStream>,
+}
+
 /// A caller that sends until it is dropped.
 pub struct Caller {
     /// Draws its choices.
@@ -74,6 +94,7 @@
     pub async fn run(self) {
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(self.seed);
         let mut sequence = 0_u64;
+        let mut broken: Option<BrokenStream> = None;
         loop {
             let index = rng.random_range(0..self.directories.len());
             let Some(addresses) = addresses(self.directories[index]).await else {
@@ -87,9 +108,12 @@
             let Some(mut sender) = connect(instance).await else { continue };
             for _ in 0..REQUESTS_ON_A_CONNECTION {
                 sequence += 1;
-                let kind = self.kinds[rng.random_range(0..self.kinds.len())];
+                let drawn = self.kinds[rng.random_range(0..self.kinds.len())];
+                let kind = broken.as_ref().map_or(drawn, |broken| broken.kind);
                 let attempt = format!("{:x}-{sequence}", self.seed);
-                if !self.send(&mut sender, instance, kind, &attempt).await {
+                let ended = self.send(&mut sender, instance, kind, &attempt, broken.take()).await;
+                broken = ended.broken;
+                if !ended.is_reusable {
                     break;
                 }
                 tokio::time::sleep(PAUSE).await;
@@ -97,23 +121,19 @@
         }
     }
 
-    /// Sends one request; returns whether the connection may be used again.
+    /// Sends one request, or resumes a stream that was broken off.
     async fn send(
         &self,
         sender: &mut http1::SendRequest<Full<Bytes>>,
         instance: net::SocketAddr,
         kind: Kind,
         attempt: &str,
-    ) -> bool {
-        let request = hyper::Request::post(kind.path)
-            .header("host", "soak.example")
-            .header("attempt-id", attempt)
-            .header("deadline-ms", ANSWER_TIMEOUT.as_millis().to_string())
-            .header("authorization", format!("Bearer {}", kind.key))
-            .body(Full::new(Bytes::from_static(b"order")));
-        let Ok(request) = request else { return false };
+        resumed: Option<BrokenStream>,
+    ) -> Ended {
+        let unsent = Ended { is_reusable: false, broken: None };
+        let Some(request) = request(kind, attempt, resumed.as_ref()) else { return unsent };
         if sender.ready().await.is_err() {
-            return false;
+            return Ended { broken: resumed, ..unsent };
         }
         self.judge.note_sent(
             attempt,
@@ -124,27 +144,77 @@
             },
         );
         let sent = time::Instant::now();
-        let exchange = async {
-            let (head, body) = sender.send_request(request).await?.into_parts();
-            let body = body.collect().await?.to_bytes();
-            Ok::<_, hyper::Error>((head, body))
-        };
-        match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
-            Ok(Ok((head, body))) => {
+        let mut text = resumed.as_ref().map_or(String::new(), |broken| broken.text.clone());
+        let exchange = tokio::time::timeout(ANSWER_TIMEOUT, exchange(sender, request, &mut text));
+        match exchange.await {
+            Ok(Ok(head)) => {
                 let status = head.status.as_u16();
-                let body = String::from_utf8_lossy(&body).into_owned();
-                self.judge.note_got(attempt, judge::Got::Answer { status, body });
-                head.headers.get("connection").is_none_or(|value| value != "close")
+                self.judge.note_got(attempt, judge::Got::Answer { status, body: text });
+                let is_reusable =
+                    head.headers.get("connection").is_none_or(|value| value != "close");
+                Ended { is_reusable, broken: resumed.filter(|_| status == 503) }
             }
             Ok(Err(_)) => {
                 let is_planned = !self.disturbances.is_disturbed(instance, sent);
                 self.judge.note_got(attempt, judge::Got::Cut { is_planned });
-                false
+                Ended { broken: broken_stream(kind, attempt, resumed, &text), ..unsent }
             }
             // The caller has left by itself.
-            Err(_) => false,
+            Err(_) => unsent,
+        }
+    }
+}
+
+fn request(
+    kind: Kind,
+    attempt: &str,
+    resumed: Option<&BrokenStream>,
+) -> Option<hyper::Request<Full<Bytes>>> {
+    let mut request = hyper::Request::post(kind.path)
+        .header("host", "soak.example")
+        .header("attempt-id", attempt)
+        .header("deadline-ms", ANSWER_TIMEOUT.as_millis().to_string())
+        .header("authorization", format!("Bearer {}", kind.key));
+    if let Some(broken) = resumed {
+        request = request
+            .header("last-event-id", broken.events.to_string())
+            .header("resumes", &broken.first_attempt);
+    }
+    request.body(Full::new(Bytes::from_static(b"order"))).ok()
+}
+
+/// Sends a request and appends the body of a successful answer to `text` as it arrives.
+async fn exchange(
+    sender: &mut http1::SendRequest<Full<Bytes>>,
+    request: hyper::Request<Full<Bytes>>,
+    text: &mut String,
+) -> Result<hyper::http::response::Parts, hyper::Error> {
+    let (head, mut body) = sender.send_request(request).await?.into_parts();
+    while let Some(frame) = body.frame().await {
+        let frame = frame?;
+        if let Some(data) = frame.data_ref().filter(|_| head.status.is_success()) {
+            text.push_str(&String::from_utf8_lossy(data));
         }
     }
+    Ok(head)
+}
+
+/// Returns the stream of a cut answer if it can be resumed.
+fn broken_stream(
+    kind: Kind,
+    attempt: &str,
+    resumed: Option<BrokenStream>,
+    text: &str,
+) -> Option<BrokenStream> {
+    let (whole, events) = streams::whole_events(text);
+    if !kind.is_idempotent || !judge::is_stream(kind.path) || events == streams::EVENTS {
+        return None;
+    }
+    let first_attempt = resumed
+        .filter(|broken| broken.events > 0)
+        .map_or(attempt.to_string(), |broken| broken.first_attempt);
+    let broken = BrokenStream { kind, first_attempt, text: whole.to_string(), events };
+    (events > 0).then_some(broken)
 }
 
 async fn connect(address: net::SocketAddr) -> Option<http1::SendRequest<Full<Bytes>>> {
--- a/soak/src/http.rs
+++ b/soak/src/http.rs
@@ -7,18 +7,20 @@
 use std::rc;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::combinators;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
 
-/// A whole answer.
-pub type Response = hyper::Response<Full<Bytes>>;
+/// An answer, whole or streamed.
+pub type Response = hyper::Response<combinators::UnsyncBoxBody<Bytes, convert::Infallible>>;
 
 /// Returns an answer with a body.
 pub fn response<B: Into<Bytes>>(status: u16, body: B) -> Response {
-    let mut response = hyper::Response::new(Full::new(body.into()));
+    let mut response = hyper::Response::new(Full::new(body.into()).boxed_unsync());
     *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     response
 }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -4,12 +4,19 @@
 use std::collections::BTreeMap;
 use std::time;
 
+use crate::streams;
+
 /// The time in which a withdrawn key or route must stop working, on a busy machine.
 const WITHDRAWN_WITHIN: time::Duration = time::Duration::from_millis(5_000);
 
 /// The time in which a leaving server must get no more requests, on a busy machine.
 const LEFT_WITHIN: time::Duration = time::Duration::from_millis(3_500);
 
+/// Returns whether a path's answers are streams.
+pub fn is_stream(path: &str) -> bool {
+    path.starts_with("/stream/") || path.starts_with("/resume/")
+}
+
 /// A run at a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Run {
@@ -193,8 +200,13 @@
             violate("was promised not to have run");
         }
         Some(Got::Answer { status: 200, body }) => {
-            let is_own =
-                attempt.runs.iter().any(|(run, _)| *body == crate::backend::body(&run.server, id));
+            let is_own = match is_stream(&attempt.sent.path) {
+                true => *body == streams::whole(),
+                false => {
+                    let mut runs = attempt.runs.iter();
+                    runs.any(|(run, _)| *body == crate::backend::body(&run.server, id))
+                }
+            };
             if !is_own {
                 violate("got an answer that no run of it gave");
             }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod proxy;
 pub mod run;
 pub mod store;
+pub mod streams;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -32,13 +32,18 @@
 /// Servers at the start; more come as others leave.
 const SERVERS: usize = 3;
 
-const KINDS: [callers::Kind; 4] = [
+const KINDS: [callers::Kind; 6] = [
     callers::Kind { path: "/order/x", key: "key-a", workspace: "a", is_idempotent: false },
     callers::Kind { path: "/query/x", key: "key-a", workspace: "a", is_idempotent: true },
     callers::Kind { path: "/gone/x", key: "key-a", workspace: "a", is_idempotent: false },
+    callers::Kind { path: "/stream/x", key: "key-a", workspace: "a", is_idempotent: false },
+    callers::Kind { path: "/resume/x", key: "key-a", workspace: "a", is_idempotent: true },
     callers::Kind { path: "/second/x", key: "key-b", workspace: "b", is_idempotent: false },
 ];
 
+/// The prefix of the paths whose streams may be resumed.
+const RESUMABLE_PATH: &str = "/resume/";
+
 /// What to run.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -196,7 +201,8 @@
 
     fn write_configuration(&self) {
         let mut paths = vec![("/order/", "non_idempotent"), ("/query/", "idempotent")];
-        paths.push(("/second/", "non_idempotent"));
+        paths.extend([("/second/", "non_idempotent"), ("/stream/", "streaming")]);
+        paths.push((RESUMABLE_PATH, "streaming"));
         if self.has_gone_route {
             paths.push(("/gone/", "non_idempotent"));
         }
@@ -206,7 +212,7 @@
                 serde_json::json!({
                     "Name": path, "Host": "soak.example", "PathPrefix": path, "RouteType": kind,
                     "TimeoutMs": 2_000, "TargetLatencyMs": 200, "Priority": 1, "Service": "desk",
-                    "Attempts": 2, "Anonymous": false,
+                    "Attempts": 2, "Anonymous": false, "Resumable": *path == RESUMABLE_PATH,
                 })
             })
             .collect();
