Log the software versions of servers and the streams that callers resume

Cause: whether streams change their software version within an answer, by their callers' own requests, or because a server is not what its entry says, could not be told from the logs.

Ruled out: nothing yet; behaviour as before.

Change: an entry holds the version of the server's software, a call the stream that it resumes; server_listed and sent log them. The field stays out of the messages between instances, so older builds read them.

--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -12,6 +12,9 @@
 /// The id of the last part of a prompt, which belongs to one request or session.
 pub type PromptId = u64;
 
+/// The id of a stream: that of the caller's attempt that brought its first event.
+pub type StreamId = Bytes;
+
 /// The token counts of a language request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tokens {
@@ -61,4 +64,6 @@
     pub tokens: Option<Tokens>,
     /// The id of its prompt, if the request contains one.
     pub prompt: Option<PromptId>,
+    /// The stream that it resumes, if it does; empty if the caller does not name the stream.
+    pub resumes: Option<StreamId>,
 }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -78,6 +78,8 @@
         is_listed: bool,
         /// Whether the server is draining.
         is_draining: bool,
+        /// The version of its software, if it is known.
+        software_version: Option<servers::SoftwareVersion>,
         /// The position of the change in the store; 0 if the entry expired or is missing from a
         /// complete listing.
         offset: ids::StorePosition,
@@ -145,6 +147,10 @@
         version: u64,
         /// The id of the server.
         server: String,
+        /// The version of the server's software, if it is known.
+        software_version: Option<servers::SoftwareVersion>,
+        /// The stream that the caller resumes, if it does.
+        resumes: Option<String>,
         /// The work that the server is asked to do.
         step: &'static str,
         /// The requests at the server before this one, as far as this instance knows.
@@ -251,12 +257,14 @@
                 server: fleet::text(&entry.id),
                 is_listed: true,
                 is_draining: entry.is_draining,
+                software_version: entry.software_version.clone(),
                 offset: entry.offset,
             },
             servers::EntryChange::Removed { id, offset } => Self::ServerListed {
                 server: fleet::text(id),
                 is_listed: false,
                 is_draining: false,
+                software_version: None,
                 offset: *offset,
             },
         }
@@ -268,6 +276,7 @@
             server: fleet::text(server),
             is_listed: false,
             is_draining: false,
+            software_version: None,
             offset: 0,
         }
     }
--- a/src/core/fleet/ledger/tests.rs
+++ b/src/core/fleet/ledger/tests.rs
@@ -24,6 +24,7 @@
         stage: None,
         cold_ms: 0,
         born_ms: 1,
+        software_version: Some("v1".into()),
         offset: 1,
     };
     directory.apply(servers::EntryChange::Put(entry), servers::Source::Steady, at(0));
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -14,6 +14,7 @@
 pub use entry::Entry;
 pub use entry::EntryChange;
 pub use entry::Removal;
+pub use entry::SoftwareVersion;
 pub use entry::Source;
 pub use entry::Stage;
 
--- a/src/core/fleet/servers/entry.rs
+++ b/src/core/fleet/servers/entry.rs
@@ -1,10 +1,14 @@
 //! Entries of backend servers in the store, and their changes.
 
 use std::net;
+use std::sync;
 
 use crate::core::fleet::catalog;
 use crate::core::ids;
 
+/// The version of a server's software. What servers of two versions write does not fit together.
+pub type SoftwareVersion = sync::Arc<str>;
+
 /// The part of a language request that an engine serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -36,6 +40,9 @@
     pub cold_ms: u32,
     /// The start of its process, in milliseconds of its own clock; 0 if unknown.
     pub born_ms: u64,
+    /// The version of its software; `None` if the peer that sent the entry does not know it.
+    #[serde(skip)]
+    pub software_version: Option<SoftwareVersion>,
     /// The position of the entry in the store; of two entries, the one with the higher position is
     /// newer.
     pub offset: ids::StorePosition,
--- a/src/core/fleet/servers/tests.rs
+++ b/src/core/fleet/servers/tests.rs
@@ -58,6 +58,7 @@
         stage: None,
         cold_ms: 0,
         born_ms: 1,
+        software_version: Some("v1".into()),
         offset,
     }
 }
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -393,6 +393,8 @@
             request: fleet::text(&live.call.id),
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.content.version),
             server: fleet::text(server),
+            software_version: known.entry.software_version.clone(),
+            resumes: live.call.resumes.as_ref().map(fleet::text),
             step: step.name(),
             load: ahead.requests,
             prompt_tokens: load.tokens_to_prefill,
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -15,6 +15,9 @@
     zone: String,
     slots: u32,
     state: State,
+    /// The version of the server's software, not of the weights.
+    #[serde(rename = "Version")]
+    software_version: String,
     #[serde(default)]
     cold_remaining_ms: f64,
     #[serde(default)]
@@ -52,6 +55,7 @@
         stage: read.stage,
         cold_ms: read.cold_remaining_ms.max(0.0) as u32,
         born_ms: read.born_ms,
+        software_version: Some(read.software_version.into()),
         offset,
     })
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -26,6 +26,8 @@
 const LENGTH_HINT: &str = "length-hint";
 /// The id of the event after which a stream is resumed.
 const LAST_EVENT_ID: &str = "last-event-id";
+/// The id of the attempt that brought the first event of the stream that a request resumes.
+const RESUMES: &str = "resumes";
 /// The name of the workspace.
 const TENANT: &str = "tenant";
 /// The server that the request is meant for; another server rejects it.
@@ -126,6 +128,8 @@
             tokens: text(TOKEN_COUNT)
                 .and_then(|count| parse_token_counts(count, text(LENGTH_HINT))),
             prompt: text(PREFIX_HASH).and_then(parse_last_part),
+            resumes: text(LAST_EVENT_ID)
+                .map(|_| Bytes::from(text(RESUMES).unwrap_or_default().to_string())),
         })
     }
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -74,6 +74,7 @@
         ENTRY.replace("10.128.0.9:8080", "nowhere"),
         ENTRY.replace("64", "\"64\""),
         ENTRY.replace("\"Zone\":\"colombo\",", ""),
+        ENTRY.replace("\"Version\":\"v1\",", ""),
         ENTRY[..40].to_string(),
     ];
     for value in forged {
@@ -98,6 +99,22 @@
     headers::PlatformDialect.read_call(&head).expect("the head is valid")
 }
 
+#[test]
+fn a_caller_names_the_stream_that_it_resumes() {
+    let read = |headers: &[(&str, &str)]| {
+        let request = http::Request::builder().uri("/a/").header("host", "ficu.example");
+        let request = request.header("attempt-id", "9c41");
+        let request =
+            headers.iter().fold(request, |request, (name, value)| request.header(*name, *value));
+        let (head, ()) = request.body(()).expect("the request is valid").into_parts();
+        headers::PlatformDialect.read_call(&head).expect("the head is valid").resumes
+    };
+    let named = [("last-event-id", "12"), ("resumes", "8b30")];
+    assert_eq!(read(&named), Some(Bytes::from("8b30")));
+    assert_eq!(read(&named[..1]), Some(Bytes::new()), "the caller does not name the stream");
+    assert_eq!(read(&named[1..]), None, "the caller has no event of it");
+}
+
 #[test]
 fn the_last_part_of_a_prompt_is_its_id() {
     let prompt = |prefix| read_call(Some(prefix)).prompt;
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -115,6 +115,7 @@
         stage: None,
         cold_ms: 0,
         born_ms: 1,
+        software_version: Some("v1".into()),
         offset: 1,
     })
 }
