Reproduce streams that continue at another software version

Ruled out: that only callers' own requests are at fault: a stream cut by its server changes its version too.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod coordination;
 mod listing;
+mod versions;
 mod world;
 
 use std::time::Duration;
--- /dev/null
+++ b/tests/fleet/versions.rs
@@ -0,0 +1,105 @@
+//! Streams beside servers of two software versions.
+
+use bytes::Bytes;
+use galenayard::core::fleet::servers;
+
+use super::FAST_DIGESTS;
+use super::ms;
+use super::world;
+use super::world::World;
+
+const STREAMS: u64 = 24;
+
+fn version(server: &Bytes) -> servers::SoftwareVersion {
+    let entries = world::servers_of_two_versions();
+    let entry = entries.into_iter().find(|entry| entry.id == *server).expect("the server exists");
+    entry.software_version.expect("the version is known")
+}
+
+/// Starts resumable streams at all instances and runs them until all have begun.
+fn world_with_streams(instances: usize) -> World {
+    let mut world = World::new(instances, FAST_DIGESTS, &world::servers_of_two_versions());
+    for index in 0..STREAMS {
+        world.arrive_resumable(ms(index * 40), index as usize % instances, None);
+    }
+    world.run(ms(2_000));
+    world
+}
+
+/// The streams that were resumed by their callers.
+#[derive(Debug, Default)]
+struct Resumed {
+    continued: usize,
+    refused: usize,
+    mixed: usize,
+}
+
+/// Sends the callers of all streams of lost instances to other ones.
+fn resume_streams_of(world: &mut World, lost: &[usize], instances: usize) -> Resumed {
+    let is_lost = |instance: usize| lost.contains(&instance);
+    let streams: Vec<_> = world
+        .records
+        .iter()
+        .filter(|((instance, _), record)| is_lost(*instance) && !record.begun_at.is_empty())
+        .map(|((_, request), record)| (*request, record.begun_at[0].clone()))
+        .collect();
+    let others: Vec<_> =
+        (0..instances).filter(|instance| lost.len() == instances || !is_lost(*instance)).collect();
+    for (index, (request, _)) in streams.iter().enumerate() {
+        let id = Bytes::from(request.to_string());
+        let instance = others[index % others.len()];
+        world.arrive_resumable(ms(50 + 10 * index as u64), instance, Some(id));
+    }
+    world.run(ms(14_000));
+    let mut resumed = Resumed::default();
+    for record in world.records.values() {
+        let Some(stream) = &record.resumes else { continue };
+        let begun = streams.iter().find(|(request, _)| *stream == request.to_string());
+        let (_, server) = begun.expect("the stream has begun");
+        resumed.refused += usize::from(record.refused.is_some());
+        resumed.continued += usize::from(!record.begun_at.is_empty());
+        let is_mixed = record.begun_at.iter().any(|other| version(other) != version(server));
+        resumed.mixed += usize::from(is_mixed);
+    }
+    resumed
+}
+
+#[test]
+fn a_stream_cut_by_its_server_continues_at_the_software_version_that_began_it() {
+    let mut world = world_with_streams(3);
+    for server in ["llm-3", "llm-6"] {
+        world.cut_streams(server);
+    }
+    world.run(ms(14_000));
+    let resumed: Vec<_> =
+        world.records.values().filter(|record| record.begun_at.len() > 1).collect();
+    assert!(!resumed.is_empty(), "some streams are resumed");
+    for record in resumed {
+        let versions: Vec<_> = record.begun_at.iter().map(version).collect();
+        assert!(versions.windows(2).all(|pair| pair[0] == pair[1]), "{versions:?}");
+    }
+}
+
+#[test]
+fn a_stream_resumed_by_its_caller_continues_at_the_software_version_that_began_it() {
+    for instances in [3, 20] {
+        let mut world = world_with_streams(instances);
+        world.kill(ms(0), 0);
+        world.kill(ms(0), 1);
+        let resumed = resume_streams_of(&mut world, &[0, 1], instances);
+        assert_eq!((resumed.mixed, resumed.refused), (0, 0), "{instances}: {resumed:?}");
+        assert!(resumed.continued > 0, "{instances}: {resumed:?}");
+    }
+}
+
+#[test]
+fn streams_continue_at_their_software_version_after_the_loss_of_all_instances() {
+    for instances in [3, 20] {
+        let mut world = world_with_streams(instances);
+        world.restart_all(&world::servers_of_two_versions());
+        let all: Vec<_> = (0..instances).collect();
+        let resumed = resume_streams_of(&mut world, &all, instances);
+        assert_eq!((resumed.mixed, resumed.refused), (0, 0), "{instances}: {resumed:?}");
+        assert_eq!(resumed.continued as u64, STREAMS, "{instances}: {resumed:?}");
+    }
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -27,6 +27,7 @@
 pub use fixtures::entry;
 pub use fixtures::new_fleet;
 pub use fixtures::servers;
+pub use fixtures::servers_of_two_versions;
 
 use fixtures::listed;
 use fixtures::member;
@@ -64,6 +65,7 @@
         host: &'static str,
         tokens: Option<call::Tokens>,
         prompt: Option<call::PromptId>,
+        resumes: Option<call::StreamId>,
     },
     Message {
         to: net::SocketAddr,
@@ -147,6 +149,10 @@
     pub memory: Option<(Bytes, u32)>,
     pub last_send: Duration,
     pub last_server: Bytes,
+    /// The servers whose events reached the caller.
+    pub begun_at: Vec<Bytes>,
+    /// The stream that it resumes.
+    pub resumes: Option<call::StreamId>,
 }
 
 pub struct World {
@@ -239,13 +245,43 @@
         host: &'static str,
         tokens: Option<call::Tokens>,
     ) {
-        self.schedule(after, Action::Arrive { instance, host, tokens, prompt: None });
+        self.schedule(
+            after,
+            Action::Arrive { instance, host, tokens, prompt: None, resumes: None },
+        );
     }
 
     /// Schedules the arrival of a stream with the given prompt.
     pub fn arrive_with_prompt(&mut self, after: Duration, instance: usize, prompt: call::PromptId) {
         let (host, tokens, prompt) = ("stream", Some(PROMPT), Some(prompt));
-        self.schedule(after, Action::Arrive { instance, host, tokens, prompt });
+        self.schedule(after, Action::Arrive { instance, host, tokens, prompt, resumes: None });
+    }
+
+    /// Schedules the arrival of a resumable stream, or of a caller that resumes one.
+    pub fn arrive_resumable(
+        &mut self,
+        after: Duration,
+        instance: usize,
+        resumes: Option<call::StreamId>,
+    ) {
+        let (host, tokens) = ("resumable", Some(PROMPT));
+        self.schedule(after, Action::Arrive { instance, host, tokens, prompt: None, resumes });
+    }
+
+    /// Cuts all streams that a server generates now.
+    pub fn cut_streams(&mut self, server: &str) {
+        let is_cut = |record: &Record| {
+            let at = record.memory.as_ref().is_some_and(|(at, _)| at == server.as_bytes());
+            at && !record.begun_at.is_empty() && !record.finished
+        };
+        let cut: Vec<_> = self.records.iter().filter(|(_, record)| is_cut(record)).collect();
+        let mut cut: Vec<_> = cut.into_iter().map(|(id, record)| (*id, record.sends)).collect();
+        cut.sort_unstable();
+        for ((instance, request), sends) in cut {
+            self.free_memory(instance, request);
+            let outcome = fleet::Outcome::Truncated;
+            self.schedule(Duration::ZERO, Action::Progress { instance, request, sends, outcome });
+        }
     }
 
     /// Applies another version of the configuration at some instances.
@@ -333,8 +369,8 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Arrive { instance, host, tokens, prompt } => {
-                self.arrived(instance, host, tokens, prompt);
+            Action::Arrive { instance, host, tokens, prompt, resumes } => {
+                self.arrived(instance, host, tokens, prompt, resumes);
             }
             Action::Message { to, from, message } => {
                 if let Some(index) = self.addresses.iter().position(|known| *known == to) {
@@ -370,13 +406,20 @@
         host: &'static str,
         tokens: Option<call::Tokens>,
         prompt: Option<call::PromptId>,
+        resumes: Option<call::StreamId>,
     ) {
         if self.instances[instance].is_none() {
             return;
         }
         let request = self.next_request;
         self.next_request += 1;
-        let record = Record { host, arrived: self.now, prompt, ..Record::default() };
+        let record = Record {
+            host,
+            arrived: self.now,
+            prompt,
+            resumes: resumes.clone(),
+            ..Record::default()
+        };
         self.records.insert((instance, request), record);
         let call = call::Call {
             id: Bytes::from(request.to_string()),
@@ -386,6 +429,7 @@
             deadline: None,
             tokens,
             prompt,
+            resumes,
         };
         self.apply(instance, fleet::Event::Arrived { request, call });
     }
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -147,7 +147,10 @@
         }
         let record = self.record(instance, request);
         match &outcome {
-            fleet::Outcome::Started => record.begun = Some(now),
+            fleet::Outcome::Started => {
+                record.begun = Some(now);
+                record.begun_at.push(server);
+            }
             fleet::Outcome::Finished { .. } => {
                 record.finished = true;
                 record.ends += 1;
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -27,6 +27,7 @@
 pub fn configuration() -> catalog::Catalog {
     let routes = [
         route("stream", "llm", catalog::Repeat::Once, true),
+        route("resumable", "llm", catalog::Repeat::Idempotent, true),
         route("order", "desk", catalog::Repeat::Once, false),
         route("query", "desk", catalog::Repeat::Idempotent, false),
         catalog::Route { is_open: false, ..route("limited", "desk", catalog::Repeat::Once, false) },
@@ -71,6 +72,7 @@
         stage,
         cold_ms: 0,
         born_ms: 1,
+        software_version: Some("v1".into()),
         offset: 1,
     }
 }
@@ -120,6 +122,21 @@
     (0..9).map(engine).chain((0..3).map(plain)).collect()
 }
 
+/// The same servers; half of the decode engines run another version of their software.
+pub fn servers_of_two_versions() -> Vec<servers::Entry> {
+    let mut entries = servers();
+    for entry in
+        entries.iter_mut().filter(|entry| ["llm-6", "llm-7", "llm-8"].contains(&name(entry)))
+    {
+        entry.software_version = Some("v2".into());
+    }
+    entries
+}
+
+fn name(entry: &servers::Entry) -> &str {
+    std::str::from_utf8(&entry.id).expect("the names of servers are text")
+}
+
 pub fn listed(changes: Vec<servers::EntryChange>) -> fleet::Event {
     fleet::Event::ServersChanged {
         changes,
