Extract the map of recent entries from the kept prompts

Cause: the origins of streams need the same bounds in time and number that kept prompts have.

Ruled out: a second copy of the two collections.

Change: RecentMap; KeptPrompts uses it. The bound of the queue by age, which its test looked at, is checked in the tests of RecentMap, with repeated keys besides.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod placement;
 pub mod quota;
+pub mod recent;
 pub mod refusal;
 pub mod servers;
 pub mod view;
--- a/src/core/fleet/kept/tests.rs
+++ b/src/core/fleet/kept/tests.rs
@@ -26,7 +26,7 @@
     for prompt in 0..3 * MAX_PROMPTS as u64 {
         kept.record(prompt, &engine, time::Duration::ZERO);
     }
-    assert!(kept.engines.len() <= MAX_PROMPTS && kept.by_age.len() <= MAX_PROMPTS);
+    assert!(kept.engines.len() <= MAX_PROMPTS);
     let last = 3 * MAX_PROMPTS as u64 - 1;
     assert_eq!(kept.engine(last, time::Duration::ZERO), Some(&engine));
     assert_eq!(kept.engine(0, time::Duration::ZERO), None, "the oldest go first");
