--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -27,7 +27,9 @@
 pub mod quota;
 pub mod recent;
 pub mod refusal;
+pub mod resumption;
 pub mod servers;
+pub mod streams;
 pub mod view;
 
 mod admission;
@@ -179,6 +181,8 @@
         /// The prompts.
         prompts: Vec<call::PromptId>,
     },
+    /// All origins of streams in the store were read.
+    StreamOriginsRead(Vec<streams::Origin>),
     /// The settings were reloaded.
     SettingsChanged {
         /// The new bounds on retries.
@@ -242,6 +246,8 @@
         /// The address of the engine.
         address: net::SocketAddr,
     },
+    /// Read the origins of streams in the store.
+    ReadStreamOrigins,
     /// Send peers the changed load with the next digest that is due.
     PublishLoad,
     /// Send peers a change that affects all instances immediately.
@@ -284,6 +290,7 @@
     catalog: Option<sync::Arc<catalog::Catalog>>,
     servers: servers::Directory,
     kept: kept::KeptPrompts,
+    origins: streams::Origins,
     /// Whether engines may hold prompts that this instance does not know of.
     has_unlisted_prompts: bool,
     lists_prompts_until: Option<ids::Timestamp>,
@@ -321,6 +328,7 @@
             catalog: None,
             servers: servers::Directory::default(),
             kept: kept::KeptPrompts::default(),
+            origins: streams::Origins::default(),
             has_unlisted_prompts: !options.is_first_start,
             lists_prompts_until: None,
             peers: peers::Peers::default(),
@@ -385,6 +393,9 @@
                     self.kept.record(prompt, &server, now);
                 }
             }
+            Event::StreamOriginsRead(origins) => {
+                self.apply_stored_origins(origins, now, &mut effects);
+            }
             Event::SettingsChanged { retries, quota_window } => {
                 self.budget.set_bounds(retries);
                 self.quotas.set_window(quota_window);
@@ -515,6 +526,7 @@
         self.drop_lost_holders(now);
         self.resend_charges(now, effects);
         self.resend_reservation_requests(now, effects);
+        self.end_lookups(now, effects);
         self.refuse_unservable(now, effects);
         self.place_waiting(now, effects);
     }
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -38,7 +38,7 @@
         effects.push(Effect::Admit {
             request,
             expires: live.expires,
-            is_resumable: live.route.is_stream && live.is_idempotent(),
+            is_resumable: live.is_resumable(),
             is_stream: live.route.is_stream,
         });
         self.requests.insert(request, live);
@@ -55,7 +55,9 @@
         let Some(live) = self.requests.get_mut(&request) else { return };
         live.phase = live::Phase::Waiting;
         self.budget.record_request(&live.claim.service, now);
-        self.place_or_queue(request, now, effects);
+        if !self.start_resumption(request, now, effects) {
+            self.place_or_queue(request, now, effects);
+        }
     }
 
     /// Checks the key, finds the route and creates the state of a request.
@@ -108,6 +110,7 @@
                 begin_by,
                 tried: Vec::new(),
                 domain: self.domain.clone(),
+                binding: claim::Binding::Any,
             },
             workspace,
             charge: 0.0,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -80,7 +80,13 @@
             domain: claim.domain.clone(),
             prompt: claim.prompt,
         };
-        effects.push(Effect::SendMessage { to, message: message::Message::Reserve(request) });
+        let message = match &claim.binding {
+            claim::Binding::Version(version) => {
+                message::Message::ReserveAtVersion { request, software_version: version.clone() }
+            }
+            claim::Binding::Any | claim::Binding::Unknown => message::Message::Reserve(request),
+        };
+        effects.push(Effect::SendMessage { to, message });
     }
 
     /// Sends reservation requests without a response again. After the timeout, this instance places
@@ -220,7 +226,17 @@
                 message::Finding::HandlesExpire => self.servers.pause_handover(&server, now),
                 message::Finding::Fails => self.servers.record_warning(&server),
             },
-            message::Message::Reserve(request) => self.reserve_remote(from, request, now, effects),
+            message::Message::Reserve(request) => {
+                self.reserve_remote(from, request, claim::Binding::Any, now, effects);
+            }
+            message::Message::ReserveAtVersion { request, software_version } => {
+                let binding = claim::Binding::Version(software_version);
+                self.reserve_remote(from, request, binding, now, effects);
+            }
+            message::Message::StreamsBegun(origins) => self.receive_origins(origins, now, effects),
+            message::Message::StreamQuery { stream } => {
+                self.answer_stream_query(from, stream, now, effects);
+            }
             message::Message::Grant { ticket, placement, expected_ms, entries } => {
                 self.add_granted_servers(entries, now, effects);
                 self.receive_grant(from, ticket, placement, expected_ms, now, effects);
@@ -266,8 +282,11 @@
     ) {
         let Some(request) = self.pending_request(ticket) else { return };
         let is_known = placement.servers().all(|server| self.servers.get(server).is_some());
-        if !is_known {
-            // This instance does not know the server yet.
+        let generator = placement.servers().last().and_then(|server| self.servers.get(server));
+        let binding = &self.requests[&request].claim.binding;
+        let is_allowed = generator.is_some_and(|server| binding.allows(server));
+        if !is_known || !is_allowed {
+            // This instance does not know the server yet, or the owner has an older entry of it.
             let live::Phase::AwaitingGrant(grant) = &self.requests[&request].phase else { return };
             let grant = grant.clone();
             return self.place_without_owner(request, &grant, now, effects);
@@ -284,6 +303,7 @@
         &mut self,
         from: std::net::SocketAddr,
         request: message::ReservationRequest,
+        binding: claim::Binding,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
@@ -305,6 +325,7 @@
             tried: request.tried,
             domain: request.domain,
             service: request.service,
+            binding,
         };
         self.claims.insert(ticket, RemoteClaim { claim, from });
         if self.try_grant(ticket, now, effects) || self.decline_if_unservable(ticket, now, effects)
--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use crate::core::fleet::constants;
+use crate::core::ids;
 
 /// The number of a request within this instance.
 pub type RequestNumber = u64;
@@ -15,6 +16,17 @@
 /// The id of a stream: that of the caller's attempt that brought its first event.
 pub type StreamId = Bytes;
 
+/// A digest of the id of a stream, which callers choose.
+pub type StreamKey = u64;
+
+/// Returns the key of a stream.
+pub fn stream_key(id: &StreamId) -> StreamKey {
+    use sha2::Digest as _;
+    let digest: ids::Digest = sha2::Sha256::digest(id).into();
+    let (first, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
+    u64::from_be_bytes(*first)
+}
+
 /// The token counts of a language request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tokens {
--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -4,8 +4,32 @@
 
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
+use crate::core::fleet::servers;
 use crate::core::ids;
 
+/// The servers that may generate the next events of a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Binding {
+    /// It has no events yet: any server.
+    #[default]
+    Any,
+    /// Servers of the software version that generated its first event.
+    Version(servers::SoftwareVersion),
+    /// The version that generated its first event is not known: no server.
+    Unknown,
+}
+
+impl Binding {
+    /// Returns whether a server may generate the next events.
+    pub fn allows(&self, server: &servers::Server) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Version(version) => server.entry.software_version.as_ref() == Some(version),
+            Self::Unknown => false,
+        }
+    }
+}
+
 /// A request for placement at a server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Claim {
@@ -29,6 +53,8 @@
     pub tried: Vec<ids::ServerId>,
     /// The failure domain of the instance at which the request arrived.
     pub domain: String,
+    /// The servers that may generate its next events.
+    pub binding: Binding,
 }
 
 impl Claim {
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -58,6 +58,15 @@
 /// back and placed by the instance itself.
 pub const QUEUE_CONFIRMATION_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 
+/// The time for which a caller that resumes a stream waits for the store to return its origin.
+pub const ORIGIN_LOOKUP_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// The interval at which origins of streams are written to the store.
+pub const ORIGIN_WRITE_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// The maximum number of origins in one record, well below the store's limit of its size.
+pub const MAX_ORIGINS_PER_RECORD: usize = 2_000;
+
 /// The share of the fleet's retry budget that an instance spends; the rest covers retries of
 /// instances that ended within the window.
 pub const RETRY_BUDGET_SHARE: f64 = 0.7;
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -4,6 +4,7 @@
 
 use crate::core::fleet;
 use crate::core::fleet::refusal;
+use crate::core::fleet::resumption;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -201,6 +202,25 @@
         /// The time since the request arrived.
         since_arrival_ms: u64,
     },
+    /// The origin of a stream that a caller resumes was looked up.
+    StreamResumed {
+        /// The caller's id of the request.
+        request: String,
+        /// The stream, as the caller names it.
+        resumes: String,
+        /// Where the origin comes from.
+        source: resumption::OriginSource,
+        /// The service that began the stream.
+        service: Option<String>,
+        /// The software version that began the stream; without one the request is refused.
+        software_version: Option<servers::SoftwareVersion>,
+        /// The time since this instance learned the origin.
+        age_ms: Option<u64>,
+        /// The time that the lookup took.
+        waited_ms: u64,
+        /// Whether the store was read for it.
+        is_store_read: bool,
+    },
     /// A server's stream has ended, or was abandoned.
     StreamEnded {
         /// The caller's id of the request.
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -59,11 +59,22 @@
     pub last_sent: ids::Timestamp,
 }
 
+/// The wait for the origin of the stream that the caller resumes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AwaitingOrigin {
+    /// When the lookup started.
+    pub since: ids::Timestamp,
+    /// Whether all origins in the store were read since.
+    pub is_store_read: bool,
+}
+
 /// The phase of a request.
 #[derive(Debug, Clone)]
 pub enum Phase {
     /// Its charge waits for the response of a coordinator.
     AwaitingCharge(AwaitingCharge),
+    /// The origin of the stream that it resumes is looked up.
+    AwaitingOrigin(AwaitingOrigin),
     /// It waits for a placement by this instance.
     Waiting,
     /// It waits for a reservation by the owner of its service.
@@ -113,6 +124,17 @@
         self.route.repeat == catalog::Repeat::Idempotent
     }
 
+    /// Returns whether its answer is a stream that may be resumed.
+    pub fn is_resumable(&self) -> bool {
+        self.route.is_stream && self.is_idempotent()
+    }
+
+    /// Returns the key of its stream; `None` if the caller resumes one without naming it.
+    pub fn stream_key(&self) -> Option<call::StreamKey> {
+        let stream = self.call.resumes.as_ref().unwrap_or(&self.call.id);
+        (!stream.is_empty()).then(|| call::stream_key(stream))
+    }
+
     /// Returns whether it may be sent to another server.
     pub fn can_try_another_server(&self) -> bool {
         (self.claim.tried.len() as u32) < constants::MAX_TRIED_SERVERS
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -9,6 +9,7 @@
 use crate::core::fleet::quota;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
+use crate::core::fleet::streams;
 use crate::core::ids;
 
 /// A request for a reservation, sent to the owner of a service.
@@ -145,6 +146,20 @@
         /// them.
         entries: Vec<servers::Entry>,
     },
+    /// A reservation is requested for a stream that has begun at a software version.
+    ReserveAtVersion {
+        /// The request.
+        request: ReservationRequest,
+        /// The version.
+        software_version: servers::SoftwareVersion,
+    },
+    /// Streams have begun; also the answer to a query.
+    StreamsBegun(Vec<streams::Origin>),
+    /// The origin of a stream is requested.
+    StreamQuery {
+        /// The key of the stream.
+        stream: call::StreamKey,
+    },
     /// The reservation request waits in the owner's queue.
     #[serde(rename = "queue")]
     Queued {
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -88,6 +88,7 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
+        self.bind_started_stream(request, &at.server, now, effects);
         let Some(live) = self.requests.get_mut(&request) else { return };
         live.may_have_run = true;
         let prefilled = servers::Load { requests: 0, memory_tokens: 0, ..at.load };
@@ -193,8 +194,11 @@
         };
         let reserved = at.decode_reservation.as_ref().map(|(decode, _)| decode);
         let reserved = reserved.and_then(|decode| self.servers.get(decode));
-        let reserved =
-            reserved.filter(|server| server.is_usable(now)).map(|server| server.entry.id.clone());
+        let binding = self.requests.get(&request).map(|live| &live.claim.binding);
+        let reserved = reserved
+            .filter(|server| server.is_usable(now))
+            .filter(|server| binding.is_some_and(|binding| binding.allows(server)))
+            .map(|server| server.entry.id.clone());
         self.send_to_decode_server(request, reserved, source, handle, now, effects);
     }
 
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -91,6 +91,11 @@
         server.is_usable(self.now) && !self.claim.tried.contains(&server.entry.id)
     }
 
+    /// Returns whether a server may get the request and generate its next events.
+    fn admits_generation(&self, server: &servers::Server) -> bool {
+        self.admits(server) && self.claim.binding.allows(server)
+    }
+
     /// Returns the penalty of a server for failures, another failure domain and a cold start.
     fn penalty_ms(&self, server: &servers::Server) -> f64 {
         let is_near = server.entry.domain == self.claim.domain;
@@ -116,7 +121,7 @@
     query: Query<'_>,
 ) -> Option<Candidate<Placement>> {
     let shape = query.claim.engine?;
-    let server = directory.get(engine).filter(|server| query.admits(server))?;
+    let server = directory.get(engine).filter(|server| query.admits_generation(server))?;
     let is_service = server.entry.service == query.claim.service;
     if !is_service || !has_capacity(server, shape, query) {
         return None;
@@ -156,7 +161,8 @@
     query: Query<'_>,
 ) -> Option<Candidate<Placement>> {
     let mut best = None;
-    for server in directory.of_service(&query.claim.service).filter(|server| query.admits(server)) {
+    let servers = directory.of_service(&query.claim.service);
+    for server in servers.filter(|server| query.admits_generation(server)) {
         let load = server.load();
         let own_ms = f64::from(query.claim.tokens.prompt_tokens) / server.tokens_per_ms;
         let holds_up_streams =
@@ -215,7 +221,7 @@
     directory
         .of_service(&query.claim.service)
         .filter(|server| server.entry.stage == Some(servers::Stage::Decode))
-        .filter(|server| query.admits(server))
+        .filter(|server| query.admits_generation(server))
         .filter(|server| has_capacity(server, engine, query))
         .min_by(|one, other| {
             let cost = |server: &servers::Server| {
@@ -236,7 +242,7 @@
 ) -> Option<Candidate<Placement>> {
     let mut best = None;
     for server in directory.of_service(&query.claim.service) {
-        if !query.admits(server) {
+        if !query.admits_generation(server) {
             continue;
         }
         let requests = f64::from(server.load().requests);
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -22,6 +22,8 @@
     Leaving,
     /// No server can answer in the remaining time.
     NoCapacity,
+    /// The stream cannot be resumed: its software version is unknown or no longer served.
+    NotResumable,
     /// Servers rejected the request or could not be reached, and no retry is allowed.
     NoRetry,
     /// The request may have run, and its answer is lost.
@@ -79,7 +81,11 @@
             Reason::NoRoute => 404,
             Reason::BodyTooLong => 413,
             Reason::OverLimit => 429,
-            Reason::Unconfigured | Reason::Leaving | Reason::NoCapacity | Reason::NoRetry => 503,
+            Reason::Unconfigured
+            | Reason::Leaving
+            | Reason::NoCapacity
+            | Reason::NotResumable
+            | Reason::NoRetry => 503,
             Reason::OutcomeUnknown => 502,
             Reason::TimedOut => 504,
         }
--- /dev/null
+++ b/src/core/fleet/resumption.rs
@@ -0,0 +1,334 @@
+//! Streams that are resumed: their events come from servers of one software version, whichever
+//! instance or caller resumes them.
+//!
+//! The instance that relays the first event of a resumable stream sends its origin to the
+//! coordinators; these write it to the store while a service runs several versions. An instance that
+//! does not know the origin of a stream asks both. Without an answer, a stream is resumed only if its
+//! service has run a single version recently.
+
+use std::time;
+
+use crate::core::collections;
+use crate::core::fleet;
+use crate::core::fleet::Effect;
+use crate::core::fleet::Fleet;
+use crate::core::fleet::call;
+use crate::core::fleet::catalog;
+use crate::core::fleet::claim;
+use crate::core::fleet::constants;
+use crate::core::fleet::decision;
+use crate::core::fleet::live;
+use crate::core::fleet::message;
+use crate::core::fleet::refusal;
+use crate::core::fleet::servers;
+use crate::core::fleet::streams;
+use crate::core::fleet::waiting;
+use crate::core::ids;
+
+/// Why a stream is resumed at a version, or is not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OriginSource {
+    /// This instance knew the origin.
+    Known,
+    /// A coordinator or the store knew the origin.
+    LookedUp,
+    /// The origin is unknown, and the service has run a single version recently.
+    SingleVersion,
+    /// The origin is unknown, and the service runs several versions or its versions are unknown.
+    Unknown,
+}
+
+impl OriginSource {
+    /// Returns the name of the source in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::LookedUp => "looked_up",
+            Self::SingleVersion => "single_version",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Fleet {
+    /// Binds a request to the software version of the server that has generated its first event, and
+    /// makes the origin known.
+    pub(super) fn bind_started_stream(
+        &mut self,
+        request: call::RequestNumber,
+        server: &ids::ServerId,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let version =
+            self.servers.get(server).and_then(|server| server.entry.software_version.clone());
+        let Some(live) = self.requests.get_mut(&request) else { return };
+        if !live.is_resumable() || live.claim.binding != claim::Binding::Any {
+            return;
+        }
+        let Some(software_version) = version else {
+            live.claim.binding = claim::Binding::Unknown;
+            return;
+        };
+        live.claim.binding = claim::Binding::Version(software_version.clone());
+        let service = live.claim.service.clone();
+        if let Some(stream) = live.stream_key() {
+            let origin = streams::Origin { stream, service, software_version };
+            self.announce_origin(origin, now, effects);
+        }
+    }
+
+    fn announce_origin(
+        &mut self,
+        origin: streams::Origin,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for to in self.health_report_receivers(now) {
+            let message = message::Message::StreamsBegun(vec![origin.clone()]);
+            effects.push(Effect::SendMessage { to, message });
+        }
+        self.origins.record(origin, now);
+    }
+
+    /// Starts the lookup of the origin of the stream that a caller resumes; returns whether the
+    /// request has to wait for it or was refused.
+    pub(super) fn start_resumption(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(live) = self.requests.get_mut(&request) else { return false };
+        if live.call.resumes.is_none() || !live.is_resumable() {
+            return false;
+        }
+        let stream = live.stream_key();
+        live.phase =
+            live::Phase::AwaitingOrigin(live::AwaitingOrigin { since: now, is_store_read: false });
+        if let Some((origin, age)) = stream.and_then(|stream| self.origins.get(stream, now)) {
+            let origin = origin.clone();
+            let source = OriginSource::Known;
+            self.finish_lookup(request, Some((origin, age)), source, now, effects);
+            return true;
+        }
+        if stream.is_none() && now >= streams::RETENTION {
+            self.give_up_lookup(request, now, effects);
+            return true;
+        }
+        effects.push(Effect::ReadStreamOrigins);
+        let Some(stream) = stream else { return true };
+        for to in self.health_report_receivers(now) {
+            let message = message::Message::StreamQuery { stream };
+            effects.push(Effect::SendMessage { to, message });
+        }
+        true
+    }
+
+    /// Applies origins that a peer has observed or was asked for.
+    pub(super) fn receive_origins(
+        &mut self,
+        origins: Vec<streams::Origin>,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for origin in origins {
+            self.origins.record(origin, now);
+        }
+        self.finish_known_lookups(now, effects);
+    }
+
+    /// Answers a peer that asks for the origin of a stream.
+    pub(super) fn answer_stream_query(
+        &self,
+        from: std::net::SocketAddr,
+        stream: call::StreamKey,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some((origin, _)) = self.origins.get(stream, now) {
+            let message = message::Message::StreamsBegun(vec![origin.clone()]);
+            effects.push(Effect::SendMessage { to: from, message });
+        }
+    }
+
+    /// Applies a read of all origins in the store.
+    pub(super) fn apply_stored_origins(
+        &mut self,
+        origins: Vec<streams::Origin>,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for origin in origins {
+            self.origins.record_stored(origin, now);
+        }
+        for live in self.requests.values_mut() {
+            if let live::Phase::AwaitingOrigin(awaiting) = &mut live.phase {
+                awaiting.is_store_read = true;
+            }
+        }
+        self.finish_known_lookups(now, effects);
+        self.end_lookups(now, effects);
+    }
+
+    fn finish_known_lookups(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        for (request, _) in self.lookups() {
+            let stream = self.requests.get(&request).and_then(live::LiveRequest::stream_key);
+            let known = stream.and_then(|stream| self.origins.get(stream, now));
+            if let Some((origin, age)) = known.map(|(origin, age)| (origin.clone(), age)) {
+                let source = OriginSource::LookedUp;
+                self.finish_lookup(request, Some((origin, age)), source, now, effects);
+            }
+        }
+    }
+
+    /// Ends the lookups that no longer wait for an answer, and repeats failed reads of the store.
+    pub(super) fn end_lookups(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        for (request, awaiting) in self.lookups() {
+            let elapsed = now.saturating_sub(awaiting.since);
+            let is_named =
+                self.requests.get(&request).is_some_and(|live| live.stream_key().is_some());
+            let awaits_peers = is_named && elapsed < constants::COORDINATOR_RESPONSE_TIMEOUT;
+            let awaits_store =
+                !awaiting.is_store_read && elapsed < constants::ORIGIN_LOOKUP_TIMEOUT;
+            if !awaits_peers && !awaits_store {
+                self.give_up_lookup(request, now, effects);
+            } else if awaits_store && elapsed > time::Duration::ZERO {
+                effects.push(Effect::ReadStreamOrigins);
+            }
+        }
+    }
+
+    /// Returns the requests that wait for the origin of their stream, in the order of their numbers.
+    fn lookups(&self) -> Vec<(call::RequestNumber, live::AwaitingOrigin)> {
+        let mut lookups: Vec<_> = self
+            .requests
+            .iter()
+            .filter_map(|(request, live)| match &live.phase {
+                live::Phase::AwaitingOrigin(awaiting) => Some((*request, *awaiting)),
+                _ => None,
+            })
+            .collect();
+        lookups.sort_unstable_by_key(|(request, _)| *request);
+        lookups
+    }
+
+    /// Resumes a stream of unknown origin if its service has run a single version recently.
+    fn give_up_lookup(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get(&request) else { return };
+        let live::Phase::AwaitingOrigin(awaiting) = live.phase else { return };
+        let (service, stream) = (live.claim.service.clone(), live.stream_key());
+        // An instance that has just started knows former versions from the store only.
+        let knows_versions = awaiting.is_store_read || now >= streams::RETENTION;
+        let version = self.single_version(&service, now).filter(|_| knows_versions);
+        let Some(software_version) = version else {
+            let source = OriginSource::Unknown;
+            return self.finish_lookup(request, None, source, now, effects);
+        };
+        let origin =
+            streams::Origin { stream: stream.unwrap_or_default(), service, software_version };
+        if stream.is_some() {
+            self.announce_origin(origin.clone(), now, effects);
+        }
+        let known = Some((origin, time::Duration::ZERO));
+        self.finish_lookup(request, known, OriginSource::SingleVersion, now, effects);
+    }
+
+    /// Places a request at the version of its stream, or refuses it without one.
+    fn finish_lookup(
+        &mut self,
+        request: call::RequestNumber,
+        found: Option<(streams::Origin, time::Duration)>,
+        source: OriginSource,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get(&request) else { return };
+        let live::Phase::AwaitingOrigin(awaiting) = live.phase else { return };
+        effects.push(Effect::Log(decision::Decision::StreamResumed {
+            request: fleet::text(&live.call.id),
+            resumes: live.call.resumes.as_ref().map(fleet::text).unwrap_or_default(),
+            source,
+            service: found.as_ref().map(|(origin, _)| origin.service.to_string()),
+            software_version: found.as_ref().map(|(origin, _)| origin.software_version.clone()),
+            age_ms: found.as_ref().map(|(_, age)| waiting::millis(*age)),
+            waited_ms: waiting::millis(now.saturating_sub(awaiting.since)),
+            is_store_read: awaiting.is_store_read,
+        }));
+        let is_bound = found.is_some_and(|(origin, _)| self.bind_resumed(request, &origin));
+        if is_bound {
+            return self.wait_again(request, now, effects);
+        }
+        let wait = self.jittered(constants::MIN_RETRY_AFTER);
+        let refusal = refusal::Refusal::retry_after(refusal::Reason::NotResumable, wait);
+        self.refuse(request, refusal, now, effects);
+    }
+
+    /// Binds a request to the service and version of its stream; returns whether its route still
+    /// leads to that service.
+    fn bind_resumed(&mut self, request: call::RequestNumber, origin: &streams::Origin) -> bool {
+        let engine = self.catalog.as_ref().and_then(|catalog| catalog.engine(&origin.service));
+        let Some(live) = self.requests.get_mut(&request) else { return false };
+        if !live.route.services.iter().any(|(service, _)| *service == origin.service) {
+            return false;
+        }
+        live.claim.service = origin.service.clone();
+        live.claim.engine = engine;
+        live.claim.binding = claim::Binding::Version(origin.software_version.clone());
+        true
+    }
+
+    /// Returns the software version of a service if it has run no other one recently, as far as this
+    /// instance knows.
+    fn single_version(
+        &self,
+        service: &catalog::ServiceId,
+        now: ids::Timestamp,
+    ) -> Option<servers::SoftwareVersion> {
+        let mut listed = self.servers.of_service(service);
+        if listed.any(|server| server.entry.software_version.is_none()) {
+            return None;
+        }
+        let mut versions = self.recent_versions(service, now);
+        let first = versions.next()?.clone();
+        versions.all(|version| *version == first).then_some(first)
+    }
+
+    /// Returns the versions of a service that serve or have served recently; some more than once.
+    fn recent_versions(
+        &self,
+        service: &catalog::ServiceId,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = &servers::SoftwareVersion> {
+        self.servers.versions(service, now).chain(self.origins.versions(service, now))
+    }
+
+    fn runs_several_versions(&self, service: &catalog::ServiceId, now: ids::Timestamp) -> bool {
+        let mut versions = self.recent_versions(service, now);
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
+    /// Removes and returns origins of streams to be written to the store. While a service runs a
+    /// single version, its streams need no record.
+    pub fn take_unstored_origins(&mut self, now: ids::Timestamp) -> Vec<streams::Origin> {
+        let is_several: collections::Map<_, _> = self
+            .origins
+            .services()
+            .map(|service| (service.clone(), self.runs_several_versions(service, now)))
+            .collect();
+        let is_due = |origin: &streams::Origin| is_several.get(&origin.service) == Some(&true);
+        self.origins.take_unstored(constants::MAX_ORIGINS_PER_RECORD, is_due, now)
+    }
+
+    /// Puts back origins that could not be written to the store.
+    pub fn put_back_origins(&mut self, origins: &[streams::Origin]) {
+        self.origins.put_back(origins);
+    }
+}
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -7,6 +7,7 @@
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
 use crate::core::fleet::estimate;
+use crate::core::fleet::streams;
 use crate::core::ids;
 
 pub mod entry;
@@ -126,8 +127,13 @@
 
     /// Returns whether the server may get new requests.
     pub fn is_usable(&self, now: ids::Timestamp) -> bool {
+        self.is_available(now) && now >= self.ejected_until
+    }
+
+    /// Returns whether the server is listed and not draining. It may be ejected for some time.
+    pub fn is_available(&self, now: ids::Timestamp) -> bool {
         let is_listed = self.expired.is_none_or(|expiry| !expiry.is_final(now));
-        !self.entry.is_draining && is_listed && now >= self.ejected_until
+        !self.entry.is_draining && is_listed
     }
 
     /// Returns whether the server may prefill for a handover; it may not for some time after one of
@@ -177,6 +183,8 @@
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
+    /// The software versions of servers that were removed or replaced, with the time of that.
+    former_versions: collections::Map<catalog::ServiceId, Vec<(SoftwareVersion, ids::Timestamp)>>,
     /// The position from which on all removals are remembered; `None` before the first complete
     /// listing.
     removals_known_since: Option<ids::StorePosition>,
@@ -223,7 +231,7 @@
         missing
     }
 
-    fn insert(&mut self, entry: Entry, now: ids::Timestamp) -> bool {
+    fn insert(&mut self, mut entry: Entry, now: ids::Timestamp) -> bool {
         if self.removed.get(&entry.id).is_some_and(|offset| *offset >= entry.offset) {
             return false;
         }
@@ -234,11 +242,24 @@
             return true;
         };
         if server.entry.offset >= entry.offset {
+            if server.entry.offset == entry.offset && server.entry.software_version.is_none() {
+                server.entry.software_version = entry.software_version;
+            }
             return false;
         }
         let is_restarted = server.entry.born_ms != entry.born_ms;
-        let is_reassigned =
-            server.entry.service != entry.service || server.entry.stage != entry.stage;
+        if entry.software_version.is_none() && !is_restarted {
+            entry.software_version = server.entry.software_version.clone();
+        }
+        let former = server.entry.software_version.clone();
+        let former = former.filter(|_| server.entry.software_version != entry.software_version);
+        if let Some(former) = &former {
+            let versions = self.former_versions.entry(server.entry.service.clone()).or_default();
+            streams::note_version(versions, former, now);
+        }
+        let is_reassigned = server.entry.service != entry.service
+            || server.entry.stage != entry.stage
+            || former.is_some();
         let changed = is_restarted
             || is_reassigned
             || server.entry.is_draining != entry.is_draining
@@ -272,12 +293,17 @@
             server.expired.get_or_insert(Expiry { at: now, offset });
             return true;
         }
-        self.delete(id, offset);
+        self.delete(id, offset, now);
         true
     }
 
-    fn delete(&mut self, id: &ids::ServerId, offset: ids::StorePosition) {
-        self.servers.remove(id);
+    fn delete(&mut self, id: &ids::ServerId, offset: ids::StorePosition, now: ids::Timestamp) {
+        if let Some(server) = self.servers.remove(id)
+            && let Some(version) = server.entry.software_version
+        {
+            let versions = self.former_versions.entry(server.entry.service).or_default();
+            streams::note_version(versions, &version, now);
+        }
         self.removed.insert(id.clone(), offset);
         self.drop_old_removals();
         self.rebuild_index();
@@ -330,7 +356,7 @@
             })
             .collect();
         for (id, offset) in &overdue {
-            self.delete(id, *offset);
+            self.delete(id, *offset, now);
         }
         overdue.into_iter().map(|(id, _)| id).collect()
     }
@@ -354,6 +380,18 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
+    /// Returns the software versions of the servers of a service, and those of former servers of it
+    /// that a recent stream may have begun at; some more than once.
+    pub fn versions(
+        &self,
+        service: &catalog::ServiceId,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        let listed = self.of_service(service);
+        let listed = listed.filter_map(|server| server.entry.software_version.as_ref());
+        listed.chain(streams::recent_versions(self.former_versions.get(service), now))
+    }
+
     /// Returns the ids and addresses of the decode servers that were not returned before.
     pub fn take_unlisted_decode_servers(&mut self) -> Vec<(ids::ServerId, net::SocketAddr)> {
         let is_new = |server: &&mut Server| {
--- a/src/core/fleet/servers/tests.rs
+++ b/src/core/fleet/servers/tests.rs
@@ -8,8 +8,10 @@
 use super::Directory;
 use super::Entry;
 use super::EntryChange;
+use super::SoftwareVersion;
 use super::Source;
 use crate::core::collections;
+use crate::core::fleet::streams;
 use crate::core::ids;
 
 const SERVERS: usize = 4;
@@ -165,3 +167,41 @@
         }
     }
 }
+
+fn put(id: &'static str, version: Option<&str>, offset: ids::StorePosition) -> EntryChange {
+    let version = version.map(SoftwareVersion::from);
+    let id = Bytes::from_static(id.as_bytes());
+    EntryChange::Put(Entry { software_version: version, ..entry(id, false, offset) })
+}
+
+fn versions(directory: &Directory, now: ids::Timestamp) -> Vec<&str> {
+    let mut versions: Vec<_> = directory.versions(&"s".into(), now).map(|it| &**it).collect();
+    versions.sort_unstable();
+    versions
+}
+
+#[test]
+fn the_versions_of_former_servers_are_remembered_for_the_retention_of_streams() {
+    let now = time::Duration::from_secs(1);
+    let mut directory = Directory::default();
+    directory.apply(put("one", Some("v1"), 1), Source::Steady, now);
+    directory.apply(put("other", Some("v1"), 2), Source::Steady, now);
+    directory.apply(put("one", Some("v2"), 3), Source::Steady, now);
+    assert_eq!(versions(&directory, now), ["v1", "v1", "v2"], "one server was replaced");
+    let removed = EntryChange::Removed { id: Bytes::from_static(b"other"), offset: 4 };
+    directory.apply(removed, Source::Steady, now);
+    assert_eq!(versions(&directory, now + streams::RETENTION), ["v1", "v2"]);
+    let later = now + streams::RETENTION + time::Duration::from_millis(1);
+    assert_eq!(versions(&directory, later), ["v2"]);
+}
+
+#[test]
+fn a_version_that_a_peer_does_not_know_is_filled_in_and_not_lost() {
+    let now = time::Duration::ZERO;
+    let mut directory = Directory::default();
+    directory.apply(put("one", None, 1), Source::Steady, now);
+    directory.apply(put("one", Some("v1"), 1), Source::Steady, now);
+    assert_eq!(versions(&directory, now), ["v1"]);
+    directory.apply(put("one", None, 2), Source::Steady, now);
+    assert_eq!(versions(&directory, now), ["v1"]);
+}
--- /dev/null
+++ b/src/core/fleet/streams.rs
@@ -0,0 +1,154 @@
+//! The origins of resumable streams: the service and the software version that began each.
+//!
+//! Load pattern: servers of two versions serve side by side, instances stop, and the callers of
+//! their streams return to other instances within a second.
+
+use std::collections::VecDeque;
+use std::time;
+
+use crate::core::collections;
+use crate::core::fleet::call;
+use crate::core::fleet::catalog;
+use crate::core::fleet::recent;
+use crate::core::fleet::servers;
+use crate::core::ids;
+
+/// The time for which the origin of a stream is remembered: longer than a caller waits for a stream
+/// with all its attempts.
+pub const RETENTION: time::Duration = time::Duration::from_secs(20);
+
+/// The maximum number of remembered origins; bounds their memory to about 10 MB.
+const MAX_ORIGINS: usize = 65_536;
+
+/// The beginning of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Origin {
+    /// The key of the stream.
+    pub stream: call::StreamKey,
+    /// The service of the server that began it.
+    pub service: catalog::ServiceId,
+    /// The software version of that server.
+    pub software_version: servers::SoftwareVersion,
+}
+
+/// The known origins of recent streams.
+#[derive(Debug)]
+pub struct Origins {
+    known: recent::RecentMap<call::StreamKey, Origin>,
+    /// The streams whose origins are not in the store, as far as this instance knows.
+    unstored: VecDeque<call::StreamKey>,
+    /// When a stream last began at each version of a service.
+    versions: collections::Map<catalog::ServiceId, Vec<(servers::SoftwareVersion, ids::Timestamp)>>,
+}
+
+impl Default for Origins {
+    fn default() -> Self {
+        Self {
+            known: recent::RecentMap::new(RETENTION, MAX_ORIGINS),
+            unstored: VecDeque::new(),
+            versions: collections::Map::default(),
+        }
+    }
+}
+
+impl Origins {
+    /// Records an origin that this instance or a peer has observed.
+    pub fn record(&mut self, origin: Origin, now: ids::Timestamp) {
+        let stream = origin.stream;
+        if self.insert(origin, now) {
+            self.unstored.push_back(stream);
+        }
+    }
+
+    /// Records an origin that was read from the store.
+    pub fn record_stored(&mut self, origin: Origin, now: ids::Timestamp) {
+        self.insert(origin, now);
+    }
+
+    /// Adds an origin; returns whether it was unknown.
+    fn insert(&mut self, origin: Origin, now: ids::Timestamp) -> bool {
+        let versions = self.versions.entry(origin.service.clone()).or_default();
+        note_version(versions, &origin.software_version, now);
+        if self.known.get(&origin.stream, now).is_some() {
+            return false;
+        }
+        self.known.record(origin.stream, origin, now);
+        while let Some(oldest) = self.unstored.front()
+            && self.known.get(oldest, now).is_none()
+        {
+            self.unstored.pop_front();
+        }
+        true
+    }
+
+    /// Returns the origin of a stream and its age.
+    pub fn get(
+        &self,
+        stream: call::StreamKey,
+        now: ids::Timestamp,
+    ) -> Option<(&Origin, time::Duration)> {
+        self.known.get(&stream, now)
+    }
+
+    /// Returns the services at which streams began.
+    pub fn services(&self) -> impl Iterator<Item = &catalog::ServiceId> {
+        self.versions.keys()
+    }
+
+    /// Returns the versions of a service at which streams began recently.
+    pub fn versions(
+        &self,
+        service: &catalog::ServiceId,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = &servers::SoftwareVersion> {
+        recent_versions(self.versions.get(service), now)
+    }
+
+    /// Removes and returns up to `max` origins that are not in the store and fulfil `is_due`.
+    pub fn take_unstored<F: Fn(&Origin) -> bool>(
+        &mut self,
+        max: usize,
+        is_due: F,
+        now: ids::Timestamp,
+    ) -> Vec<Origin> {
+        let mut taken = Vec::new();
+        let known = &self.known;
+        self.unstored.retain(|stream| {
+            let Some((origin, _)) = known.get(stream, now) else { return false };
+            if taken.len() >= max || !is_due(origin) {
+                return true;
+            }
+            taken.push(origin.clone());
+            false
+        });
+        taken
+    }
+
+    /// Puts origins back that could not be written to the store.
+    pub fn put_back(&mut self, origins: &[Origin]) {
+        self.unstored.extend(origins.iter().map(|origin| origin.stream));
+    }
+}
+
+/// Updates when a version was last seen.
+pub(super) fn note_version(
+    versions: &mut Vec<(servers::SoftwareVersion, ids::Timestamp)>,
+    version: &servers::SoftwareVersion,
+    now: ids::Timestamp,
+) {
+    match versions.iter_mut().find(|(known, _)| known == version) {
+        Some((_, seen)) => *seen = now,
+        None => versions.push((version.clone(), now)),
+    }
+    versions.retain(|(_, seen)| now.saturating_sub(*seen) <= RETENTION);
+}
+
+/// Returns the versions that were seen recently.
+pub(super) fn recent_versions(
+    versions: Option<&Vec<(servers::SoftwareVersion, ids::Timestamp)>>,
+    now: ids::Timestamp,
+) -> impl Iterator<Item = &servers::SoftwareVersion> {
+    let versions = versions.map(Vec::as_slice).unwrap_or_default();
+    let is_recent = move |seen: ids::Timestamp| now.saturating_sub(seen) <= RETENTION;
+    versions.iter().filter(move |(_, seen)| is_recent(*seen)).map(|(version, _)| version)
+}
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -45,7 +45,11 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        if self.request_reservation(request, now, effects) || self.try_place(request, now, effects)
+        let Some(live) = self.requests.get(&request) else { return };
+        let is_servable = self.has_generator(&live.claim, now);
+        if is_servable
+            && (self.request_reservation(request, now, effects)
+                || self.try_place(request, now, effects))
         {
             return;
         }
@@ -64,7 +68,11 @@
         let Some(live) = self.requests.get(&request) else { return false };
         let (claim, max_wait) = (live.claim.clone(), live.expires.saturating_sub(now) / 3);
         let Some(wait) = self.retry_wait(Waiter::Local(request), &claim, now) else { return false };
-        let reason = refusal::Reason::NoCapacity;
+        let reason = if self.has_generator(&claim, now) {
+            refusal::Reason::NoCapacity
+        } else {
+            refusal::Reason::NotResumable
+        };
         let refusal = refusal::Refusal::retry_after(reason, wait.min(max_wait));
         self.refuse(request, refusal, now, effects);
         true
@@ -82,11 +90,11 @@
         if self.waiting.is_empty() && self.claims.is_empty() {
             return;
         }
-        let mut failed: Vec<(catalog::ServiceId, u32)> = Vec::new();
-        for (waiter, service) in self.queue(now) {
-            let known = failed.iter().position(|(known, _)| *known == service);
+        let mut failed: Vec<((catalog::ServiceId, claim::Binding), u32)> = Vec::new();
+        for (waiter, pool) in self.queue(now) {
+            let known = failed.iter().position(|(known, _)| *known == pool);
             let index = known.unwrap_or_else(|| {
-                failed.push((service, 0));
+                failed.push((pool, 0));
                 failed.len() - 1
             });
             if failed[index].1 >= MAX_FAILED_PLACEMENTS {
@@ -106,8 +114,8 @@
         });
     }
 
-    /// Returns the queue in the order of placement.
-    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, catalog::ServiceId)> {
+    /// Returns the queue in the order of placement, with the pool of servers that each waits for.
+    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, (catalog::ServiceId, claim::Binding))> {
         let local = self.waiting.iter().filter_map(|request| {
             let live = self.requests.get(request)?;
             Some((Waiter::Local(*request), &live.claim))
@@ -116,7 +124,8 @@
             self.claims.iter().map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim));
         let mut queue: Vec<_> = local.chain(remote).collect();
         queue.sort_by_key(|(_, claim)| claim.order(now));
-        queue.into_iter().map(|(waiter, claim)| (waiter, claim.service.clone())).collect()
+        let pool = |claim: &claim::Claim| (claim.service.clone(), claim.binding.clone());
+        queue.into_iter().map(|(waiter, claim)| (waiter, pool(claim))).collect()
     }
 
     /// Queues a request again after a failed attempt, or refuses it if it cannot be served in time.
@@ -151,6 +160,9 @@
         claim: &claim::Claim,
         now: ids::Timestamp,
     ) -> Option<time::Duration> {
+        if !self.has_generator(claim, now) {
+            return Some(self.jittered(time::Duration::ZERO));
+        }
         let remaining = claim.begin_by.saturating_sub(now);
         let drain_ms = match claim.engine {
             Some(engine) => self.engine_drain_ms(waiter, claim, engine, now),
@@ -189,6 +201,20 @@
             .filter(move |other| other.service == claim.service && other.order(now) <= order)
     }
 
+    /// Returns whether a server is listed that may go on with the stream of a claim; `true` for a
+    /// request without events.
+    fn has_generator(&self, claim: &claim::Claim, now: ids::Timestamp) -> bool {
+        if claim.binding == claim::Binding::Any {
+            return true;
+        }
+        self.servers.of_service(&claim.service).any(|server| {
+            server.is_available(now)
+                && server.entry.stage != Some(servers::Stage::Prefill)
+                && claim.binding.allows(server)
+                && !claim.tried.contains(&server.entry.id)
+        })
+    }
+
     /// Returns the usable servers that the request was not sent to yet.
     fn untried<'a>(
         &'a self,
@@ -217,7 +243,7 @@
         let (mut rate, mut capacity) = (0.0, 0.0);
         for server in self.untried(claim, now) {
             rate += server.tokens_per_ms;
-            if server.entry.stage != Some(servers::Stage::Prefill) {
+            if server.entry.stage != Some(servers::Stage::Prefill) && claim.binding.allows(server) {
                 capacity += f64::from(engine.memory_tokens);
             }
         }
@@ -229,7 +255,7 @@
     /// Returns the time until the plain servers have served the requests ahead.
     fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
-        for server in self.untried(claim, now) {
+        for server in self.untried(claim, now).filter(|server| claim.binding.allows(server)) {
             slots += f64::from(server.entry.slots);
             work_ms = work_ms.max(server.work_ms);
         }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod entries;
 pub mod headers;
+pub mod origins;
 pub mod settings;
 pub mod store;
 pub mod watch;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -33,7 +33,10 @@
     /// The requested offset is not stored: its record has expired, or the store was restored from a
     /// copy that lacks it.
     #[error("there is no record at this offset; read the newest record of each key")]
-    Deleted,
+    Deleted {
+        /// The offset of the oldest stored record, if the store has returned it.
+        first: Option<ids::Offset>,
+    },
     /// The response comes from before the store was restored.
     #[error("the response of era {0} is outdated; era {1} was read before")]
     OutdatedEra(u64, u64),
@@ -89,6 +92,13 @@
     offset: ids::Offset,
 }
 
+/// The range of the stored records of a topic, returned for a deleted offset.
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct StoredRange {
+    first_offset: ids::Offset,
+}
+
 /// A client of the store with one connection, which is replaced after each failure.
 pub struct Store {
     address: net::SocketAddr,
@@ -122,7 +132,7 @@
                 serde_json::from_slice(&body).map_err(|_| StoreError::Unreadable("newest"))?;
             if *era.get_or_insert(self.era) != self.era {
                 // The pages come from different copies.
-                return Err(StoreError::Deleted);
+                return Err(StoreError::Deleted { first: None });
             }
             // Pages are not a snapshot: the next read starts at the end offset of the first page,
             // so that it returns all later changes.
@@ -224,7 +234,10 @@
         self.check_era(response.headers())?;
         match response.status().as_u16() {
             200 => Ok(response.into_body()),
-            410 => Err(StoreError::Deleted),
+            410 => {
+                let range = serde_json::from_slice::<StoredRange>(response.body());
+                Err(StoreError::Deleted { first: range.ok().map(|range| range.first_offset) })
+            }
             status => Err(StoreError::Refused(status)),
         }
     }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -15,6 +15,7 @@
 use crate::core::ids;
 use crate::platform::configuration;
 use crate::platform::entries;
+use crate::platform::origins;
 use crate::platform::settings;
 use crate::platform::store;
 use crate::router::clock;
@@ -63,6 +64,7 @@
     tokio::task::spawn_local(follow_configuration(address, rc::Rc::clone(&context)));
     tokio::task::spawn_local(follow_servers(address, rc::Rc::clone(&context)));
     tokio::task::spawn_local(maintain_spending_history(address, rc::Rc::clone(&context)));
+    origins::start(address, &context);
     tokio::task::spawn_local(follow_members(address, context));
 }
 
@@ -127,7 +129,7 @@
                 Some(Batch { records: records.records, is_complete, is_restored, next })
             }
             Err(failure) => {
-                if matches!(failure, store::StoreError::Deleted) {
+                if matches!(failure, store::StoreError::Deleted { .. }) {
                     self.next = None;
                 } else if !std::mem::replace(&mut self.is_failing, true) {
                     log::warn!("cannot read topic {} of the store: {failure}", self.topic);
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -64,6 +64,8 @@
     load_change: tokio::sync::Notify,
     /// Notified of a change that peers should receive immediately.
     urgent_change: tokio::sync::Notify,
+    /// Notified when the origins of streams in the store are to be read.
+    pub origin_lookup: tokio::sync::Notify,
     /// Whether this instance is stopping; responses then close their connections.
     pub stopping: tokio::sync::watch::Sender<bool>,
     /// When the store's servers were last read, by this instance or by a peer that it asked.
@@ -89,6 +91,7 @@
             clock: clock::Clock::start(),
             load_change: tokio::sync::Notify::new(),
             urgent_change: tokio::sync::Notify::new(),
+            origin_lookup: tokio::sync::Notify::new(),
             stopping: tokio::sync::watch::Sender::new(false),
             store_read_at: cell::Cell::new(None),
             servers_end: cell::Cell::new(0),
@@ -158,6 +161,7 @@
             fleet::Effect::ReleaseKvCache { address, handle } => self.release(address, &handle),
             fleet::Effect::SendMessage { to, message } => self.send_to_peer(to, &message),
             fleet::Effect::ListPrompts { server, address } => self.list_prompts(server, address),
+            fleet::Effect::ReadStreamOrigins => self.origin_lookup.notify_one(),
             fleet::Effect::PublishLoad => self.load_change.notify_one(),
             fleet::Effect::AnnounceChange => self.urgent_change.notify_one(),
             fleet::Effect::Log(decision) => self.log(&decision),
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -34,6 +34,9 @@
             let labels = labels(route, workspace.as_deref());
             metrics::histogram!("answer_ms", &labels).record(*since_arrival_ms as f64);
         }
+        decision::Decision::StreamResumed { source, .. } => {
+            metrics::counter!("streams_resumed_total", "source" => source.name()).increment(1);
+        }
         decision::Decision::StreamEnded { framing, end, .. } => {
             let labels = [("framing", framing.name()), ("end", end.name())];
             metrics::counter!("streams_ended_total", &labels).increment(1);
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -72,6 +72,15 @@
     history: Option<Vec<quota::Spending>>,
 }
 
+/// What follows a response, encoded by name. Builds that do not know it ignore what follows a
+/// response.
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+struct SyncExtension {
+    /// The software versions of the servers in the response.
+    software_versions: Vec<(ids::ServerId, servers::SoftwareVersion)>,
+}
+
 /// Responds to requests of peers.
 pub async fn serve(listener: tokio::net::TcpListener, context: rc::Rc<context::Context>) {
     loop {
@@ -91,11 +100,36 @@
     let mut bytes = Vec::new();
     (&mut stream).take(MAX_REQUEST_BYTES).read_to_end(&mut bytes).await?;
     let request = rmp_serde::from_slice(&bytes).map_err(io::Error::other)?;
-    let bytes = rmp_serde::to_vec(&sync_response(context, request)).map_err(io::Error::other)?;
+    let bytes = encode(&sync_response(context, request)).map_err(io::Error::other)?;
     stream.write_all(&bytes).await?;
     stream.shutdown().await
 }
 
+fn encode(response: &SyncResponse) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let versioned = response.entries.iter().filter_map(|entry| {
+        let version = entry.software_version.clone()?;
+        Some((entry.id.clone(), version))
+    });
+    let extension = SyncExtension { software_versions: versioned.collect() };
+    let mut bytes = rmp_serde::to_vec(response)?;
+    bytes.extend(rmp_serde::to_vec_named(&extension)?);
+    Ok(bytes)
+}
+
+/// Decodes a response, and the extension if the peer has sent one.
+fn decode(mut bytes: &[u8]) -> Result<SyncResponse, rmp_serde::decode::Error> {
+    let mut response: SyncResponse = rmp_serde::from_read(&mut bytes)?;
+    if bytes.is_empty() {
+        return Ok(response);
+    }
+    let extension: SyncExtension = rmp_serde::from_slice(bytes)?;
+    let mut versions: collections::Map<_, _> = extension.software_versions.into_iter().collect();
+    for entry in &mut response.entries {
+        entry.software_version = versions.remove(&entry.id);
+    }
+    Ok(response)
+}
+
 fn sync_response(context: &context::Context, request: SyncRequest) -> SyncResponse {
     let now = context.now();
     let age = context.store_read_at.get().map(|at| now.saturating_sub(at));
@@ -154,7 +188,7 @@
     stream.shutdown().await?;
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await?;
-    rmp_serde::from_slice(&bytes).map_err(io::Error::other)
+    decode(&bytes).map_err(io::Error::other)
 }
 
 fn apply_response(context: &context::Context, response: SyncResponse) {
@@ -209,3 +243,6 @@
     let ListingUpdate { changes, complete, source, sender_position } = update;
     context.apply(fleet::Event::ServersChanged { changes, complete, source, sender_position });
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -1,6 +1,7 @@
 //! Streams beside servers of two software versions.
 
 use bytes::Bytes;
+use galenayard::core::fleet::refusal;
 use galenayard::core::fleet::servers;
 
 use super::FAST_DIGESTS;
@@ -103,3 +104,82 @@
         assert_eq!(resumed.continued as u64, STREAMS, "{instances}: {resumed:?}");
     }
 }
+
+#[test]
+fn streams_of_a_single_version_continue_without_any_record() {
+    for instances in [3, 20] {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        for index in 0..STREAMS {
+            world.arrive_resumable(ms(index * 40), index as usize % instances, None);
+        }
+        world.run(ms(2_000));
+        world.restart_all(&world::servers());
+        // Half of the callers do not name their stream.
+        for index in 0..STREAMS {
+            let id = if index % 2 == 0 { index.to_string() } else { String::new() };
+            world.arrive_resumable(ms(50), index as usize % instances, Some(Bytes::from(id)));
+        }
+        world.run(ms(14_000));
+        let resumed = world.records.values().filter(|record| record.resumes.is_some());
+        assert!(resumed.clone().all(|record| record.finished && record.begun_at.len() == 1));
+        assert_eq!(resumed.count() as u64, STREAMS);
+        assert_eq!(world.origin_records, 0, "{instances}: the store is not needed");
+    }
+}
+
+fn assert_refused_at_once(record: &world::Record) {
+    let refusal = record.refused.expect("the request is refused");
+    assert_eq!(refusal.reason, refusal::Reason::NotResumable);
+    assert_eq!(refusal.status(), 503);
+    assert!(refusal.retry_after.is_some());
+    assert_eq!((record.runs, record.prefills), (0, 0), "it has not run");
+    let refused_at = record.refused_at.expect("the time is recorded");
+    assert!(refused_at - record.arrived <= ms(200), "{:?}", refused_at - record.arrived);
+}
+
+#[test]
+fn a_stream_of_unknown_origin_is_refused_while_two_versions_serve() {
+    for id in ["unknown", ""] {
+        let mut world = world_with_streams(3);
+        world.arrive_resumable(ms(0), 2, Some(Bytes::from(id)));
+        world.run(ms(1_000));
+        let mut resumed = world.records.values().filter(|record| record.resumes.is_some());
+        assert_refused_at_once(resumed.next().expect("the request has arrived"));
+    }
+}
+
+#[test]
+fn a_stream_whose_version_is_no_longer_served_is_refused_at_once() {
+    let mut world = world_with_streams(3);
+    let of_v2: Vec<_> = world
+        .records
+        .iter()
+        .filter(|(_, record)| &*version(&record.begun_at[0]) == "v2")
+        .map(|((instance, request), _)| (*instance, *request))
+        .collect();
+    assert!(!of_v2.is_empty());
+    for server in ["llm-6", "llm-7", "llm-8"] {
+        let id = Bytes::from(server);
+        world.list(ms(0), servers::EntryChange::Removed { id, offset: 2 });
+    }
+    world.run(ms(10));
+    for server in ["llm-6", "llm-7", "llm-8"] {
+        world.cut_streams(server);
+    }
+    for (instance, request) in &of_v2 {
+        let id = Bytes::from(request.to_string());
+        world.arrive_resumable(ms(50), (instance + 1) % 3, Some(id));
+    }
+    world.run(ms(1_000));
+    for id in of_v2 {
+        let cut = &world.records[&id];
+        assert_eq!(
+            cut.refused.map(|refusal| refusal.reason),
+            Some(refusal::Reason::OutcomeUnknown)
+        );
+        assert_eq!(cut.begun_at.len(), 1);
+    }
+    let resumed: Vec<_> =
+        world.records.values().filter(|record| record.resumes.is_some()).collect();
+    resumed.into_iter().for_each(assert_refused_at_once);
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -20,6 +20,7 @@
 use galenayard::core::fleet::peers;
 use galenayard::core::fleet::refusal;
 use galenayard::core::fleet::servers;
+use galenayard::core::fleet::streams;
 use galenayard::core::ids;
 
 pub use fixtures::address;
@@ -170,6 +171,9 @@
     pub most_coordinators: usize,
     /// The number of digests sent so far, one per receiver.
     pub datagrams: usize,
+    /// The origins of streams in the store, and the number of records that hold them.
+    pub stored_origins: Vec<streams::Origin>,
+    pub origin_records: usize,
     pub records: Map<(usize, u64), Record>,
 }
 
@@ -198,6 +202,8 @@
             next_request: 0,
             most_coordinators: 0,
             datagrams: 0,
+            stored_origins: Vec::new(),
+            origin_records: 0,
             records: Map::default(),
         };
         for index in 0..instances {
@@ -382,6 +388,7 @@
             }
             Action::Tick { instance } => {
                 self.apply(instance, fleet::Event::Ticked);
+                self.store_origins(instance);
                 self.schedule(TICK, Action::Tick { instance });
             }
             Action::Digest { instance } => self.send_digest(instance),
@@ -503,6 +510,10 @@
                 let event = fleet::Event::PromptsListed { server, prompts };
                 self.schedule(LATENCY * 2, Action::Apply { instance, event });
             }
+            fleet::Effect::ReadStreamOrigins => {
+                let event = fleet::Event::StreamOriginsRead(self.stored_origins.clone());
+                self.schedule(LATENCY * 2, Action::Apply { instance, event });
+            }
             fleet::Effect::Admit { .. }
             | fleet::Effect::ReleaseKvCache { .. }
             | fleet::Effect::PublishLoad
@@ -510,6 +521,17 @@
         }
     }
 
+    /// Writes the origins of streams to the store, if the instance is to do so.
+    fn store_origins(&mut self, instance: usize) {
+        let now = self.clock(instance);
+        let Some(fleet) = self.instances[instance].as_mut() else { return };
+        if fleet.is_limit_coordinator(now) {
+            let origins = fleet.take_unstored_origins(now);
+            self.origin_records += usize::from(!origins.is_empty());
+            self.stored_origins.extend(origins);
+        }
+    }
+
     /// Returns the time on the clock of an instance.
     fn clock(&self, instance: usize) -> Duration {
         self.now - self.started[instance]
