Keep the origins of streams to oneself while a service runs a single version

Cause: each stream cost three datagrams although its origin is of no use while a service runs one version; at 360 instances and 4,500 streams a second a coordinator would get as many messages. A caller whose stream is unknown waited 90 ms for coordinators that had nothing to say.

Ruled out: to send nothing before a second version appears and to lose the streams before it: they are sent then.

Change: origins are announced once a service runs several versions, those of the streams before included; a coordinator answers that it does not know a stream. An isolated instance (neither store nor live peers) does not take the version it knows for the only one.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -40,6 +40,7 @@
 /// Fails if no port is free.
 pub async fn start(
     name: &str,
+    version: &'static str,
     address: net::SocketAddr,
     judge: rc::Rc<judge::Judge>,
 ) -> io::Result<net::SocketAddr> {
@@ -48,13 +49,14 @@
     http::serve(address, move |request| {
         let (name, judge) = (rc::Rc::clone(&name), rc::Rc::clone(&judge));
         let running = rc::Rc::clone(&running);
-        async move { answer(&name, &judge, &running, request).await }
+        async move { answer(&name, version, &judge, &running, request).await }
     })
     .await
 }
 
 async fn answer(
     name: &str,
+    version: &'static str,
     judge: &rc::Rc<judge::Judge>,
     running: &rc::Rc<cell::Cell<u32>>,
     request: hyper::Request<Incoming>,
@@ -95,7 +97,7 @@
         judge.note_answered(&answered);
     };
     let mut answer = if is_stream {
-        streams::response(last_event, streams::Ending::draw(&attempt, name), finish)
+        streams::response(version, last_event, streams::Ending::draw(&attempt, name), finish)
     } else {
         tokio::time::sleep(WORK).await;
         finish();
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -26,6 +26,9 @@
 /// Requests on one connection.
 const REQUESTS_ON_A_CONNECTION: u32 = 8;
 
+/// How often a caller resumes a stream.
+const STREAM_TRIES: u32 = 4;
+
 /// Which instances have met more than planned work lately.
 #[derive(Debug, Default)]
 pub struct Disturbances(cell::RefCell<BTreeMap<net::SocketAddr, time::Instant>>);
@@ -65,6 +68,8 @@
     /// The whole events so far, and their number.
     text: String,
     events: u64,
+    /// How often it may still be resumed.
+    tries: u32,
 }
 
 /// The end of a request.
@@ -131,9 +136,10 @@
         resumed: Option<BrokenStream>,
     ) -> Ended {
         let unsent = Ended { is_reusable: false, broken: None };
+        let resumed = resumed.map(|broken| BrokenStream { tries: broken.tries - 1, ..broken });
         let Some(request) = request(kind, attempt, resumed.as_ref()) else { return unsent };
         if sender.ready().await.is_err() {
-            return Ended { broken: resumed, ..unsent };
+            return Ended { broken: resumed.filter(|broken| broken.tries > 0), ..unsent };
         }
         self.judge.note_sent(
             attempt,
@@ -141,18 +147,24 @@
                 is_idempotent: kind.is_idempotent,
                 path: kind.path.to_string(),
                 workspace: kind.workspace.to_string(),
+                is_resumed: resumed.is_some(),
             },
         );
         let sent = time::Instant::now();
         let mut text = resumed.as_ref().map_or(String::new(), |broken| broken.text.clone());
         let exchange = tokio::time::timeout(ANSWER_TIMEOUT, exchange(sender, request, &mut text));
-        match exchange.await {
+        let exchanged = exchange.await;
+        if judge::is_stream(kind.path) {
+            self.judge.note_events(attempt, &text);
+        }
+        match exchanged {
             Ok(Ok(head)) => {
                 let status = head.status.as_u16();
                 self.judge.note_got(attempt, judge::Got::Answer { status, body: text });
                 let is_reusable =
                     head.headers.get("connection").is_none_or(|value| value != "close");
-                Ended { is_reusable, broken: resumed.filter(|_| status == 503) }
+                let is_refused = |broken: &BrokenStream| status == 503 && broken.tries > 0;
+                Ended { is_reusable, broken: resumed.filter(is_refused) }
             }
             Ok(Err(_)) => {
                 let is_planned = !self.disturbances.is_disturbed(instance, sent);
@@ -210,11 +222,10 @@
     if !kind.is_idempotent || !judge::is_stream(kind.path) || events == streams::EVENTS {
         return None;
     }
-    let first_attempt = resumed
-        .filter(|broken| broken.events > 0)
-        .map_or(attempt.to_string(), |broken| broken.first_attempt);
-    let broken = BrokenStream { kind, first_attempt, text: whole.to_string(), events };
-    (events > 0).then_some(broken)
+    let (first_attempt, tries) = resumed
+        .map_or((attempt.to_string(), STREAM_TRIES), |broken| (broken.first_attempt, broken.tries));
+    let broken = BrokenStream { kind, first_attempt, text: whole.to_string(), events, tries };
+    (events > 0 && tries > 0).then_some(broken)
 }
 
 async fn connect(address: net::SocketAddr) -> Option<http1::SendRequest<Full<Bytes>>> {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -41,6 +41,8 @@
     pub path: String,
     /// The workspace of its key.
     pub workspace: String,
+    /// Whether it resumes a stream.
+    pub is_resumed: bool,
 }
 
 /// What a caller has got.
@@ -67,6 +69,8 @@
     runs: Vec<(Run, time::Duration)>,
     is_answered: bool,
     got: Option<Got>,
+    /// The events of its stream, with those of the attempts before that it resumes.
+    events: String,
 }
 
 #[derive(Debug, Default)]
@@ -93,8 +97,14 @@
     /// Notes what a caller sends.
     pub fn note_sent(&self, attempt: &str, sent: Sent) {
         let sent_at = self.start.elapsed();
-        let attempt_state =
-            Attempt { sent, sent_at, runs: Vec::new(), is_answered: false, got: None };
+        let attempt_state = Attempt {
+            sent,
+            sent_at,
+            runs: Vec::new(),
+            is_answered: false,
+            got: None,
+            events: String::new(),
+        };
         self.state.borrow_mut().attempts.insert(attempt.to_string(), attempt_state);
     }
 
@@ -122,6 +132,13 @@
         }
     }
 
+    /// Notes the events of a stream that a caller has got with an attempt and those before it.
+    pub fn note_events(&self, attempt: &str, events: &str) {
+        if let Some(attempt) = self.state.borrow_mut().attempts.get_mut(attempt) {
+            attempt.events = events.to_string();
+        }
+    }
+
     /// Notes that a path's route is dropped.
     pub fn note_withdrawn(&self, path: &str) {
         self.state.borrow_mut().withdrawn.insert(path.to_string(), self.start.elapsed());
@@ -152,6 +169,16 @@
         (served.count(), state.attempts.len())
     }
 
+    /// Returns how many resumed streams were completed, and how many callers resumed one.
+    pub fn resumed(&self) -> (usize, usize) {
+        let state = self.state.borrow();
+        let resumed = state.attempts.values().filter(|attempt| attempt.sent.is_resumed);
+        let completed = resumed
+            .clone()
+            .filter(|attempt| matches!(attempt.got, Some(Got::Answer { status: 200, .. })));
+        (completed.count(), resumed.count())
+    }
+
     /// Returns the promises that were broken.
     pub fn violations(&self) -> Vec<String> {
         let state = self.state.borrow();
@@ -175,6 +202,9 @@
     if !attempt.sent.is_idempotent && attempt.runs.len() > 1 {
         violate("ran more than once");
     }
+    if streams::is_mixed(&attempt.events) {
+        violate("got events of two software versions");
+    }
     for (run, at) in &attempt.runs {
         if run.has_key {
             violate("passed its key on");
@@ -201,7 +231,7 @@
         }
         Some(Got::Answer { status: 200, body }) => {
             let is_own = match is_stream(&attempt.sent.path) {
-                true => *body == streams::whole(),
+                true => streams::is_whole(body),
                 false => {
                     let mut runs = attempt.runs.iter();
                     runs.any(|(run, _)| *body == crate::backend::body(&run.server, id))
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -55,10 +55,7 @@
                 continue;
             }
             let Ok(server) = tokio::net::TcpStream::connect(to).await else { continue };
-            let (from_caller, to_caller) = caller.into_split();
-            let (from_server, to_server) = server.into_split();
-            tokio::task::spawn_local(pump(from_caller, to_server, mode.clone(), false));
-            tokio::task::spawn_local(pump(from_server, to_caller, mode.clone(), true));
+            tokio::task::spawn_local(relay(caller, server, mode.clone()));
         }
     });
     Ok((address, switch))
@@ -70,31 +67,42 @@
     let _ = stream.set_zero_linger();
 }
 
-async fn pump(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
+/// Passes bytes both ways. A failure of one side resets the other one: a normal close would end an
+/// answer without a length as if it were whole.
+async fn relay(
+    mut caller: tokio::net::TcpStream,
+    mut server: tokio::net::TcpStream,
     switch: Switch,
-    is_answer: bool,
 ) {
+    let (from_caller, to_caller) = caller.split();
+    let (from_server, to_server) = server.split();
+    let requests = pump(from_caller, to_server, &switch, false);
+    let answers = pump(from_server, to_caller, &switch, true);
+    if tokio::try_join!(requests, answers).is_err() {
+        reset(&caller);
+        reset(&server);
+    }
+}
+
+async fn pump(
+    mut from: tokio::net::tcp::ReadHalf<'_>,
+    mut to: tokio::net::tcp::WriteHalf<'_>,
+    switch: &Switch,
+    is_answer: bool,
+) -> io::Result<()> {
     let mut bytes = [0; 8_192];
-    while let Ok(length) = from.read(&mut bytes).await {
+    loop {
+        let length = from.read(&mut bytes).await?;
         if length == 0 {
-            break;
+            return to.shutdown().await;
         }
         match switch.0.get() {
             Mode::Clear => {}
             Mode::Delay(delay) => tokio::time::sleep(delay).await,
-            Mode::Reset => {
-                reset(from.as_ref());
-                return;
-            }
+            Mode::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
             Mode::MuteAnswers if !is_answer => {}
             Mode::MuteAnswers | Mode::Silent => std::future::pending().await,
         }
-        if to.write_all(&bytes[..length]).await.is_err() {
-            return;
-        }
+        to.write_all(&bytes[..length]).await?;
     }
-    // The other side may have closed already.
-    let _ = to.shutdown().await;
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::judge;
 use crate::proxy;
 use crate::store;
+use crate::streams;
 
 /// The time in which instances hear of each other before callers come.
 const WARM_UP: time::Duration = time::Duration::from_millis(1_500);
@@ -30,7 +31,7 @@
 const AFTERMATH: time::Duration = time::Duration::from_millis(3_000);
 
 /// Servers at the start; more come as others leave.
-const SERVERS: usize = 3;
+const SERVERS: usize = 4;
 
 const KINDS: [callers::Kind; 6] = [
     callers::Kind { path: "/order/x", key: "key-a", workspace: "a", is_idempotent: false },
@@ -155,6 +156,7 @@
     callers.iter().for_each(tokio::task::JoinHandle::abort);
     let (served, sent) = world.judge.counts();
     let faults = world.faults.len();
+    let (completed, resumed) = world.judge.resumed();
     let violations = world.judge.violations();
     drop(world);
     if violations.is_empty() {
@@ -164,7 +166,9 @@
     if served == 0 {
         return Err(RunError::NothingServed(sent));
     }
-    let summary = format!("{served} of {sent} requests served under {faults} faults");
+    let summary = format!(
+        "{served} of {sent} requests served under {faults} faults, {completed} of {resumed} streams resumed"
+    );
     Ok(Report { summary, violations })
 }
 
@@ -233,13 +237,14 @@
         self.next_server += 1;
         let [a, b, c] = self.ip;
         let any = net::SocketAddr::from(([a, b, c, 3], 0));
-        let address = backend::start(&name, any, rc::Rc::clone(&self.judge)).await?;
+        let version = streams::VERSIONS[self.next_server % streams::VERSIONS.len()];
+        let address = backend::start(&name, version, any, rc::Rc::clone(&self.judge)).await?;
         let (proxied, switch) = proxy::start(any, address).await?;
         let store = rc::Rc::clone(&self.store);
         let id = name.clone();
         let beats = tokio::task::spawn_local(async move {
             loop {
-                store.put("keyed.servers", &id, entry(proxied, "ready").as_bytes());
+                store.put("keyed.servers", &id, entry(proxied, version, "ready").as_bytes());
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
@@ -251,7 +256,7 @@
         let machine = self.rng.random_range(0..self.machines.len());
         let server = self.rng.random_range(0..self.servers.len());
         let span = time::Duration::from_millis(self.rng.random_range(500..2_500));
-        let kind = self.rng.random_range(0..12);
+        let kind = self.rng.random_range(0..13);
         self.faults.push(format!("{kind} {machine} {server} {span:?}"));
         match kind {
             0 => {
@@ -274,6 +279,7 @@
             8 => self.break_store(span),
             9 => self.replace_server(server).await?,
             10 => self.restore_store(),
+            11 => self.kill_all(),
             _ => self.change_configuration(),
         }
         Ok(())
@@ -284,6 +290,13 @@
         self.disturbances.note(self.machines[machine].callers(), until);
     }
 
+    fn kill_all(&self) {
+        for machine in 0..self.machines.len() {
+            self.disturb(machine, time::Duration::ZERO);
+            self.machines[machine].signal(Signal::KILL);
+        }
+    }
+
     fn pause(&self, machine: usize, span: time::Duration) {
         self.disturb(machine, span);
         self.judge.excuse_bounds(span);
@@ -330,7 +343,7 @@
         self.store.restore(lost_records);
         self.write_configuration();
         let (left, store) = (self.left.clone(), rc::Rc::clone(&self.store));
-        let gone = entry(self.no_server(), "draining");
+        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
         tokio::task::spawn_local(async move {
             tokio::time::sleep(HEARTBEAT).await;
             for name in left {
@@ -350,7 +363,7 @@
         self.add_server().await?;
         let (name, _, beats) = self.servers.remove(server);
         beats.abort();
-        let gone = entry(self.no_server(), "draining");
+        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
         self.store.put("keyed.servers", &name, gone.as_bytes());
         self.judge.note_left(&name);
         self.left.push(name);
@@ -369,9 +382,9 @@
     }
 }
 
-fn entry(address: net::SocketAddr, state: &str) -> String {
+fn entry(address: net::SocketAddr, version: &str, state: &str) -> String {
     serde_json::json!({
-        "Service": "desk", "Address": address, "Zone": "z", "Version": "v1", "Slots": 6,
+        "Service": "desk", "Address": address, "Zone": "z", "Version": version, "Slots": 6,
         "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1,
     })
     .to_string()
--- a/soak/src/streams.rs
+++ b/soak/src/streams.rs
@@ -18,14 +18,25 @@
 /// One in so many streams is broken off by its server.
 const BREAK_RATIO: u64 = 4;
 
-/// Returns the event with a number.
-pub fn event(number: u64) -> String {
-    format!("id: {number}\ndata: piece {number}\n\n")
+/// The software versions of the servers; what two of them write does not fit together.
+pub const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// Returns the event with a number, as servers of a version write it.
+pub fn event(version: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {version} piece {number}\n\n")
+}
+
+/// Returns whether a text has all events of a stream, written by servers of one version.
+pub fn is_whole(text: &str) -> bool {
+    VERSIONS.iter().any(|version| {
+        let events = (1..=EVENTS).map(|number| event(version, number));
+        text == events.collect::<String>()
+    })
 }
 
-/// Returns all events of a whole stream.
-pub fn whole() -> String {
-    (1..=EVENTS).map(event).collect()
+/// Returns whether a text has events of several versions.
+pub fn is_mixed(text: &str) -> bool {
+    VERSIONS.iter().all(|version| text.contains(version))
 }
 
 /// Returns the whole events of a stream that may have been broken off, and their number.
@@ -54,15 +65,20 @@
     }
 }
 
-/// Returns a stream of the events after `last_event`; calls `finished` once all are written.
-pub fn response<F>(last_event: u64, ending: Ending, finished: F) -> http::Response
+/// Returns a server's stream of the events after `last_event`; calls `finished` once all are written.
+pub fn response<F>(
+    version: &'static str,
+    last_event: u64,
+    ending: Ending,
+    finished: F,
+) -> http::Response
 where
     F: FnOnce() + 'static,
 {
     let (sender, receiver) = tokio::sync::mpsc::channel::<Bytes>(1);
     tokio::task::spawn_local(async move {
         for number in last_event + 1..=EVENTS {
-            let mut text = event(number);
+            let mut text = event(version, number);
             let is_broken_off = ending.breaks_in == Some(number);
             if is_broken_off {
                 text.truncate(text.len() / 2);
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -5,9 +5,15 @@
 use soak::judge::Judge;
 use soak::judge::Run;
 use soak::judge::Sent;
+use soak::streams;
 
 fn sent(is_idempotent: bool) -> Sent {
-    Sent { is_idempotent, path: "/order/x".to_string(), workspace: "a".to_string() }
+    Sent {
+        is_idempotent,
+        path: "/order/x".to_string(),
+        workspace: "a".to_string(),
+        is_resumed: false,
+    }
 }
 
 fn run() -> Run {
@@ -73,3 +79,24 @@
     judge.note_got("1", good());
     assert!(judge.violations().is_empty());
 }
+
+fn stream(body: String) -> Judge {
+    let judge = Judge::default();
+    judge.note_sent("s", Sent { path: "/resume/x".to_string(), ..sent(true) });
+    judge.note_events("s", &body);
+    judge.note_got("s", Got::Answer { status: 200, body });
+    judge
+}
+
+#[test]
+fn a_stream_that_is_short_or_of_two_versions_is_a_violation() {
+    let events = |version, numbers: std::ops::RangeInclusive<u64>| -> String {
+        numbers.map(|number| streams::event(version, number)).collect()
+    };
+    let whole = events("v1", 1..=streams::EVENTS);
+    assert_eq!(stream(whole).violations(), Vec::<String>::new());
+    let short = events("v1", 1..=streams::EVENTS - 1);
+    assert_eq!(stream(short.clone()).violations().len(), 1);
+    let mixed = short + &events("v2", streams::EVENTS..=streams::EVENTS);
+    assert_eq!(stream(mixed).violations().len(), 2, "it is neither whole nor of one version");
+}
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -483,6 +483,7 @@
             effects.push(Effect::AnnounceChange);
         }
         self.list_prompts(now, effects);
+        self.announce_origins(now, effects);
         self.place_waiting(now, effects);
     }
 
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -234,6 +234,9 @@
                 self.reserve_remote(from, request, binding, now, effects);
             }
             message::Message::StreamsBegun(origins) => self.receive_origins(origins, now, effects),
+            message::Message::StreamUnknown { stream } => {
+                self.receive_unknown_stream(stream, now, effects);
+            }
             message::Message::StreamQuery { stream } => {
                 self.answer_stream_query(from, stream, now, effects);
             }
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -64,6 +64,9 @@
 /// The interval at which origins of streams are written to the store.
 pub const ORIGIN_WRITE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// The maximum number of origins in one message, so that it fits into a datagram.
+pub const MAX_ORIGINS_PER_MESSAGE: usize = 500;
+
 /// The maximum number of origins in one record, well below the store's limit of its size.
 pub const MAX_ORIGINS_PER_RECORD: usize = 2_000;
 
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -66,6 +66,15 @@
     pub since: ids::Timestamp,
     /// Whether all origins in the store were read since.
     pub is_store_read: bool,
+    /// Whether a coordinator has answered that it does not know the origin.
+    pub is_unknown_to_peer: bool,
+}
+
+impl AwaitingOrigin {
+    /// Starts a lookup.
+    pub fn new(now: ids::Timestamp) -> Self {
+        Self { since: now, is_store_read: false, is_unknown_to_peer: false }
+    }
 }
 
 /// The phase of a request.
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -160,6 +160,11 @@
         /// The key of the stream.
         stream: call::StreamKey,
     },
+    /// The sender does not know the origin of a stream.
+    StreamUnknown {
+        /// The key of the stream.
+        stream: call::StreamKey,
+    },
     /// The reservation request waits in the owner's queue.
     #[serde(rename = "queue")]
     Queued {
--- a/src/core/fleet/resumption.rs
+++ b/src/core/fleet/resumption.rs
@@ -1,14 +1,13 @@
 //! Streams that are resumed: their events come from servers of one software version, whichever
 //! instance or caller resumes them.
 //!
-//! The instance that relays the first event of a resumable stream sends its origin to the
-//! coordinators; these write it to the store while a service runs several versions. An instance that
-//! does not know the origin of a stream asks both. Without an answer, a stream is resumed only if its
-//! service has run a single version recently.
+//! While a service runs several versions, the instance that relays the first event of a resumable
+//! stream sends its origin to the coordinators, and one of these writes it to the store. An instance
+//! that does not know the origin of a stream asks both. A stream of unknown origin is resumed only if
+//! its service has run a single version recently.
 
 use std::time;
 
-use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::Effect;
 use crate::core::fleet::Fleet;
@@ -75,21 +74,27 @@
         let service = live.claim.service.clone();
         if let Some(stream) = live.stream_key() {
             let origin = streams::Origin { stream, service, software_version };
-            self.announce_origin(origin, now, effects);
+            self.origins.record(origin, streams::Source::Own, now);
+            self.announce_origins(now, effects);
         }
     }
 
-    fn announce_origin(
-        &mut self,
-        origin: streams::Origin,
-        now: ids::Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        for to in self.health_report_receivers(now) {
-            let message = message::Message::StreamsBegun(vec![origin.clone()]);
-            effects.push(Effect::SendMessage { to, message });
+    /// Sends the coordinators the origins of own streams that begin at one of several versions; once a
+    /// second version appears, also those of the streams before.
+    pub(super) fn announce_origins(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        for service in self.services_with_several_versions(now) {
+            let max = constants::MAX_ORIGINS_PER_MESSAGE;
+            loop {
+                let origins = self.origins.take_unannounced(&service, max, now);
+                if origins.is_empty() {
+                    break;
+                }
+                for to in self.health_report_receivers(now) {
+                    let message = message::Message::StreamsBegun(origins.clone());
+                    effects.push(Effect::SendMessage { to, message });
+                }
+            }
         }
-        self.origins.record(origin, now);
     }
 
     /// Starts the lookup of the origin of the stream that a caller resumes; returns whether the
@@ -105,8 +110,7 @@
             return false;
         }
         let stream = live.stream_key();
-        live.phase =
-            live::Phase::AwaitingOrigin(live::AwaitingOrigin { since: now, is_store_read: false });
+        live.phase = live::Phase::AwaitingOrigin(live::AwaitingOrigin::new(now));
         if let Some((origin, age)) = stream.and_then(|stream| self.origins.get(stream, now)) {
             let origin = origin.clone();
             let source = OriginSource::Known;
@@ -134,11 +138,29 @@
         effects: &mut Vec<Effect>,
     ) {
         for origin in origins {
-            self.origins.record(origin, now);
+            self.origins.record(origin, streams::Source::Peer, now);
         }
+        self.announce_origins(now, effects);
         self.finish_known_lookups(now, effects);
     }
 
+    /// Notes that a peer does not know the origin of a stream either.
+    pub(super) fn receive_unknown_stream(
+        &mut self,
+        stream: call::StreamKey,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for live in self.requests.values_mut() {
+            if live.stream_key() == Some(stream)
+                && let live::Phase::AwaitingOrigin(awaiting) = &mut live.phase
+            {
+                awaiting.is_unknown_to_peer = true;
+            }
+        }
+        self.end_lookups(now, effects);
+    }
+
     /// Answers a peer that asks for the origin of a stream.
     pub(super) fn answer_stream_query(
         &self,
@@ -147,10 +169,11 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some((origin, _)) = self.origins.get(stream, now) {
-            let message = message::Message::StreamsBegun(vec![origin.clone()]);
-            effects.push(Effect::SendMessage { to: from, message });
-        }
+        let message = match self.origins.get(stream, now) {
+            Some((origin, _)) => message::Message::StreamsBegun(vec![origin.clone()]),
+            None => message::Message::StreamUnknown { stream },
+        };
+        effects.push(Effect::SendMessage { to: from, message });
     }
 
     /// Applies a read of all origins in the store.
@@ -161,7 +184,7 @@
         effects: &mut Vec<Effect>,
     ) {
         for origin in origins {
-            self.origins.record_stored(origin, now);
+            self.origins.record(origin, streams::Source::Store, now);
         }
         for live in self.requests.values_mut() {
             if let live::Phase::AwaitingOrigin(awaiting) = &mut live.phase {
@@ -189,7 +212,9 @@
             let elapsed = now.saturating_sub(awaiting.since);
             let is_named =
                 self.requests.get(&request).is_some_and(|live| live.stream_key().is_some());
-            let awaits_peers = is_named && elapsed < constants::COORDINATOR_RESPONSE_TIMEOUT;
+            let awaits_peers = is_named
+                && !awaiting.is_unknown_to_peer
+                && elapsed < constants::COORDINATOR_RESPONSE_TIMEOUT;
             let awaits_store =
                 !awaiting.is_store_read && elapsed < constants::ORIGIN_LOOKUP_TIMEOUT;
             if !awaits_peers && !awaits_store {
@@ -224,8 +249,10 @@
         let Some(live) = self.requests.get(&request) else { return };
         let live::Phase::AwaitingOrigin(awaiting) = live.phase else { return };
         let (service, stream) = (live.claim.service.clone(), live.stream_key());
-        // An instance that has just started knows former versions from the store only.
-        let knows_versions = awaiting.is_store_read || now >= streams::RETENTION;
+        // An instance that has just started knows former versions from the store only, and an isolated
+        // one does not learn of new ones.
+        let knows_versions =
+            awaiting.is_store_read || (now >= streams::RETENTION && !self.is_isolated(now));
         let version = self.single_version(&service, now).filter(|_| knows_versions);
         let Some(software_version) = version else {
             let source = OriginSource::Unknown;
@@ -234,7 +261,7 @@
         let origin =
             streams::Origin { stream: stream.unwrap_or_default(), service, software_version };
         if stream.is_some() {
-            self.announce_origin(origin.clone(), now, effects);
+            self.origins.record(origin.clone(), streams::Source::Own, now);
         }
         let known = Some((origin, time::Duration::ZERO));
         self.finish_lookup(request, known, OriginSource::SingleVersion, now, effects);
@@ -309,22 +336,25 @@
         self.servers.versions(service, now).chain(self.origins.versions(service, now))
     }
 
-    fn runs_several_versions(&self, service: &catalog::ServiceId, now: ids::Timestamp) -> bool {
-        let mut versions = self.recent_versions(service, now);
-        let first = versions.next();
-        versions.any(|version| Some(version) != first)
+    /// Returns the services at which streams began and that run several versions.
+    fn services_with_several_versions(&self, now: ids::Timestamp) -> Vec<catalog::ServiceId> {
+        let runs_several = |service: &&catalog::ServiceId| {
+            let mut versions = self.recent_versions(service, now);
+            let first = versions.next();
+            versions.any(|version| Some(version) != first)
+        };
+        self.origins.services().filter(runs_several).cloned().collect()
     }
 
     /// Removes and returns origins of streams to be written to the store. While a service runs a
     /// single version, its streams need no record.
     pub fn take_unstored_origins(&mut self, now: ids::Timestamp) -> Vec<streams::Origin> {
-        let is_several: collections::Map<_, _> = self
-            .origins
-            .services()
-            .map(|service| (service.clone(), self.runs_several_versions(service, now)))
-            .collect();
-        let is_due = |origin: &streams::Origin| is_several.get(&origin.service) == Some(&true);
-        self.origins.take_unstored(constants::MAX_ORIGINS_PER_RECORD, is_due, now)
+        let mut taken = Vec::new();
+        for service in self.services_with_several_versions(now) {
+            let max = constants::MAX_ORIGINS_PER_RECORD - taken.len();
+            taken.extend(self.origins.take_unstored(&service, max, now));
+        }
+        taken
     }
 
     /// Puts back origins that could not be written to the store.
--- a/src/core/fleet/streams.rs
+++ b/src/core/fleet/streams.rs
@@ -31,10 +31,23 @@
     pub software_version: servers::SoftwareVersion,
 }
 
+/// Where an origin was learned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// This instance relays the stream.
+    Own,
+    /// A peer has sent it.
+    Peer,
+    /// It was read from the store.
+    Store,
+}
+
 /// The known origins of recent streams.
 #[derive(Debug)]
 pub struct Origins {
     known: recent::RecentMap<call::StreamKey, Origin>,
+    /// The streams that this instance began and has not announced to the coordinators.
+    unannounced: VecDeque<call::StreamKey>,
     /// The streams whose origins are not in the store, as far as this instance knows.
     unstored: VecDeque<call::StreamKey>,
     /// When a stream last began at each version of a service.
@@ -45,6 +58,7 @@
     fn default() -> Self {
         Self {
             known: recent::RecentMap::new(RETENTION, MAX_ORIGINS),
+            unannounced: VecDeque::new(),
             unstored: VecDeque::new(),
             versions: collections::Map::default(),
         }
@@ -52,19 +66,20 @@
 }
 
 impl Origins {
-    /// Records an origin that this instance or a peer has observed.
-    pub fn record(&mut self, origin: Origin, now: ids::Timestamp) {
+    /// Records an origin, unless it is known.
+    pub fn record(&mut self, origin: Origin, source: Source, now: ids::Timestamp) {
         let stream = origin.stream;
-        if self.insert(origin, now) {
+        if !self.insert(origin, now) {
+            return;
+        }
+        if source == Source::Own {
+            self.unannounced.push_back(stream);
+        }
+        if source != Source::Store {
             self.unstored.push_back(stream);
         }
     }
 
-    /// Records an origin that was read from the store.
-    pub fn record_stored(&mut self, origin: Origin, now: ids::Timestamp) {
-        self.insert(origin, now);
-    }
-
     /// Adds an origin; returns whether it was unknown.
     fn insert(&mut self, origin: Origin, now: ids::Timestamp) -> bool {
         let versions = self.versions.entry(origin.service.clone()).or_default();
@@ -73,10 +88,12 @@
             return false;
         }
         self.known.record(origin.stream, origin, now);
-        while let Some(oldest) = self.unstored.front()
-            && self.known.get(oldest, now).is_none()
-        {
-            self.unstored.pop_front();
+        for pending in [&mut self.unannounced, &mut self.unstored] {
+            while let Some(oldest) = pending.front()
+                && self.known.get(oldest, now).is_none()
+            {
+                pending.pop_front();
+            }
         }
         true
     }
@@ -104,24 +121,24 @@
         recent_versions(self.versions.get(service), now)
     }
 
-    /// Removes and returns up to `max` origins that are not in the store and fulfil `is_due`.
-    pub fn take_unstored<F: Fn(&Origin) -> bool>(
+    /// Takes up to `max` origins of a service that this instance has not announced.
+    pub fn take_unannounced(
         &mut self,
+        service: &catalog::ServiceId,
         max: usize,
-        is_due: F,
         now: ids::Timestamp,
     ) -> Vec<Origin> {
-        let mut taken = Vec::new();
-        let known = &self.known;
-        self.unstored.retain(|stream| {
-            let Some((origin, _)) = known.get(stream, now) else { return false };
-            if taken.len() >= max || !is_due(origin) {
-                return true;
-            }
-            taken.push(origin.clone());
-            false
-        });
-        taken
+        take(&mut self.unannounced, &self.known, service, max, now)
+    }
+
+    /// Takes up to `max` origins of a service that are not in the store.
+    pub fn take_unstored(
+        &mut self,
+        service: &catalog::ServiceId,
+        max: usize,
+        now: ids::Timestamp,
+    ) -> Vec<Origin> {
+        take(&mut self.unstored, &self.known, service, max, now)
     }
 
     /// Puts origins back that could not be written to the store.
@@ -130,6 +147,26 @@
     }
 }
 
+/// Removes up to `max` streams of a service from a queue and returns their origins.
+fn take(
+    pending: &mut VecDeque<call::StreamKey>,
+    known: &recent::RecentMap<call::StreamKey, Origin>,
+    service: &catalog::ServiceId,
+    max: usize,
+    now: ids::Timestamp,
+) -> Vec<Origin> {
+    let mut taken = Vec::new();
+    pending.retain(|stream| {
+        let Some((origin, _)) = known.get(stream, now) else { return false };
+        if taken.len() >= max || origin.service != *service {
+            return true;
+        }
+        taken.push(origin.clone());
+        false
+    });
+    taken
+}
+
 /// Updates when a version was last seen.
 pub(super) fn note_version(
     versions: &mut Vec<(servers::SoftwareVersion, ids::Timestamp)>,
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -103,6 +103,12 @@
         !self.peers.has_store_reader(now) && ranked_higher < constants::FALLBACK_STORE_READERS
     }
 
+    /// Returns whether this instance reaches neither the store nor any of its known peers.
+    pub(super) fn is_isolated(&self, now: ids::Timestamp) -> bool {
+        let has_peers = self.peers.known().next().is_some();
+        !self.reads_store && has_peers && self.peers.live(now).next().is_none()
+    }
+
     /// Sets whether this instance can read the store; its digests report this.
     pub fn set_reads_store(&mut self, reads_store: bool) {
         self.reads_store = reads_store;
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -183,3 +183,38 @@
         world.records.values().filter(|record| record.resumes.is_some()).collect();
     resumed.into_iter().for_each(assert_refused_at_once);
 }
+
+#[test]
+fn streams_that_began_before_a_second_version_appeared_keep_theirs() {
+    for instances in [3, 20] {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        for index in 0..STREAMS {
+            world.arrive_resumable(ms(index * 40), index as usize % instances, None);
+        }
+        world.run(ms(2_000));
+        let upgraded = world::servers_of_two_versions().into_iter();
+        let upgraded = upgraded.filter(|entry| entry.software_version.as_deref() == Some("v2"));
+        for entry in upgraded {
+            let entry = servers::Entry { offset: 2, born_ms: 2, ..entry };
+            world.list(ms(0), servers::EntryChange::Put(entry));
+        }
+        world.run(ms(300));
+        world.kill(ms(0), 0);
+        world.kill(ms(0), 1);
+        let lost: Vec<_> =
+            world.records.iter().filter(|((instance, _), _)| *instance < 2).collect();
+        let lost: Vec<_> = lost.into_iter().map(|((_, request), _)| *request).collect();
+        for request in &lost {
+            let id = Bytes::from(request.to_string());
+            world.arrive_resumable(ms(50), 2, Some(id));
+        }
+        world.run(ms(14_000));
+        let resumed = world.records.values().filter(|record| record.resumes.is_some());
+        for record in resumed.clone() {
+            assert!(record.finished, "{instances}: {:?}", record.refused);
+            assert!(record.begun_at.iter().all(|server| &*version(server) == "v1"));
+        }
+        assert_eq!(resumed.count(), lost.len());
+        assert!(world.origin_records > 0, "the store holds them");
+    }
+}
