--- a/src/core/fleet/streams.rs
+++ b/src/core/fleet/streams.rs
@@ -17,8 +17,8 @@
 /// with all its attempts.
 pub const RETENTION: time::Duration = time::Duration::from_secs(20);
 
-/// The maximum number of remembered origins; bounds their memory to about 10 MB.
-const MAX_ORIGINS: usize = 65_536;
+/// The maximum number of remembered origins; bounds their memory to about 20 MB.
+const MAX_ORIGINS: usize = 131_072;
 
 /// The beginning of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
--- a/src/platform/origins.rs
+++ b/src/platform/origins.rs
@@ -104,3 +104,6 @@
         Vec::new()
     })
 }
+
+#[cfg(test)]
+mod tests;
