Read the store where peers do not send the software versions of servers

Cause: while coordinators run an older build, newer instances get entries without versions; to them each stream that a caller resumes is of unknown origin and refused, for the whole of an upgrade.

Ruled out: to take unknown versions for a single one (joins two versions); to change the entries that instances send each other (older builds could not read them).

Sending a message to the peers that place requests stands in one place now.

--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -200,10 +200,8 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        for to in self.health_report_receivers(now) {
-            let message = message::Message::ServerWarning { server: server.clone(), finding };
-            effects.push(Effect::SendMessage { to, message });
-        }
+        let message = message::Message::ServerWarning { server: server.clone(), finding };
+        self.send_to_placing_peers(&message, now, effects);
     }
 
     /// Applies a message of a peer.
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -347,8 +347,19 @@
         }
     }
 
-    /// Returns the live peers that place requests, which receive warnings about servers.
-    pub(super) fn health_report_receivers(&self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
+    /// Sends a message to the live peers that place requests.
+    pub(super) fn send_to_placing_peers(
+        &self,
+        message: &message::Message,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        for to in self.placing_peers(now) {
+            effects.push(Effect::SendMessage { to, message: message.clone() });
+        }
+    }
+
+    fn placing_peers(&self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
         if self.is_coordinated(now) {
             let coordinators = self.peers.coordinators(now);
             return coordinators.iter().map(|member| member.peer_address).collect();
--- a/src/core/fleet/resumption.rs
+++ b/src/core/fleet/resumption.rs
@@ -6,6 +6,7 @@
 //! that does not know the origin of a stream asks both. A stream of unknown origin is resumed only if
 //! its service has run a single version recently.
 
+use std::net;
 use std::time;
 
 use crate::core::fleet;
@@ -24,7 +25,7 @@
 use crate::core::fleet::waiting;
 use crate::core::ids;
 
-/// Why a stream is resumed at a version, or is not.
+/// Where the origin of a resumed stream comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OriginSource {
@@ -89,10 +90,8 @@
                 if origins.is_empty() {
                     break;
                 }
-                for to in self.health_report_receivers(now) {
-                    let message = message::Message::StreamsBegun(origins.clone());
-                    effects.push(Effect::SendMessage { to, message });
-                }
+                let message = message::Message::StreamsBegun(origins);
+                self.send_to_placing_peers(&message, now, effects);
             }
         }
     }
@@ -123,10 +122,8 @@
         }
         effects.push(Effect::ReadStreamOrigins);
         let Some(stream) = stream else { return true };
-        for to in self.health_report_receivers(now) {
-            let message = message::Message::StreamQuery { stream };
-            effects.push(Effect::SendMessage { to, message });
-        }
+        let query = message::Message::StreamQuery { stream };
+        self.send_to_placing_peers(&query, now, effects);
         true
     }
 
@@ -164,7 +161,7 @@
     /// Answers a peer that asks for the origin of a stream.
     pub(super) fn answer_stream_query(
         &self,
-        from: std::net::SocketAddr,
+        from: net::SocketAddr,
         stream: call::StreamKey,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -392,6 +392,15 @@
         listed.chain(streams::recent_versions(self.former_versions.get(service), now))
     }
 
+    /// Returns whether a server is listed whose software version is not known, although peers have had
+    /// the time to send it.
+    pub fn lacks_versions(&self, now: ids::Timestamp) -> bool {
+        let lacks_version = |server: &Server| {
+            server.entry.software_version.is_none() && !server.is_recently_listed(now)
+        };
+        self.servers.values().any(lacks_version)
+    }
+
     /// Returns the ids and addresses of the decode servers that were not returned before.
     pub fn take_unlisted_decode_servers(&mut self) -> Vec<(ids::ServerId, net::SocketAddr)> {
         let is_new = |server: &&mut Server| {
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -93,9 +93,10 @@
 
     /// Returns whether this instance should read the store itself. Coordinators read it for all.
     /// While none of them can, the next instances by rank try too, as the store may reject only
-    /// some machines.
+    /// some machines. Coordinators of an older build do not send the software versions of servers.
     pub fn should_read_store(&self, now: ids::Timestamp) -> bool {
-        if self.is_coordinator || self.catalog.is_none() {
+        let lacks_data = self.catalog.is_none() || self.servers.lacks_versions(now);
+        if self.is_coordinator || lacks_data {
             return true;
         }
         let ranked_higher =
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -137,6 +137,23 @@
     assert!(refused_at - record.arrived <= ms(200), "{:?}", refused_at - record.arrived);
 }
 
+#[test]
+fn an_instance_whose_coordinators_do_not_send_software_versions_reads_the_store() {
+    let mut world = World::new(20, FAST_DIGESTS, &world::servers());
+    let is_reader = |world: &World| world.store_readers().contains(&10);
+    assert!(!is_reader(&world));
+    let unversioned = servers::Entry { software_version: None, ..world::servers().remove(3) };
+    let unversioned = servers::Entry { id: Bytes::from("llm-9"), offset: 2, ..unversioned };
+    world.list_at(10, servers::EntryChange::Put(unversioned.clone()));
+    world.run(ms(1_000));
+    assert!(!is_reader(&world), "its peers have time to send it");
+    world.run(ms(1_500));
+    assert!(is_reader(&world));
+    let versioned = servers::Entry { software_version: Some("v1".into()), ..unversioned };
+    world.list_at(10, servers::EntryChange::Put(versioned));
+    assert!(!is_reader(&world), "the version is known");
+}
+
 #[test]
 fn a_stream_of_unknown_origin_is_refused_while_two_versions_serve() {
     for id in ["unknown", ""] {
