Name the faults of a run of the soak that breaks a promise

Cause: a violation could not be traced to the faults before it.

Ruled out: nothing.

Change: the report has the faults with their times; they are printed with violations, and in the message of the test.

--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -94,6 +94,11 @@
 }
 
 impl Judge {
+    /// Returns the time since the start of the run, from which all times are counted.
+    pub fn elapsed(&self) -> time::Duration {
+        self.start.elapsed()
+    }
+
     /// Notes what a caller sends.
     pub fn note_sent(&self, attempt: &str, sent: Sent) {
         let sent_at = self.start.elapsed();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -35,7 +35,13 @@
                 for violation in &report.violations {
                     println!("seed {seed}: VIOLATION {violation}");
                 }
-                failed += u64::from(!report.violations.is_empty());
+                if !report.violations.is_empty() {
+                    report
+                        .faults
+                        .iter()
+                        .for_each(|fault| println!("seed {seed}: fault at {fault}"));
+                    failed += 1;
+                }
             }
             Err(failure) => {
                 eprintln!("seed {seed}: {failure}");
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -65,6 +65,8 @@
     pub summary: String,
     /// Broken promises.
     pub violations: Vec<String>,
+    /// The faults in their order, with the time since the start.
+    pub faults: Vec<String>,
 }
 
 /// A run could not be carried out.
@@ -155,10 +157,11 @@
     tokio::time::sleep(COOL_DOWN).await;
     callers.iter().for_each(tokio::task::JoinHandle::abort);
     let (served, sent) = world.judge.counts();
-    let faults = world.faults.len();
+    let faults = std::mem::take(&mut world.faults);
     let (completed, resumed) = world.judge.resumed();
     let violations = world.judge.violations();
     drop(world);
+    let count = faults.len();
     if violations.is_empty() {
         // Logs are kept where they explain something.
         let _ = std::fs::remove_dir_all(&folder);
@@ -167,9 +170,9 @@
         return Err(RunError::NothingServed(sent));
     }
     let summary = format!(
-        "{served} of {sent} requests served under {faults} faults, {completed} of {resumed} streams resumed"
+        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed"
     );
-    Ok(Report { summary, violations })
+    Ok(Report { summary, violations, faults })
 }
 
 impl World {
@@ -257,7 +260,9 @@
         let server = self.rng.random_range(0..self.servers.len());
         let span = time::Duration::from_millis(self.rng.random_range(500..2_500));
         let kind = self.rng.random_range(0..13);
-        self.faults.push(format!("{kind} {machine} {server} {span:?}"));
+        let at_ms = self.judge.elapsed().as_millis();
+        let name = &self.servers[server].0;
+        self.faults.push(format!("{at_ms} ms: kind {kind}, machine {machine}, {name}, {span:?}"));
         match kind {
             0 => {
                 self.disturb(machine, time::Duration::ZERO);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,5 +11,5 @@
         instances: 3,
     };
     let report = run::run(&options).expect("the fleet serves");
-    assert_eq!(report.violations, Vec::<String>::new(), "{}", report.summary);
+    assert_eq!(report.violations, Vec::<String>::new(), "{} {:#?}", report.summary, report.faults);
 }
