Apply the draining of a server that is first read after a restore of the store

All instances were killed, the store was restored 1.3 s later, and the server drained 0.3 s after that, before its topic was read again. In the first listing after a restore, what is known of a server counts as newer than the copy, so its draining was passed over, and a server that drains writes nothing more.

Change: draining is applied from such a listing too, unless the server has started again since; it ends with the server, so an older copy cannot be wrong about it.

--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -201,14 +201,18 @@
     }
 
     /// Applies an entry of a restored store. What is known of the server is newer, until the server
-    /// writes again.
+    /// writes again, but for its draining.
     fn restore(&mut self, entry: Entry, now: ids::Timestamp) -> bool {
         if self.removed.contains_key(&entry.id) {
             return false;
         }
         let Some(server) = self.servers.get_mut(&entry.id) else { return self.insert(entry, now) };
         server.entry.offset = server.entry.offset.max(entry.offset);
-        false
+        // A server that drains ends; only its next incarnation is ready again.
+        let has_drained =
+            entry.is_draining && entry.born_ms == server.entry.born_ms && !server.entry.is_draining;
+        server.entry.is_draining |= has_drained;
+        has_drained
     }
 
     /// Removes the servers that a complete listing, whose last change is at `last`, does not
--- a/src/core/fleet/servers/tests.rs
+++ b/src/core/fleet/servers/tests.rs
@@ -205,3 +205,20 @@
     directory.apply(put("one", None, 2), Source::Steady, now);
     assert_eq!(versions(&directory, now), ["v1"]);
 }
+
+#[test]
+fn a_server_that_drains_between_a_restore_and_the_next_reading_is_not_used() {
+    let now = time::Duration::ZERO;
+    let id = Bytes::from_static(b"one");
+    let mut directory = Directory::default();
+    directory.apply(put("one", Some("v1"), 9), Source::Steady, now);
+    let restored = |is_draining, offset| {
+        let offset = ids::store_position(1, offset);
+        EntryChange::Put(entry(Bytes::from_static(b"one"), is_draining, offset))
+    };
+    assert!(directory.apply(restored(true, 7), Source::Restored, now));
+    assert!(!directory.get(&id).expect("it is listed").is_usable(now));
+    // An older copy may also hold the server's entry from before it drained.
+    directory.apply(restored(false, 6), Source::Restored, now);
+    assert!(!directory.get(&id).expect("it is listed").is_usable(now));
+}
