Drop whether an answer may be resumed from the router's task

Cause: since no stream passes the rest of a broken event on, nothing reads it.

Ruled out: nothing.

Change: the field goes from the task, its command and the effect. Behaviour as before.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -208,8 +208,6 @@
         request: call::RequestNumber,
         /// The deadline of the request.
         expires: ids::Timestamp,
-        /// Whether the answer may be resumed after a given event.
-        is_resumable: bool,
         /// Whether its answer is a stream of events.
         is_stream: bool,
     },
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -38,7 +38,6 @@
         effects.push(Effect::Admit {
             request,
             expires: live.expires,
-            is_resumable: live.is_resumable(),
             is_stream: live.route.is_stream,
         });
         self.requests.insert(request, live);
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -36,8 +36,6 @@
     Admit {
         /// The request's deadline.
         expires: ids::Timestamp,
-        /// Whether its stream may be resumed at another server after the last complete event.
-        is_resumable: bool,
         /// Whether its response is a stream of events.
         is_stream: bool,
     },
@@ -148,8 +146,8 @@
 
     fn execute(&self, effect: fleet::Effect) {
         match effect {
-            fleet::Effect::Admit { request, expires, is_resumable, is_stream } => {
-                self.command(request, Command::Admit { expires, is_resumable, is_stream });
+            fleet::Effect::Admit { request, expires, is_stream } => {
+                self.command(request, Command::Admit { expires, is_stream });
             }
             fleet::Effect::Send { request, dispatch } => {
                 self.command(request, Command::Send(dispatch));
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -82,7 +82,6 @@
     body: Bytes,
     call: call::Call,
     expires: ids::Timestamp,
-    is_resumable: bool,
     is_stream: bool,
     /// The last failed response, delivered if no other attempt succeeds.
     failed_response: Option<http::Response<Bytes>>,
@@ -108,7 +107,6 @@
         body,
         call: call.clone(),
         expires: ids::Timestamp::MAX,
-        is_resumable: false,
         is_stream: false,
         failed_response: None,
         events: relay::EventBuffer::default(),
@@ -153,9 +151,8 @@
                 self.expires = ids::Timestamp::MAX;
                 continue;
             };
-            if let Some(context::Command::Admit { expires, is_resumable, is_stream }) = command {
+            if let Some(context::Command::Admit { expires, is_stream }) = command {
                 self.expires = expires;
-                self.is_resumable = is_resumable;
                 self.is_stream = is_stream;
                 continue;
             }
