--- a/src/core/fleet/resumption.rs
+++ b/src/core/fleet/resumption.rs
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Starts the lookup of the origin of the stream that a caller resumes; returns whether the
-    /// request has to wait for it or was refused.
+    /// Starts the lookup of the origin of the stream that a caller resumes; returns `false` if the
+    /// request resumes none. The end of the lookup places or refuses the request.
     pub(super) fn start_resumption(
         &mut self,
         request: call::RequestNumber,
