Keep the recently seen software versions in one type

Cause: the list of servers and the origins of streams each held the same map of versions with their times, and the list wrote its update twice. An answer that a peer does not know a stream hashed the stream of every request.

Ruled out: one shared map (the list outlives streams, and origins of peers are no servers).

Change: RecentVersions serves both. The keys of streams are compared for the requests that wait for an origin only. Behaviour as before; tests untouched.

--- a/src/core/fleet/resumption.rs
+++ b/src/core/fleet/resumption.rs
@@ -148,8 +148,9 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        for live in self.requests.values_mut() {
-            if live.stream_key() == Some(stream)
+        for (request, _) in self.lookups() {
+            if let Some(live) = self.requests.get_mut(&request)
+                && live.stream_key() == Some(stream)
                 && let live::Phase::AwaitingOrigin(awaiting) = &mut live.phase
             {
                 awaiting.is_unknown_to_peer = true;
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -183,8 +183,8 @@
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
-    /// The software versions of servers that were removed or replaced, with the time of that.
-    former_versions: collections::Map<catalog::ServiceId, Vec<(SoftwareVersion, ids::Timestamp)>>,
+    /// The software versions of servers that were removed or replaced.
+    former_versions: streams::RecentVersions,
     /// The position from which on all removals are remembered; `None` before the first complete
     /// listing.
     removals_known_since: Option<ids::StorePosition>,
@@ -258,8 +258,7 @@
         let former = server.entry.software_version.clone();
         let former = former.filter(|_| server.entry.software_version != entry.software_version);
         if let Some(former) = &former {
-            let versions = self.former_versions.entry(server.entry.service.clone()).or_default();
-            streams::note_version(versions, former, now);
+            self.former_versions.record(&server.entry.service, former, now);
         }
         let is_reassigned = server.entry.service != entry.service
             || server.entry.stage != entry.stage
@@ -305,8 +304,7 @@
         if let Some(server) = self.servers.remove(id)
             && let Some(version) = server.entry.software_version
         {
-            let versions = self.former_versions.entry(server.entry.service).or_default();
-            streams::note_version(versions, &version, now);
+            self.former_versions.record(&server.entry.service, &version, now);
         }
         self.removed.insert(id.clone(), offset);
         self.drop_old_removals();
@@ -393,7 +391,7 @@
     ) -> impl Iterator<Item = &SoftwareVersion> {
         let listed = self.of_service(service);
         let listed = listed.filter_map(|server| server.entry.software_version.as_ref());
-        listed.chain(streams::recent_versions(self.former_versions.get(service), now))
+        listed.chain(self.former_versions.of_service(service, now))
     }
 
     /// Returns whether a server is listed whose software version is not known, although peers have had
--- a/src/core/fleet/streams.rs
+++ b/src/core/fleet/streams.rs
@@ -50,8 +50,8 @@
     unannounced: VecDeque<call::StreamKey>,
     /// The streams whose origins are not in the store, as far as this instance knows.
     unstored: VecDeque<call::StreamKey>,
-    /// When a stream last began at each version of a service.
-    versions: collections::Map<catalog::ServiceId, Vec<(servers::SoftwareVersion, ids::Timestamp)>>,
+    /// The versions at which streams began.
+    versions: RecentVersions,
 }
 
 impl Default for Origins {
@@ -60,7 +60,7 @@
             known: recent::RecentMap::new(RETENTION, MAX_ORIGINS),
             unannounced: VecDeque::new(),
             unstored: VecDeque::new(),
-            versions: collections::Map::default(),
+            versions: RecentVersions::default(),
         }
     }
 }
@@ -82,8 +82,7 @@
 
     /// Adds an origin; returns whether it was unknown.
     fn insert(&mut self, origin: Origin, now: ids::Timestamp) -> bool {
-        let versions = self.versions.entry(origin.service.clone()).or_default();
-        note_version(versions, &origin.software_version, now);
+        self.versions.record(&origin.service, &origin.software_version, now);
         if self.known.get(&origin.stream, now).is_some() {
             return false;
         }
@@ -109,7 +108,7 @@
 
     /// Returns the services at which streams began.
     pub fn services(&self) -> impl Iterator<Item = &catalog::ServiceId> {
-        self.versions.keys()
+        self.versions.services()
     }
 
     /// Returns the versions of a service at which streams began recently.
@@ -118,7 +117,7 @@
         service: &catalog::ServiceId,
         now: ids::Timestamp,
     ) -> impl Iterator<Item = &servers::SoftwareVersion> {
-        recent_versions(self.versions.get(service), now)
+        self.versions.of_service(service, now)
     }
 
     /// Takes up to `max` origins of a service that this instance has not announced.
@@ -167,25 +166,42 @@
     taken
 }
 
-/// Updates when a version was last seen.
-pub(super) fn note_version(
-    versions: &mut Vec<(servers::SoftwareVersion, ids::Timestamp)>,
-    version: &servers::SoftwareVersion,
-    now: ids::Timestamp,
-) {
-    match versions.iter_mut().find(|(known, _)| known == version) {
-        Some((_, seen)) => *seen = now,
-        None => versions.push((version.clone(), now)),
-    }
-    versions.retain(|(_, seen)| now.saturating_sub(*seen) <= RETENTION);
+/// The software versions of services that were seen within the retention.
+#[derive(Debug, Default)]
+pub struct RecentVersions {
+    by_service:
+        collections::Map<catalog::ServiceId, Vec<(servers::SoftwareVersion, ids::Timestamp)>>,
 }
 
-/// Returns the versions that were seen recently.
-pub(super) fn recent_versions(
-    versions: Option<&Vec<(servers::SoftwareVersion, ids::Timestamp)>>,
-    now: ids::Timestamp,
-) -> impl Iterator<Item = &servers::SoftwareVersion> {
-    let versions = versions.map(Vec::as_slice).unwrap_or_default();
-    let is_recent = move |seen: ids::Timestamp| now.saturating_sub(seen) <= RETENTION;
-    versions.iter().filter(move |(_, seen)| is_recent(*seen)).map(|(version, _)| version)
+impl RecentVersions {
+    /// Records that a version of a service is seen.
+    pub fn record(
+        &mut self,
+        service: &catalog::ServiceId,
+        version: &servers::SoftwareVersion,
+        now: ids::Timestamp,
+    ) {
+        let versions = self.by_service.entry(service.clone()).or_default();
+        match versions.iter_mut().find(|(known, _)| known == version) {
+            Some((_, seen)) => *seen = now,
+            None => versions.push((version.clone(), now)),
+        }
+        versions.retain(|(_, seen)| now.saturating_sub(*seen) <= RETENTION);
+    }
+
+    /// Returns the services with a recorded version.
+    pub fn services(&self) -> impl Iterator<Item = &catalog::ServiceId> {
+        self.by_service.keys()
+    }
+
+    /// Returns the versions of a service that were seen recently.
+    pub fn of_service(
+        &self,
+        service: &catalog::ServiceId,
+        now: ids::Timestamp,
+    ) -> impl Iterator<Item = &servers::SoftwareVersion> {
+        let versions = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let is_recent = move |seen: ids::Timestamp| now.saturating_sub(seen) <= RETENTION;
+        versions.iter().filter(move |(_, seen)| is_recent(*seen)).map(|(version, _)| version)
+    }
 }
