Log and count the limits that servers name

Ruled out: taking the header out of the answers to callers, which get the server's headers as before.

Change: the adapter decodes Server-Limit once: none, a rate, or invalid (empty, twice, negative, not finite, no number). The newest answer counts: one that names no limit withdraws it only if its request was sent after the answer that named it, and only if it is certainly an answer to this request. The limit belongs to one start of a server. Lines server_limit_changed (limit before and after, source, age, sum of the service) and server_limit_invalid; gauges limited_servers and server_limit_per_s, counters of changes and invalid ones. Nothing is decided by it yet.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -28,6 +28,7 @@
 pub mod recent;
 pub mod refusal;
 pub mod resumption;
+pub mod server_limits;
 pub mod servers;
 pub mod streams;
 pub mod view;
@@ -37,6 +38,7 @@
 mod limits;
 mod live;
 mod outcomes;
+mod throttle;
 mod waiting;
 
 /// The id under which a prefill server holds the KV cache of a prompt.
@@ -157,6 +159,15 @@
         /// The request as routing sees it.
         call: call::Call,
     },
+    /// The head of a server's answer was received.
+    AnswerReceived {
+        /// The number of the request.
+        request: call::RequestNumber,
+        /// What the answer states about the rate limit of its server.
+        limit: server_limits::Statement,
+        /// Whether the answer is certainly one to this request.
+        is_authentic: bool,
+    },
     /// A request at a server has progressed or ended.
     RequestProgressed {
         /// The number of the request.
@@ -381,6 +392,9 @@
                 self.log_refusal(&text(&id), refusal, None, None, now, &mut effects);
             }
             Event::Arrived { request, call } => self.arrive(request, call, now, &mut effects),
+            Event::AnswerReceived { request, limit, is_authentic } => {
+                self.receive_statement(request, limit, is_authentic, now, &mut effects);
+            }
             Event::RequestProgressed { request, outcome } => {
                 self.progress(request, outcome, now, &mut effects);
             }
--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -60,7 +60,7 @@
 }
 
 /// A caller's request.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 pub struct Call {
     /// The id that the caller chose for this attempt.
     pub id: Bytes,
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -60,6 +60,16 @@
     }
 }
 
+/// Where an instance learned of the limit of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitSource {
+    /// From an answer of the server.
+    Answer,
+    /// From another instance.
+    Peer,
+}
+
 /// A decision about a request, or a change of the view of the fleet.
 #[derive(Debug, Clone, PartialEq, serde::Serialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
@@ -96,6 +106,34 @@
         /// The length of the ejection.
         pause_ms: u64,
     },
+    /// The rate limit that a server names was learned, changed or withdrawn.
+    ServerLimitChanged {
+        /// The id of the server.
+        server: String,
+        /// Its service.
+        service: String,
+        /// The limit in force, in requests a second from the whole fleet; `None` if there is none.
+        rate_per_s: Option<f64>,
+        /// The limit before.
+        previous_per_s: Option<f64>,
+        /// Where this instance learned of it.
+        source: LimitSource,
+        /// The time since the request was sent whose answer shows it.
+        age_ms: u64,
+        /// The number of servers of the service with a limit.
+        limited_servers: usize,
+        /// The sum of their limits.
+        service_rate_per_s: f64,
+    },
+    /// A server names a limit that is not a number of requests a second; it is ignored.
+    ServerLimitInvalid {
+        /// The id of the server.
+        server: String,
+        /// The caller's id of the request.
+        request: String,
+        /// The limit that stays in force.
+        rate_per_s: Option<f64>,
+    },
     /// The spending before the start of this instance was loaded.
     #[serde(rename = "past_learned")]
     HistoryLoaded {
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -17,6 +17,8 @@
 pub struct AtServer {
     /// The id of the server.
     pub server: ids::ServerId,
+    /// The start of the server's process, in milliseconds of its own clock.
+    pub born_ms: u64,
     /// The work that the server does.
     pub step: Step,
     /// The load that is counted for the request at the server.
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -7,6 +7,7 @@
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
 use crate::core::fleet::estimate;
+use crate::core::fleet::server_limits;
 use crate::core::fleet::streams;
 use crate::core::ids;
 
@@ -79,6 +80,8 @@
     pub tokens_per_ms: f64,
     /// The time that a plain request takes, in milliseconds, learned from completed requests.
     pub work_ms: f64,
+    /// The rate limit that it names.
+    pub limit: server_limits::Evidence,
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: ids::Timestamp,
@@ -103,6 +106,7 @@
             failure_updated: ids::Timestamp::ZERO,
             tokens_per_ms,
             work_ms: constants::INITIAL_PLAIN_WORK_MS,
+            limit: server_limits::Evidence::default(),
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: ids::Timestamp::ZERO,
@@ -269,9 +273,13 @@
             || server.entry.address != entry.address;
         if is_restarted || is_reassigned {
             let loads = (server.own, server.others);
+            let limit = std::mem::take(&mut server.limit);
             *server = Server::new(entry, now);
             // Requests in progress later subtract the load that they added.
             (server.own, server.others) = loads;
+            if !is_restarted {
+                server.limit = limit;
+            }
             self.rebuild_index();
         } else {
             server.entry = entry;
@@ -504,6 +512,21 @@
         }
     }
 
+    /// Adds evidence of the rate limit of a server that started at `born_ms`; returns the limits
+    /// before and after, in requests a second, if they differ.
+    pub fn record_limit(
+        &mut self,
+        id: &ids::ServerId,
+        born_ms: u64,
+        evidence: server_limits::Evidence,
+    ) -> Option<(Option<f64>, Option<f64>)> {
+        let server = self.servers.get_mut(id).filter(|server| server.entry.born_ms == born_ms)?;
+        let previous = server.limit.rate_per_s();
+        server.limit.merge(evidence);
+        let current = server.limit.rate_per_s();
+        (previous != current).then_some((previous, current))
+    }
+
     /// Pauses handovers from a prefill server.
     pub fn pause_handover(&mut self, id: &ids::ServerId, now: ids::Timestamp) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -408,6 +408,7 @@
         let ahead = known.load();
         live.phase = live::Phase::AtServer(live::AtServer {
             server: server.clone(),
+            born_ms: known.entry.born_ms,
             step: step.clone(),
             load,
             sent: now,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,7 @@
 use crate::core::fleet;
 use crate::core::fleet::call;
 use crate::core::fleet::refusal;
+use crate::core::fleet::server_limits;
 use crate::core::ids;
 use crate::router::body;
 use crate::router::dialect;
@@ -41,6 +42,9 @@
 /// The server's signature of its response.
 const SERVER_STAMP: &str = "server-stamp";
 
+/// The requests a second that the server takes from all instances together.
+const SERVER_LIMIT: &str = "server-limit";
+
 /// Headers that only the router and the servers set; a caller's values are removed.
 const RESERVED_HEADERS: [&str; 12] = [
     TENANT,
@@ -186,7 +190,9 @@
             is_rejection: head.headers.contains_key(NOT_EXECUTED) || is_misdirected,
             is_misdirected,
             matches_request: echoed == Some(call.id.as_ref()),
+            is_foreign: echoed.is_some_and(|echoed| echoed != call.id.as_ref()),
             is_signed: head.headers.contains_key(SERVER_STAMP),
+            limit: parse_limit(&head.headers),
         }
     }
 
@@ -256,6 +262,16 @@
     }
 }
 
+fn parse_limit(headers: &http::HeaderMap) -> server_limits::Statement {
+    let mut values = headers.get_all(SERVER_LIMIT).iter();
+    let Some(value) = values.next() else { return server_limits::Statement::Unlimited };
+    let rate = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    match rate.filter(|rate| rate.is_finite() && *rate >= 0.0) {
+        Some(rate) if values.next().is_none() => server_limits::Statement::PerSecond(rate),
+        _ => server_limits::Statement::Invalid,
+    }
+}
+
 fn parse_token_counts(count: &str, hint: Option<&str>) -> Option<call::Tokens> {
     let (prompt, output) = count.split_once(',')?;
     let output_tokens: u32 = output.trim().parse().ok()?;
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 
 use crate::core::fleet::call;
+use crate::core::fleet::server_limits;
 use crate::core::fleet::servers;
 use crate::platform::configuration;
 use crate::platform::entries;
@@ -180,3 +181,31 @@
         let _ = configuration::read(&changed);
     }
 }
+
+fn stated_limit(values: &[&str]) -> server_limits::Statement {
+    let mut response = http::Response::new(());
+    for value in values {
+        let value = http::HeaderValue::from_str(value).expect("it is a valid header");
+        response.headers_mut().append("server-limit", value);
+    }
+    let (head, ()) = response.into_parts();
+    headers::PlatformDialect.read_response_head(&head, &call::Call::default()).limit
+}
+
+#[test]
+fn a_limit_that_a_server_names_is_read_and_bad_ones_are_marked() {
+    assert_eq!(stated_limit(&[]), server_limits::Statement::Unlimited);
+    for (text, rate_per_s) in
+        [("3.6", 3.6), (" 12 ", 12.0), ("0", 0.0), ("-0", 0.0), ("0.2", 0.2), ("1e30", 1e30)]
+    {
+        assert_eq!(
+            stated_limit(&[text]),
+            server_limits::Statement::PerSecond(rate_per_s),
+            "{text}"
+        );
+    }
+    for text in ["", "-1", "inf", "nan", "1e999", "4 a second", "4,5", "\u{e9}"] {
+        assert_eq!(stated_limit(&[text]), server_limits::Statement::Invalid, "{text}");
+    }
+    assert_eq!(stated_limit(&["4", "5"]), server_limits::Statement::Invalid);
+}
--- a/src/router/dialect.rs
+++ b/src/router/dialect.rs
@@ -9,11 +9,12 @@
 
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::server_limits;
 use crate::core::ids;
 use crate::router::body;
 
 /// What the head of a server's response states besides its status.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ResponseHead {
     /// The server states that it has not run the request.
     pub is_rejection: bool,
@@ -21,8 +22,12 @@
     pub is_misdirected: bool,
     /// The response carries the id of the request that was sent.
     pub matches_request: bool,
+    /// The response carries the id of another request.
+    pub is_foreign: bool,
     /// The response carries the server's signature.
     pub is_signed: bool,
+    /// What the response states about the rate limit of its server.
+    pub limit: server_limits::Statement,
 }
 
 /// A request to the readiness and discovery listener.
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -44,6 +44,20 @@
         decision::Decision::ServerEjected { .. } => {
             metrics::counter!("ejected_total").increment(1);
         }
+        decision::Decision::ServerLimitChanged {
+            service,
+            limited_servers,
+            service_rate_per_s,
+            ..
+        } => {
+            let labels = [("service", service.clone())];
+            metrics::gauge!("limited_servers", &labels).set(*limited_servers as f64);
+            metrics::gauge!("server_limit_per_s", &labels).set(*service_rate_per_s);
+            metrics::counter!("server_limit_changes_total", &labels).increment(1);
+        }
+        decision::Decision::ServerLimitInvalid { .. } => {
+            metrics::counter!("server_limits_invalid_total").increment(1);
+        }
         decision::Decision::Configured { version, .. } => {
             metrics::gauge!("configuration_version").set(*version as f64);
         }
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -15,6 +15,7 @@
 use crate::core::ids;
 use crate::router::body;
 use crate::router::context;
+use crate::router::dialect;
 use crate::router::relay;
 use crate::router::upstream;
 
@@ -205,6 +206,7 @@
         let Ok(response) = connection.send(request).await else { return lost };
         let (head, mut body) = response.into_parts();
         let response_head = dialect.read_response_head(&head, &self.call);
+        self.report_limit(dispatch, &head, response_head);
         if response_head.is_misdirected {
             return Attempt::Outcome(fleet::Outcome::Misdirected);
         }
@@ -240,6 +242,27 @@
         if is_failure { Attempt::Failure(response) } else { Attempt::Complete(response) }
     }
 
+    /// Reports what an answer states about the limit of its server, unless it is that of another
+    /// server or of another request.
+    fn report_limit(
+        &self,
+        dispatch: &fleet::Dispatch,
+        head: &http::response::Parts,
+        response_head: dialect::ResponseHead,
+    ) {
+        if response_head.is_misdirected || response_head.is_foreign {
+            return;
+        }
+        // Answers to a prefill bear no signature.
+        let is_prefilled = dispatch.step == fleet::Step::Prefill && head.status.is_success();
+        let is_authentic = response_head.matches_request && response_head.is_signed || is_prefilled;
+        self.guard.context.apply(fleet::Event::AnswerReceived {
+            request: self.guard.request,
+            limit: response_head.limit,
+            is_authentic,
+        });
+    }
+
     fn refuse(mut self, refusal: refusal::Refusal) -> Response {
         self.guard.has_ended = true;
         self.guard.context.dialect.write_refusal(refusal)
