Reproduce servers that get more than the limit they name

Change: servers of the virtual fleet name limits in the heads of their answers and record what reaches them; six tests hold the users' rule against it, for 1 to 60 instances, plain servers and engines, repeats, the loss of those that grant and of all.

--- /dev/null
+++ b/tests/fleet/server_limits.rs
@@ -0,0 +1,153 @@
+//! Limits that servers name, kept by fleets of different sizes.
+
+use std::time::Duration;
+
+use super::FAST_DIGESTS;
+use super::ms;
+use super::send_load;
+use super::world;
+use super::world::World;
+
+/// The window of the platform's rule on limits.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// The time after a server's first answer that names its limit from which the rule holds.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The time after an instance's first such answer from which its requests count.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// The plain servers of the simulation.
+const DESKS: [&str; 3] = ["desk-0", "desk-1", "desk-2"];
+
+/// Returns the highest number of requests that reached a server within a window that ends after
+/// `from`, if only arrivals that `counts` are counted.
+fn most_in_a_window<F>(world: &World, server: &str, from: Duration, counts: F) -> usize
+where
+    F: Fn(Duration, usize) -> bool,
+{
+    let arrivals = world.arrivals(server).iter().filter(|(at, instance)| counts(*at, *instance));
+    let arrivals: Vec<_> = arrivals.map(|(at, _)| *at).collect();
+    let ends = arrivals.iter().filter(|end| **end >= from);
+    let within =
+        |end: &Duration| arrivals.iter().filter(|at| **at + WINDOW > *end && **at <= *end).count();
+    ends.map(within).max().unwrap_or(0)
+}
+
+/// Checks the platform's rule for a server that has named `limit_per_s` from `named` on.
+fn assert_rule_is_kept(world: &World, server: &str, limit_per_s: f64, named: Duration) {
+    let allowed = 1.5 * limit_per_s * WINDOW.as_secs_f64() + 5.0;
+    let is_told = |at: Duration, instance: usize| {
+        let told = world.told.get(&(server.to_string().into(), instance));
+        told.is_some_and(|told| at >= *told + NOTICE)
+    };
+    let most = most_in_a_window(world, server, named + CONTACT, is_told);
+    assert!(most as f64 <= allowed, "{server}: {most} requests in 4 s, {allowed} allowed");
+}
+
+/// Checks that a server with a limit gets it while callers wait, and no more.
+fn assert_limit_is_used(world: &World, server: &str, limit_per_s: f64, from: Duration) {
+    let allowance = limit_per_s * WINDOW.as_secs_f64();
+    let most = most_in_a_window(world, server, from + WINDOW, |_, _| true) as f64;
+    assert!(most <= allowance * 1.1 + 2.0, "{server}: {most} requests in 4 s of {allowance}");
+    let span = (world.now - from).as_secs_f64();
+    let got = world.arrivals(server).iter().filter(|(at, _)| *at >= from).count() as f64;
+    assert!(got >= limit_per_s * span * 0.7, "{server}: {got} requests in {span} s");
+}
+
+fn name_limits(world: &mut World, servers: &[&str], limit_per_s: f64) -> Duration {
+    for server in servers {
+        world.set_limit(ms(0), server, Some(limit_per_s));
+    }
+    world.now
+}
+
+#[test]
+fn a_server_that_names_a_limit_gets_it_from_all_instances_together() {
+    for instances in [1, 2, 6, 60] {
+        for limit_per_s in [1.0, 4.0, 12.5] {
+            let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+            send_load(&mut world, "query", instances, 120, ms(16_000));
+            world.run(ms(2_000));
+            let named = name_limits(&mut world, &["desk-0"], limit_per_s);
+            world.run(ms(14_000));
+            assert_rule_is_kept(&world, "desk-0", limit_per_s, named);
+        }
+    }
+}
+
+#[test]
+fn servers_that_all_name_a_limit_get_it_while_callers_wait_and_no_more() {
+    for instances in [1, 6, 60] {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        send_load(&mut world, "query", instances, 120, ms(14_000));
+        world.run(ms(2_000));
+        let named = name_limits(&mut world, &DESKS, 4.0);
+        world.run(ms(12_000));
+        for server in DESKS {
+            assert_rule_is_kept(&world, server, 4.0, named);
+            assert_limit_is_used(&world, server, 4.0, named + ms(500));
+        }
+    }
+}
+
+#[test]
+fn a_limit_holds_after_the_loss_of_all_instances() {
+    for instances in [6, 60] {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        send_load(&mut world, "query", instances, 120, ms(16_000));
+        world.run(ms(2_000));
+        let named = name_limits(&mut world, &DESKS, 4.0);
+        world.run(ms(5_000));
+        world.restart_all(&world::servers());
+        world.run(ms(9_000));
+        for server in DESKS {
+            assert_rule_is_kept(&world, server, 4.0, named);
+        }
+    }
+}
+
+#[test]
+fn a_limit_holds_while_the_instances_that_grant_it_stop() {
+    for instances in [6, 20] {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        send_load(&mut world, "query", instances, 120, ms(18_000));
+        world.run(ms(2_000));
+        let named = name_limits(&mut world, &DESKS, 4.0);
+        for instance in 0..4 {
+            world.kill(ms(3_000 + 1_500 * instance as u64), instance);
+        }
+        world.run(ms(16_000));
+        for server in DESKS {
+            assert_rule_is_kept(&world, server, 4.0, named);
+        }
+    }
+}
+
+#[test]
+fn prompts_and_handovers_count_towards_the_limits_of_engines() {
+    for instances in [1, 6, 60] {
+        let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+        send_load(&mut world, "stream", instances, 14, ms(18_000));
+        world.run(ms(2_000));
+        let named = name_limits(&mut world, &["llm-0", "llm-3", "llm-4"], 0.5);
+        world.run(ms(16_000));
+        for server in ["llm-0", "llm-3", "llm-4"] {
+            assert_rule_is_kept(&world, server, 0.5, named);
+        }
+    }
+}
+
+#[test]
+fn rejected_and_repeated_requests_count_towards_a_limit() {
+    let mut world = World::new(6, FAST_DIGESTS, &world::servers());
+    send_load(&mut world, "query", 6, 120, ms(14_000));
+    world.run(ms(2_000));
+    let named = name_limits(&mut world, &DESKS, 2.0);
+    world.set_health(ms(0), "desk-0", world::Health::RejectsRequests);
+    world.set_health(ms(0), "desk-1", world::Health::AnswersErrors);
+    world.run(ms(12_000));
+    for server in DESKS {
+        assert_rule_is_kept(&world, server, 2.0, named);
+    }
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -19,6 +19,7 @@
 use galenayard::core::fleet::message;
 use galenayard::core::fleet::peers;
 use galenayard::core::fleet::refusal;
+use galenayard::core::fleet::server_limits;
 use galenayard::core::fleet::servers;
 use galenayard::core::fleet::streams;
 use galenayard::core::ids;
@@ -95,6 +96,10 @@
         server: Bytes,
         health: Health,
     },
+    SetLimit {
+        server: Bytes,
+        limit_per_s: Option<f64>,
+    },
     Apply {
         instance: usize,
         event: fleet::Event,
@@ -131,6 +136,10 @@
     most_prefilling: u32,
     /// The prompts whose KV cache it holds.
     prompts: Vec<call::PromptId>,
+    /// The limit that it names in its answers, in requests a second.
+    limit_per_s: Option<f64>,
+    /// The requests that reached it: when, and from which instance.
+    arrivals: Vec<(Duration, usize)>,
 }
 
 /// The events of one request.
@@ -175,6 +184,8 @@
     pub stored_origins: Vec<streams::Origin>,
     pub origin_records: usize,
     pub records: Map<(usize, u64), Record>,
+    /// When each instance first received an answer that names a limit, by server.
+    pub told: Map<(Bytes, usize), Duration>,
 }
 
 /// The limit of the workspace that sends requests to the host `limited`.
@@ -205,6 +216,7 @@
             stored_origins: Vec::new(),
             origin_records: 0,
             records: Map::default(),
+            told: Map::default(),
         };
         for index in 0..instances {
             world.instances.push(Some(new_fleet(index, world.addresses[index])));
@@ -219,6 +231,8 @@
                 prefilling: 0,
                 most_prefilling: 0,
                 prompts: Vec::new(),
+                limit_per_s: None,
+                arrivals: Vec::new(),
             };
             world.backends.insert(entry.id.clone(), backend);
         }
@@ -346,6 +360,17 @@
         self.schedule(after, Action::SetHealth { server, health });
     }
 
+    /// Changes the limit that a server names in its answers.
+    pub fn set_limit(&mut self, after: Duration, server: &str, limit_per_s: Option<f64>) {
+        let server = Bytes::from(server.to_string());
+        self.schedule(after, Action::SetLimit { server, limit_per_s });
+    }
+
+    /// Returns the requests that reached a server: when, and from which instance.
+    pub fn arrivals(&self, server: &str) -> &[(Duration, usize)] {
+        &self.backends[&Bytes::from(server.to_string())].arrivals
+    }
+
     /// Changes the prefill speed of a server to a share of the usual one.
     pub fn set_prefill_speed(&mut self, server: &str, share: f64) {
         let backend = self.backends.get_mut(&Bytes::from(server.to_string()));
@@ -399,6 +424,10 @@
                 }
             }
             Action::Apply { instance, event } => self.apply(instance, event),
+            Action::SetLimit { server, limit_per_s } => {
+                let backend = self.backends.get_mut(&server).expect("the server exists");
+                backend.limit_per_s = limit_per_s;
+            }
             Action::SetHealth { server, health } => {
                 if let Some(backend) = self.backends.get_mut(&server) {
                     backend.health = health;
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -12,7 +12,9 @@
             record.last_server = dispatch.server.clone();
             record.sends
         };
-        let health = self.backends[&dispatch.server].health;
+        let backend = self.backends.get_mut(&dispatch.server).expect("the server exists");
+        backend.arrivals.push((now, instance));
+        let health = backend.health;
         let unhealthy = match health {
             Health::Healthy => None,
             Health::AnswersErrors if request.is_multiple_of(2) => None,
@@ -127,6 +129,33 @@
         }
     }
 
+    /// Delivers what the head of an answer states about the limit of its server.
+    fn state_limit(
+        &mut self,
+        instance: usize,
+        request: u64,
+        server: &Bytes,
+        outcome: &fleet::Outcome,
+    ) {
+        let is_authentic = match outcome {
+            fleet::Outcome::Started
+            | fleet::Outcome::Prefilled { .. }
+            | fleet::Outcome::Failed { .. } => true,
+            // The head of a stream was received before its end.
+            fleet::Outcome::Finished { .. } => server.starts_with(b"desk"),
+            fleet::Outcome::Rejected => false,
+            _ => return,
+        };
+        let limit = match self.backends[server].limit_per_s {
+            Some(rate_per_s) => {
+                self.told.entry((server.clone(), instance)).or_insert(self.now);
+                server_limits::Statement::PerSecond(rate_per_s)
+            }
+            None => server_limits::Statement::Unlimited,
+        };
+        self.apply(instance, fleet::Event::AnswerReceived { request, limit, is_authentic });
+    }
+
     pub(super) fn progressed(
         &mut self,
         instance: usize,
@@ -145,6 +174,7 @@
         if !is_current {
             return;
         }
+        self.state_limit(instance, request, &server, &outcome);
         let record = self.record(instance, request);
         match &outcome {
             fleet::Outcome::Started => {
