Keep the limits that servers name, for the whole fleet

Cause: no instance read Server-Limit, so a server in need was as good as any other. Class: a bound that is stated to one instance and binds all. The tests failed before: 240 requests in 4 s of 11 allowed (1 a second), 202 of 29 after the loss of all instances, 28 of 8 at a prefill server.

Ruled out: an equal part for each instance (60 instances at 4 a second: rounded up it is broken, rounded down the server idles); a record in the store (late, and unknown while the store is away); a full pause until the window has emptied (the requests before the limit was named are not the server's complaint).

Change: the owner of a service, which grants its reservations, takes one token of a bucket that fills at the limit for each server of a grant, prefills and decode servers included. It starts empty and holds a quarter of a second. An instance whose owner is silent or unknown sends only in its turn, one request in n / (limit / 2) s, and a turn that is not used lapses. Instances report limits at once, and what they have sent to limited servers within 50 ms, to all coordinators, by the instance that granted it; each takes from its bucket what it has not granted itself, so that two owners at once, or a new one, keep the limit together. Coordinators tell all others. A grant counts only if its owner has stated within 3.5 s that it knows the limit: older builds do not. Limits count in the estimate of waits, so that what cannot be served in time is refused at once. A server with a limit gets a request a second if its limit allows it (0.2 a second at least), as only answers show that the limit is withdrawn. An instance that joins a running fleet sends servers without an answer one request at a time for its first second. Lines: the limits behind a send and a refusal, grants that were declined; counters for each.

Why it works: what binds needs no memory: a server's next answer names the limit again, and until then an instance that has just started sends it one request.

Measured: the six tests of the virtual fleet pass with 1 to 60 instances; the 54 tests there and 106 unit tests pass; so does the soak of the tests.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -302,6 +302,8 @@
     origins: streams::Origins,
     /// Whether engines may hold prompts that this instance does not know of.
     has_unlisted_prompts: bool,
+    /// Whether the fleet was running before this instance started.
+    has_joined: bool,
     lists_prompts_until: Option<ids::Timestamp>,
     peers: peers::Peers,
     quotas: quota::Quotas,
@@ -311,6 +313,8 @@
     waiting: Vec<call::RequestNumber>,
     claims: collections::Map<ledger::Ticket, broker::RemoteClaim>,
     grants: collections::Map<ledger::Ticket, (placement::Placement, u64)>,
+    /// Servers whose limit or use of it is to be reported.
+    limit_reports: throttle::DueReports,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
     servers_position: ids::StorePosition,
@@ -339,6 +343,7 @@
             kept: kept::KeptPrompts::default(),
             origins: streams::Origins::default(),
             has_unlisted_prompts: !options.is_first_start,
+            has_joined: !options.is_first_start,
             lists_prompts_until: None,
             peers: peers::Peers::default(),
             quotas: quota::Quotas::new(options.quota_window, options.is_first_start),
@@ -348,6 +353,7 @@
             waiting: Vec::new(),
             claims: collections::Map::default(),
             grants: collections::Map::default(),
+            limit_reports: throttle::DueReports::default(),
             charge_responses: collections::Map::default(),
             ledger: ledger::Ledger::default(),
             servers_position: 0,
@@ -508,6 +514,7 @@
         let until = *self.lists_prompts_until.get_or_insert(now + constants::PROMPT_LISTING_PERIOD);
         self.has_unlisted_prompts = now <= until;
         for (server, address) in self.servers.take_unlisted_decode_servers() {
+            self.count_call(&server, now);
             effects.push(Effect::ListPrompts { server, address });
         }
     }
@@ -540,6 +547,8 @@
         self.resend_charges(now, effects);
         self.resend_reservation_requests(now, effects);
         self.end_lookups(now, effects);
+        self.report_limits(now, effects);
+        self.return_to_owners(now, effects);
         self.refuse_unservable(now, effects);
         self.place_waiting(now, effects);
     }
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -117,7 +117,7 @@
             expires,
             phase: live::Phase::Waiting,
             attempt: 0,
-            granted_by: None,
+            grant: None,
             run_attempts: 0,
             prefill_server: None,
             may_have_run: false,
@@ -197,6 +197,7 @@
             may_have_run: live.is_some_and(|live| live.may_have_run),
             retry_after_ms: refusal.retry_after.map(waiting::millis),
             spending: refusal.spending,
+            limits: live.and_then(|live| self.limit_view(&live.claim.service, now)),
         }));
     }
 }
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::call;
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
+use crate::core::fleet::decision;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
 use crate::core::fleet::message;
@@ -112,6 +113,7 @@
                 constants::COORDINATOR_RESPONSE_TIMEOUT
             };
             if now >= confirmed + limit {
+                self.log_unresponsive_owner(request, &awaiting, now, effects);
                 self.place_without_owner(request, &awaiting, now, effects);
             } else if now >= awaiting.last_sent + limit / 3 {
                 self.send_reservation_request(request, awaiting.owner_address, now, effects);
@@ -124,6 +126,21 @@
         }
     }
 
+    fn log_unresponsive_owner(
+        &self,
+        request: call::RequestNumber,
+        awaiting: &live::AwaitingGrant,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get(&request) else { return };
+        effects.push(Effect::Log(decision::Decision::OwnerUnresponsive {
+            request: fleet::text(&live.call.id),
+            owner: awaiting.owner,
+            waited_ms: waiting::millis(now.saturating_sub(awaiting.first_sent)),
+        }));
+    }
+
     fn place_without_owner(
         &mut self,
         request: call::RequestNumber,
@@ -136,11 +153,6 @@
         let ticket =
             ledger::Ticket { holder: self.own.incarnation, request, attempt: live.attempt };
         live.attempt += 1;
-        effects.push(Effect::Log(fleet::decision::Decision::OwnerUnresponsive {
-            request: fleet::text(&live.call.id),
-            owner: awaiting.owner,
-            waited_ms: waiting::millis(now.saturating_sub(awaiting.first_sent)),
-        }));
         self.send_progress(
             awaiting.owner_address,
             ticket,
@@ -160,7 +172,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(live) = self.requests.get(&request) else { return };
-        let Some(to) = live.granted_by else { return };
+        let Some(to) = live.grant.map(|grant| grant.owner_address) else { return };
         self.send_progress(to, self.ticket(request, live.attempt), progress, effects);
     }
 
@@ -173,7 +185,7 @@
     ) {
         let to = match &live.phase {
             live::Phase::AwaitingGrant(awaiting) => Some(awaiting.owner_address),
-            _ => live.granted_by,
+            _ => live.grant.map(|grant| grant.owner_address),
         };
         if let Some(to) = to {
             let ticket = self.ticket(request, live.attempt);
@@ -249,6 +261,9 @@
                 let reason = refusal::Reason::NoCapacity;
                 self.refuse(request, refusal::Refusal::retry_after(reason, wait), now, effects);
             }
+            message::Message::ServerLimits(limits) => {
+                self.receive_limits(&limits, now, effects);
+            }
             message::Message::Progress { ticket, progress } => {
                 self.receive_progress(ticket, progress, now, effects);
             }
@@ -282,18 +297,24 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(request) = self.pending_request(ticket) else { return };
+        let live::Phase::AwaitingGrant(awaiting) = &self.requests[&request].phase else { return };
+        let awaiting = awaiting.clone();
         let is_known = placement.servers().all(|server| self.servers.get(server).is_some());
         let generator = placement.servers().last().and_then(|server| self.servers.get(server));
         let binding = &self.requests[&request].claim.binding;
         let is_allowed = generator.is_some_and(|server| binding.allows(server));
         if !is_known || !is_allowed {
             // This instance does not know the server yet, or the owner has an older entry of it.
-            let live::Phase::AwaitingGrant(grant) = &self.requests[&request].phase else { return };
-            let grant = grant.clone();
-            return self.place_without_owner(request, &grant, now, effects);
+            self.log_unresponsive_owner(request, &awaiting, now, effects);
+            return self.place_without_owner(request, &awaiting, now, effects);
+        }
+        if !self.is_within_limits(&placement, awaiting.owner, now) {
+            self.log_declined_grant(request, &placement, &awaiting, effects);
+            return self.place_without_owner(request, &awaiting, now, effects);
         }
         if let Some(live) = self.requests.get_mut(&request) {
-            live.granted_by = Some(from);
+            let owner = awaiting.owner;
+            live.grant = Some(live::Grant { owner, owner_address: from, received: now });
         }
         self.use_placement(request, placement, expected_ms as f64, now, effects);
     }
@@ -350,6 +371,7 @@
         let (to, claim) = (remote.from, remote.claim.clone());
         self.claims.remove(&ticket);
         self.record_prompt(&claim, &placement, now);
+        self.take_allowances(&claim.service, &placement, now);
         let reservations = placement.loads(&claim);
         self.ledger.insert(ticket, reservations, &mut self.servers, now);
         let expected_ms = expected_ms as u64;
@@ -421,6 +443,7 @@
             message::Progress::Prefilled { server, tokens, elapsed_ms } => {
                 let elapsed = time::Duration::from_millis(elapsed_ms);
                 self.servers.record_prefill(&server, tokens, elapsed);
+                self.servers.record_answered(&server);
                 self.record_prefilled(ticket, &server, now);
             }
             message::Progress::Ended { evidence, elapsed_ms } => {
@@ -430,6 +453,7 @@
                 if let Some((server, evidence)) = evidence {
                     self.servers.record_evidence(&server, evidence, now);
                     if evidence == servers::Evidence::Answered {
+                        self.servers.record_answered(&server);
                         let elapsed = time::Duration::from_millis(elapsed_ms);
                         self.servers.record_work(&server, elapsed);
                     }
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -234,3 +234,19 @@
 
 /// The difference of uptimes up to which a peer counts as started together with this instance.
 pub const MAX_COMMON_START_DIFFERENCE: time::Duration = time::Duration::from_millis(3_000);
+
+/// The time after the start of an instance in a running fleet for which servers without an answer get
+/// one request at a time. An answer shows whether its server names a limit.
+pub const PROBING_PERIOD: time::Duration = time::Duration::from_millis(1_000);
+
+/// The interval at which instances repeat what they know of limits that servers name.
+pub const LIMIT_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
+/// The time for which the withdrawal of a limit is repeated.
+pub const LIMIT_WITHDRAWAL_REPORT_PERIOD: time::Duration = time::Duration::from_secs(5);
+
+/// The maximum number of reports on limits in one message, to keep the datagram short.
+pub const MAX_LIMIT_REPORTS_PER_MESSAGE: usize = 32;
+
+/// The time by which the age of an answer may be reported too low, for its way between instances.
+pub const LIMIT_REPORT_DELAY: time::Duration = time::Duration::from_millis(50);
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -83,8 +83,8 @@
         let (ranked_higher, coordinators) = self.coordinator_rank(now);
         // An instance that has just started knows no other one. If all start together, each would
         // become a coordinator.
-        let knows_others = self.has_discovered_members || now >= constants::PEER_SYNC_TIMEOUT;
-        let is_coordinator = self.is_ready() && knows_others && ranked_higher < coordinators;
+        let is_coordinator =
+            self.is_ready() && self.knows_members(now) && ranked_higher < coordinators;
         if !self.is_coordinator && !self.peers.coordinators(now).is_empty() {
             self.has_left_counting_to_peers = true;
         }
@@ -103,6 +103,11 @@
         effects.push(Effect::AnnounceChange);
     }
 
+    /// Returns whether this instance has had the means to learn of the other ones.
+    pub(super) fn knows_members(&self, now: ids::Timestamp) -> bool {
+        self.has_discovered_members || now >= constants::PEER_SYNC_TIMEOUT
+    }
+
     /// Returns how many instances rank higher than this one, and how many may coordinate. While no
     /// coordinator is active, it is unknown which instances are live; then all known ones count,
     /// and more and more instances may coordinate, step by step.
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -158,6 +158,17 @@
         /// The time since the first reservation request for this attempt.
         waited_ms: u64,
     },
+    /// A grant is not used, as the owner may not know of the limit that a server of it names.
+    GrantDeclined {
+        /// The caller's id of the request.
+        request: String,
+        /// The incarnation of the owner.
+        owner: ids::Incarnation,
+        /// The id of the server.
+        server: String,
+        /// The limit, in requests a second from the whole fleet.
+        limit_per_s: f64,
+    },
     /// The coordinator that counts the limits did not answer in time; the next one is tried, or
     /// this instance decides.
     #[serde(rename = "keeper_silent")]
@@ -207,6 +218,12 @@
         waited_ms: u64,
         /// The position of the server's entry in the store.
         offset: ids::StorePosition,
+        /// The limit that the server names, in requests a second from the whole fleet.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_per_s: Option<f64>,
+        /// The limits of the service's servers, if any has one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limits: Option<refusal::LimitView>,
     },
     /// The first event of a stream has arrived.
     Started {
@@ -296,6 +313,9 @@
         retry_after_ms: Option<u64>,
         /// The spending that was compared with the workspace's limit, if the limit is the reason.
         spending: Option<refusal::SpendingView>,
+        /// The limits of the service's servers, if any has one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limits: Option<refusal::LimitView>,
     },
     /// A caller has disconnected before the end of its request.
     #[serde(rename = "caller_left")]
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -48,6 +48,17 @@
     pub last_confirmed: Option<ids::Timestamp>,
 }
 
+/// The grant of a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grant {
+    /// The incarnation of the owner.
+    pub owner: ids::Incarnation,
+    /// The peer address of the owner, which receives the request's progress.
+    pub owner_address: net::SocketAddr,
+    /// When the grant was received.
+    pub received: ids::Timestamp,
+}
+
 /// The wait for the coordinator that counts the limits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AwaitingCharge {
@@ -117,8 +128,8 @@
     pub phase: Phase,
     /// Counts the charges and reservations requested for it; part of its tickets.
     pub attempt: u32,
-    /// The owner that granted its reservation, which receives its progress.
-    pub granted_by: Option<net::SocketAddr>,
+    /// The grant of its reservation, if an owner granted it.
+    pub grant: Option<Grant>,
     /// The number of servers that were sent a run of it and may have received it.
     pub run_attempts: u32,
     /// The server that has prefilled its prompt for a handover.
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -8,6 +8,7 @@
 use crate::core::fleet::placement;
 use crate::core::fleet::quota;
 use crate::core::fleet::refusal;
+use crate::core::fleet::server_limits;
 use crate::core::fleet::servers;
 use crate::core::fleet::streams;
 use crate::core::ids;
@@ -98,6 +99,41 @@
     Fails,
 }
 
+/// An answer that named a limit.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct NamedLimit {
+    /// The requests a second that the server takes from the whole fleet.
+    pub rate_per_s: f64,
+    /// The time since the request was sent.
+    pub sent_age_ms: u64,
+    /// The time since the answer was received.
+    pub received_age_ms: u64,
+}
+
+/// What an instance knows of the rate limit of a server, and how it uses it.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LimitReport {
+    /// The id of the server.
+    pub server: ids::ServerId,
+    /// The start of its process, in milliseconds of its own clock.
+    pub born_ms: u64,
+    /// The newest answer that named a limit.
+    pub named: Option<NamedLimit>,
+    /// The time since the newest request was sent whose answer named none.
+    pub unlimited_age_ms: Option<u64>,
+    /// The requests that the sender has sent to the server.
+    pub sends: server_limits::SendCounts,
+}
+
+/// What an instance knows of the rate limits of servers.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LimitReports {
+    /// The sender.
+    pub from: ids::Incarnation,
+    /// The reports, one for each server.
+    pub reports: Vec<LimitReport>,
+}
+
 /// A message between instances.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -178,6 +214,8 @@
         /// The time after which the caller may retry.
         retry_after_ms: u64,
     },
+    /// The rate limits that servers name. Older builds ignore them.
+    ServerLimits(LimitReports),
     /// A request with a reservation has progressed or ended.
     Progress {
         /// The ticket of the grant.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -148,7 +148,7 @@
         let evidence = evidence(outcome).map(|evidence| (at.server.clone(), evidence));
         self.report_progress(request, broker::ended(evidence, elapsed), effects);
         if let Some(live) = self.requests.get_mut(&request) {
-            live.granted_by = None;
+            live.grant = None;
         }
     }
 
@@ -214,18 +214,23 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(live) = self.requests.get(&request) else { return };
+        let is_reserved = reserved.is_some();
         let found = reserved.or_else(|| {
-            let query = placement::Query { claim: &live.claim, memory_share: 1.0, now };
+            let query = self.query(&live.claim, 1.0, now);
             placement::best_decode_server(&self.servers, live.claim.engine?, query)
         });
         match found {
             Some(server) => {
+                if !is_reserved {
+                    let service = live.claim.service.clone();
+                    self.servers.take_allowance(&server, self.pacing(&service, now), now);
+                }
                 let step = Step::Decode { source, handle };
                 let expected_ms = constants::DECODE_START_MS;
                 self.send(request, &server, step, expected_ms, now, effects);
             }
             None => {
-                effects.push(Effect::ReleaseKvCache { address: source, handle });
+                self.release_kv_cache(request, source, handle, now, effects);
                 self.wait_again(request, now, effects);
             }
         }
@@ -457,7 +462,7 @@
             return self.refuse(request, refusal, now, effects);
         }
         let refusal = refusal::Refusal::new(refusal::Reason::TimedOut);
-        self.release_unused_kv_cache(request, effects);
+        self.release_unused_kv_cache(request, now, effects);
         if let Some(live) = self.requests.get_mut(&request) {
             live.may_have_run = true;
         }
@@ -472,7 +477,7 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) -> Option<live::LiveRequest> {
-        self.release_unused_kv_cache(request, effects);
+        self.release_unused_kv_cache(request, now, effects);
         let live = self.requests.get_mut(&request)?;
         if matches!(&live.phase, live::Phase::AtServer(at) if at.step != Step::Prefill) {
             live.may_have_run = true;
@@ -481,14 +486,34 @@
     }
 
     /// Frees a KV cache that the decode server may not have fetched.
-    fn release_unused_kv_cache(&self, request: call::RequestNumber, effects: &mut Vec<Effect>) {
+    fn release_unused_kv_cache(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(live) = self.requests.get(&request) else { return };
         if let live::Phase::AtServer(at) = &live.phase
             && let Step::Decode { source, handle } = &at.step
             && !at.is_started
         {
-            effects.push(Effect::ReleaseKvCache { address: *source, handle: handle.clone() });
+            let (address, handle) = (*source, handle.clone());
+            self.release_kv_cache(request, address, handle, now, effects);
+        }
+    }
+
+    fn release_kv_cache(
+        &mut self,
+        request: call::RequestNumber,
+        address: net::SocketAddr,
+        handle: fleet::HandleId,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(server) = self.prefill_server(request) {
+            self.count_call(&server, now);
         }
+        effects.push(Effect::ReleaseKvCache { address, handle });
     }
 }
 
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -9,6 +9,7 @@
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::ledger;
+use crate::core::fleet::server_limits;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -73,6 +74,8 @@
     pub expected_ms: f64,
     /// The part of it that the server spends on requests before this one.
     pub backlog_ms: f64,
+    /// Whether it is chosen before others, whatever they offer.
+    pub is_preferred: bool,
 }
 
 /// A claim to be placed, with the conditions for it.
@@ -82,13 +85,21 @@
     pub claim: &'a claim::Claim,
     /// The share of an engine's KV cache that may be reserved.
     pub memory_share: f64,
+    /// The part of the limits of servers that may be used.
+    pub pacing: server_limits::Pacing,
+    /// Whether servers without an answer so far get one request at a time: they may have named limits
+    /// that this instance does not know.
+    pub is_probing: bool,
     /// The current time.
     pub now: ids::Timestamp,
 }
 
 impl Query<'_> {
     fn admits(&self, server: &servers::Server) -> bool {
-        server.is_usable(self.now) && !self.claim.tried.contains(&server.entry.id)
+        server.is_usable(self.now)
+            && !self.claim.tried.contains(&server.entry.id)
+            && server.limit_wait(self.pacing, self.now).is_zero()
+            && (!self.is_probing || server.has_answered() || server.load().requests == 0)
     }
 
     /// Returns whether a server may get the request and generate its next events.
@@ -127,7 +138,12 @@
         return None;
     }
     let expected_ms = constants::DECODE_START_MS + query.penalty_ms(server);
-    Some(Candidate { placement: Placement::Kept(engine.clone()), expected_ms, backlog_ms: 0.0 })
+    Some(Candidate {
+        placement: Placement::Kept(engine.clone()),
+        expected_ms,
+        backlog_ms: 0.0,
+        is_preferred: false,
+    })
 }
 
 /// Returns the placement with the earliest expected first event, if any engine has capacity.
@@ -150,7 +166,8 @@
         (None, handover) => handover,
         (Some(direct), Some(handover)) => {
             let gain_ms = handover.expected_ms - direct.expected_ms;
-            Some(if gain_ms > constants::MIN_DIRECT_GAIN_MS { direct } else { handover })
+            let is_direct = gain_ms > constants::MIN_DIRECT_GAIN_MS && !handover.is_preferred;
+            Some(if is_direct || direct.is_preferred { direct } else { handover })
         }
     }
 }
@@ -178,7 +195,11 @@
         let backlog_ms = f64::from(load.tokens_to_prefill) / server.tokens_per_ms;
         let expected_ms = backlog_ms + own_ms + query.penalty_ms(server);
         let placement = Placement::Direct(server.entry.id.clone());
-        replace_if_better(&mut best, Candidate { placement, expected_ms, backlog_ms });
+        let is_preferred = server.is_due_for_trickle(query.now);
+        replace_if_better(
+            &mut best,
+            Candidate { placement, expected_ms, backlog_ms, is_preferred },
+        );
     }
     best
 }
@@ -202,12 +223,17 @@
         let own_ms = f64::from(query.claim.tokens.prompt_tokens) / server.tokens_per_ms;
         let expected_ms = backlog_ms + own_ms + constants::HANDOVER_MS + query.penalty_ms(server);
         let placement = server.entry.id.clone();
-        replace_if_better(&mut best, Candidate { placement, expected_ms, backlog_ms });
+        let is_preferred = server.is_due_for_trickle(query.now);
+        replace_if_better(
+            &mut best,
+            Candidate { placement, expected_ms, backlog_ms, is_preferred },
+        );
     }
     best.map(|best| Candidate {
         placement: Placement::Handover { prefill: best.placement, decode },
         expected_ms: best.expected_ms,
         backlog_ms: best.backlog_ms,
+        is_preferred: best.is_preferred,
     })
 }
 
@@ -230,7 +256,8 @@
                 let prefill_ms = f64::from(load.tokens_to_prefill) / server.tokens_per_ms;
                 taken * constants::FULL_KV_CACHE_PENALTY_MS + prefill_ms + query.penalty_ms(server)
             };
-            cost(one).total_cmp(&cost(other))
+            let is_due = |server: &servers::Server| server.is_due_for_trickle(query.now);
+            is_due(other).cmp(&is_due(one)).then(cost(one).total_cmp(&cost(other)))
         })
         .map(|server| server.entry.id.clone())
 }
@@ -255,7 +282,11 @@
         let contention_ms = requests / slots * server.work_ms * 0.5;
         let expected_ms = server.work_ms + backlog_ms + contention_ms + query.penalty_ms(server);
         let placement = Placement::Plain(server.entry.id.clone());
-        replace_if_better(&mut best, Candidate { placement, expected_ms, backlog_ms });
+        let is_preferred = server.is_due_for_trickle(query.now);
+        replace_if_better(
+            &mut best,
+            Candidate { placement, expected_ms, backlog_ms, is_preferred },
+        );
     }
     best
 }
@@ -271,7 +302,12 @@
 }
 
 fn replace_if_better<T>(best: &mut Option<Candidate<T>>, candidate: Candidate<T>) {
-    if best.as_ref().is_none_or(|best| candidate.expected_ms < best.expected_ms) {
+    let is_better = |best: &Candidate<T>| match (candidate.is_preferred, best.is_preferred) {
+        (true, false) => true,
+        (false, true) => false,
+        _ => candidate.expected_ms < best.expected_ms,
+    };
+    if best.as_ref().is_none_or(is_better) {
         *best = Some(candidate);
     }
 }
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -54,6 +54,17 @@
     pub allowed: f64,
 }
 
+/// The limits that the usable servers of a service name.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize)]
+pub struct LimitView {
+    /// The number of servers with a limit.
+    pub limited_servers: usize,
+    /// The number of servers without one.
+    pub unlimited_servers: usize,
+    /// The sum of the limits, in requests a second from the whole fleet.
+    pub rate_per_s: f64,
+}
+
 impl Refusal {
     /// Creates a refusal without `Retry-After`.
     pub fn new(reason: Reason) -> Self {
--- a/src/core/fleet/server_limits.rs
+++ b/src/core/fleet/server_limits.rs
@@ -5,6 +5,12 @@
 
 use crate::core::ids;
 
+pub mod allowance;
+
+pub use allowance::Allowance;
+pub use allowance::Pacing;
+pub use allowance::SendCounts;
+
 /// What the head of an answer states about the rate limit of its server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Statement {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -22,6 +22,7 @@
 use crate::core::fleet::live;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
+use crate::core::fleet::server_limits;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -168,6 +169,7 @@
             Some(engine) => self.engine_drain_ms(waiter, claim, engine, now),
             None => self.plain_drain_ms(waiter, claim, now),
         };
+        let drain_ms = drain_ms + self.limit_wait_ms(claim, now);
         let is_full = self.waiting.len() + self.claims.len() >= constants::MAX_WAITING_REQUESTS;
         // Without usable servers the drain time is infinite or undefined.
         if drain_ms <= remaining.as_secs_f64() * 1_000.0 && !is_full {
@@ -226,6 +228,19 @@
         usable.filter(|server| !claim.tried.contains(&server.entry.id))
     }
 
+    /// Returns the time until the limit of the first server allows a request that may generate the
+    /// answer, if all these servers have limits.
+    fn limit_wait_ms(&self, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
+        let generators = self
+            .untried(claim, now)
+            .filter(|server| server.entry.stage != Some(servers::Stage::Prefill))
+            .filter(|server| claim.binding.allows(server));
+        // Also without a grant the limit counts as a whole: the owner answers again soon.
+        let pacing = server_limits::Pacing::Fleet;
+        let wait = generators.map(|server| server.limit_wait(pacing, now)).min();
+        wait.unwrap_or_default().as_secs_f64() * 1_000.0
+    }
+
     /// Returns the time until the engines have prefilled the prompts ahead and freed the KV cache
     /// that they need, plus the prefill of the claim's own prompt.
     fn engine_drain_ms(
@@ -242,9 +257,16 @@
         }
         let (mut rate, mut capacity) = (0.0, 0.0);
         for server in self.untried(claim, now) {
-            rate += server.tokens_per_ms;
+            let prompts_per_s =
+                server.tokens_per_ms * 1_000.0 / f64::from(claim.tokens.prompt_tokens.max(1));
+            rate += server.tokens_per_ms * server.capped_rate_per_s(prompts_per_s) / prompts_per_s;
             if server.entry.stage != Some(servers::Stage::Prefill) && claim.binding.allows(server) {
-                capacity += f64::from(engine.memory_tokens);
+                let memory_tokens = f64::from(engine.memory_tokens);
+                let streams_per_s = memory_tokens * 1_000.0
+                    / (f64::from(claim.tokens.memory_tokens().max(1))
+                        * constants::STREAM_DURATION_MS);
+                let capped = server.capped_rate_per_s(streams_per_s) / streams_per_s;
+                capacity += memory_tokens * capped;
             }
         }
         let own_ms =
@@ -256,7 +278,8 @@
     fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
         for server in self.untried(claim, now).filter(|server| claim.binding.allows(server)) {
-            slots += f64::from(server.entry.slots);
+            let requests_per_s = f64::from(server.entry.slots) * 1_000.0 / server.work_ms;
+            slots += server.capped_rate_per_s(requests_per_s) * server.work_ms / 1_000.0;
             work_ms = work_ms.max(server.work_ms);
         }
         self.ranked_ahead(waiter, claim, now).count() as f64 * work_ms / slots + work_ms / 2.0
@@ -276,6 +299,7 @@
         let Some((placement, expected_ms)) = self.choose(&live.claim, now) else { return false };
         let claim = live.claim.clone();
         self.record_prompt(&claim, &placement, now);
+        self.take_allowances(&claim.service, &placement, now);
         self.use_placement(request, placement, expected_ms, now, effects);
         true
     }
@@ -321,7 +345,7 @@
         } else {
             constants::KV_CACHE_SHARE
         };
-        let query = placement::Query { claim, memory_share, now };
+        let query = self.query(claim, memory_share, now);
         let kept = claim
             .prompt
             .and_then(|prompt| self.kept.engine(prompt, now))
@@ -387,8 +411,9 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(live) = self.requests.get_mut(&request) else { return };
         let Some(known) = self.servers.get(server) else { return };
+        let limits = self.limit_view(&known.entry.service, now);
+        let Some(live) = self.requests.get_mut(&request) else { return };
         let tokens = live.claim.tokens;
         let one = servers::Load { requests: 1, ..servers::Load::default() };
         let memory_tokens = tokens.memory_tokens();
@@ -406,6 +431,7 @@
             live.run_attempts += 1;
         }
         let ahead = known.load();
+        let limit_per_s = known.allowance().map(server_limits::Allowance::rate_per_s);
         live.phase = live::Phase::AtServer(live::AtServer {
             server: server.clone(),
             born_ms: known.entry.born_ms,
@@ -430,6 +456,8 @@
             expected_ms: expected_ms as u64,
             waited_ms: millis(now.saturating_sub(live.arrived)),
             offset: known.entry.offset,
+            limit_per_s,
+            limits,
         }));
         let may_repeat = step == fleet::Step::Prefill
             || (live.is_idempotent() && live.run_attempts < live.route.attempts);
@@ -445,6 +473,7 @@
             remaining: live.expires.saturating_sub(now),
         };
         self.servers.add_load(server, load);
+        self.count_limited_send(request, server, now);
         effects.push(Effect::Send { request, dispatch });
         effects.push(Effect::PublishLoad);
     }
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -15,13 +15,22 @@
 /// Updates the metrics that depend on a decision.
 pub fn record_decision(decision: &decision::Decision) {
     match decision {
-        decision::Decision::Refused { reason, workspace, .. } => {
+        decision::Decision::GrantDeclined { .. } => {
+            metrics::counter!("grants_declined_total").increment(1);
+        }
+        decision::Decision::Refused { reason, workspace, limits, .. } => {
+            if limits.is_some_and(|limits| limits.unlimited_servers == 0) {
+                metrics::counter!("refused_at_server_limits_total").increment(1);
+            }
             let reason = format!("{reason:?}");
             let workspace = workspace.clone().unwrap_or_default();
             metrics::counter!("refused_total", "reason" => reason, "workspace" => workspace)
                 .increment(1);
         }
-        decision::Decision::Sent { step, waited_ms, .. } => {
+        decision::Decision::Sent { step, waited_ms, limit_per_s, .. } => {
+            if limit_per_s.is_some() {
+                metrics::counter!("sent_within_server_limits_total", "step" => *step).increment(1);
+            }
             metrics::counter!("sent_total", "step" => *step).increment(1);
             metrics::histogram!("wait_ms", "step" => *step).record(*waited_ms as f64);
         }
