Share servers with limits among workspaces, in turns

Callers saw (virtual fleet, all three servers limited to 4 a second, one workspace sending 120 a second): 0 of 43 requests of a workspace that sends 4 a second were served.

Cause: a request that arrived took the allowance that had just come up before those that waited for it, and requests that could still be on time all came before late ones, so that the busy workspace's newest always went first.

Ruled out: a bound on what one workspace may have waiting at an instance (leaves capacity idle where only one sends).

Change: while all usable servers of a service name limits, requests of one priority are placed in turns, by what each workspace has used within some seconds; what waits comes before what arrives, and estimates of waits follow the same order. Owners that know of a limit are told the workspace of a request in a message of its own, as older builds do not read a longer request; without it all such requests count as one workspace's.

Tests of the virtual fleet for the points of the issue: use of limits while callers wait, withdrawal, a limit of 0, another start of the server, refusals at once, workspaces, older builds beside newer, lost messages, starts.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -19,6 +19,7 @@
 pub mod coordination;
 pub mod decision;
 pub mod estimate;
+pub mod fairness;
 pub mod kept;
 pub mod ledger;
 pub mod message;
@@ -315,6 +316,7 @@
     grants: collections::Map<ledger::Ticket, (placement::Placement, u64)>,
     /// Servers whose limit or use of it is to be reported.
     limit_reports: throttle::DueReports,
+    recent_use: fairness::RecentUse,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
     servers_position: ids::StorePosition,
@@ -354,6 +356,7 @@
             claims: collections::Map::default(),
             grants: collections::Map::default(),
             limit_reports: throttle::DueReports::default(),
+            recent_use: fairness::RecentUse::default(),
             charge_responses: collections::Map::default(),
             ledger: ledger::Ledger::default(),
             servers_position: 0,
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -3,6 +3,8 @@
 //! Load pattern: one workspace sends many times its rate; its requests are refused before they take
 //! capacity from others.
 
+use std::sync;
+
 use rand::RngExt as _;
 
 use crate::core::fleet;
@@ -104,6 +106,7 @@
                 service,
                 tokens,
                 prompt: call.prompt,
+                workspace: workspace.as_ref().map(|workspace| sync::Arc::clone(&workspace.name)),
                 priority: priority.unwrap_or(route.priority),
                 objective_at: now + route.objective,
                 begin_by,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -16,6 +16,7 @@
 use crate::core::fleet::live;
 use crate::core::fleet::message;
 use crate::core::fleet::placement;
+use crate::core::fleet::quota;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
 use crate::core::fleet::waiting;
@@ -70,6 +71,11 @@
     ) {
         let Some(live) = self.requests.get(&request) else { return };
         let claim = &live.claim;
+        let live::Phase::AwaitingGrant(awaiting) = &live.phase else { return };
+        let knows_limits = self.servers.of_service(&claim.service).any(|server| {
+            server.allowance().is_some_and(|allowance| allowance.is_kept_by(awaiting.owner, now))
+        });
+        let workspace = claim.workspace.as_ref().filter(|_| knows_limits);
         let request = message::ReservationRequest {
             ticket: self.ticket(request, live.attempt),
             service: claim.service.clone(),
@@ -82,6 +88,12 @@
             prompt: claim.prompt,
         };
         let message = match &claim.binding {
+            // Older builds do not read the workspace; they state no limits either.
+            binding if let Some(workspace) = workspace => message::Message::ReserveForWorkspace {
+                request,
+                software_version: binding.version().cloned(),
+                workspace: workspace.to_string(),
+            },
             claim::Binding::Version(version) => {
                 message::Message::ReserveAtVersion { request, software_version: version.clone() }
             }
@@ -237,11 +249,16 @@
                 message::Finding::Fails => self.servers.record_warning(&server),
             },
             message::Message::Reserve(request) => {
-                self.reserve_remote(from, request, claim::Binding::Any, now, effects);
+                self.reserve_remote(from, request, claim::Binding::Any, None, now, effects);
             }
             message::Message::ReserveAtVersion { request, software_version } => {
                 let binding = claim::Binding::Version(software_version);
-                self.reserve_remote(from, request, binding, now, effects);
+                self.reserve_remote(from, request, binding, None, now, effects);
+            }
+            message::Message::ReserveForWorkspace { request, software_version, workspace } => {
+                let binding = software_version.map_or(claim::Binding::Any, claim::Binding::Version);
+                let workspace = Some(quota::WorkspaceName::from(workspace));
+                self.reserve_remote(from, request, binding, workspace, now, effects);
             }
             message::Message::StreamsBegun(origins) => self.receive_origins(origins, now, effects),
             message::Message::StreamUnknown { stream } => {
@@ -326,6 +343,7 @@
         from: std::net::SocketAddr,
         request: message::ReservationRequest,
         binding: claim::Binding,
+        workspace: Option<quota::WorkspaceName>,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
@@ -341,6 +359,7 @@
             start_time: self.start_time(engine, &request.service, request.tokens),
             tokens: request.tokens,
             prompt: request.prompt,
+            workspace,
             priority: request.priority,
             objective_at,
             begin_by: now + time::Duration::from_millis(request.begin_remaining_ms),
@@ -349,9 +368,16 @@
             service: request.service,
             binding,
         };
+        let is_shared = self.is_shared_fairly(&claim.service, now);
         self.claims.insert(ticket, RemoteClaim { claim, from });
-        if self.try_grant(ticket, now, effects) || self.decline_if_unservable(ticket, now, effects)
-        {
+        let is_granted = if is_shared {
+            // A limit allows the next request at some time; those that wait for it come first.
+            self.place_waiting(now, effects);
+            !self.claims.contains_key(&ticket)
+        } else {
+            self.try_grant(ticket, now, effects)
+        };
+        if is_granted || self.decline_if_unservable(ticket, now, effects) {
             return;
         }
         effects
@@ -371,7 +397,7 @@
         let (to, claim) = (remote.from, remote.claim.clone());
         self.claims.remove(&ticket);
         self.record_prompt(&claim, &placement, now);
-        self.take_allowances(&claim.service, &placement, now);
+        self.take_allowances(&claim, &placement, now);
         let reservations = placement.loads(&claim);
         self.ledger.insert(ticket, reservations, &mut self.servers, now);
         let expected_ms = expected_ms as u64;
--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -4,6 +4,7 @@
 
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
+use crate::core::fleet::quota;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -20,6 +21,14 @@
 }
 
 impl Binding {
+    /// Returns the software version, if it is bound to one.
+    pub fn version(&self) -> Option<&servers::SoftwareVersion> {
+        match self {
+            Self::Version(version) => Some(version),
+            Self::Any | Self::Unknown => None,
+        }
+    }
+
     /// Returns whether a server may generate the next events.
     pub fn allows(&self, server: &servers::Server) -> bool {
         match self {
@@ -41,6 +50,8 @@
     pub tokens: call::Tokens,
     /// The id of the prompt, if the request contains one.
     pub prompt: Option<call::PromptId>,
+    /// The workspace that it runs for, if the instance that grants it knows that.
+    pub workspace: Option<quota::WorkspaceName>,
     /// The priority, 0 first.
     pub priority: u8,
     /// The expected time from placing the request until its answer begins.
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -189,6 +189,15 @@
         /// The version.
         software_version: servers::SoftwareVersion,
     },
+    /// A reservation is requested at a service with limits, which workspaces share.
+    ReserveForWorkspace {
+        /// The request.
+        request: ReservationRequest,
+        /// The software version at which the request's stream has begun, if it has.
+        software_version: Option<servers::SoftwareVersion>,
+        /// The name of the workspace.
+        workspace: String,
+    },
     /// Streams have begun; also the answer to a query.
     StreamsBegun(Vec<streams::Origin>),
     /// The origin of a stream is requested.
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -146,11 +146,12 @@
     /// Uses the limits of the servers of a placement for one request.
     pub(super) fn take_allowances(
         &mut self,
-        service: &catalog::ServiceId,
+        claim: &claim::Claim,
         placement: &placement::Placement,
         now: ids::Timestamp,
     ) {
-        let pacing = self.pacing(service, now);
+        self.record_use(claim, now);
+        let pacing = self.pacing(&claim.service, now);
         for server in placement.servers() {
             self.servers.take_allowance(server, pacing, now);
         }
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -48,10 +48,20 @@
     ) {
         let Some(live) = self.requests.get(&request) else { return };
         let is_servable = self.has_generator(&live.claim, now);
-        if is_servable
-            && (self.request_reservation(request, now, effects)
-                || self.try_place(request, now, effects))
-        {
+        let is_shared = self.is_shared_fairly(&live.claim.service, now);
+        if is_servable && self.request_reservation(request, now, effects) {
+            return;
+        }
+        if is_servable && is_shared {
+            // A limit allows the next request at some time; those that wait for it come first.
+            self.waiting.push(request);
+            self.place_waiting(now, effects);
+            if self.waiting.contains(&request) {
+                self.refuse_if_unservable(request, now, effects);
+            }
+            return;
+        }
+        if is_servable && self.try_place(request, now, effects) {
             return;
         }
         if !self.refuse_if_unservable(request, now, effects) {
@@ -125,6 +135,7 @@
             self.claims.iter().map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim));
         let mut queue: Vec<_> = local.chain(remote).collect();
         queue.sort_by_key(|(_, claim)| claim.order(now));
+        let queue = self.take_turns(queue, now);
         let pool = |claim: &claim::Claim| (claim.service.clone(), claim.binding.clone());
         queue.into_iter().map(|(waiter, claim)| (waiter, pool(claim))).collect()
     }
@@ -185,22 +196,28 @@
         waiter: Waiter,
         claim: &'a claim::Claim,
         now: ids::Timestamp,
-    ) -> impl Iterator<Item = &'a claim::Claim> {
+    ) -> Vec<&'a claim::Claim> {
         let order = claim.order(now);
         let local = self
             .waiting
             .iter()
-            .filter(move |other| waiter != Waiter::Local(**other))
-            .filter_map(|other| self.requests.get(other))
-            .map(|other| &other.claim);
-        let remote = self
-            .claims
-            .iter()
-            .filter(move |(other, _)| waiter != Waiter::Remote(**other))
-            .map(|(_, other)| &other.claim);
-        local
+            .filter_map(|other| Some((Waiter::Local(*other), &self.requests.get(other)?.claim)));
+        let remote = self.claims.iter();
+        let remote = remote.map(|(other, remote)| (Waiter::Remote(*other), &remote.claim));
+        let mut others: Vec<_> = local
             .chain(remote)
-            .filter(move |other| other.service == claim.service && other.order(now) <= order)
+            .filter(|(other, _)| *other != waiter)
+            .filter(|(_, other)| other.service == claim.service)
+            .collect();
+        if !self.is_shared_fairly(&claim.service, now) {
+            others.retain(|(_, other)| other.order(now) <= order);
+            return others.into_iter().map(|(_, other)| other).collect();
+        }
+        others.push((waiter, claim));
+        others.sort_by_key(|(_, other)| other.order(now));
+        let queue = self.take_turns(others, now);
+        let ahead = queue.into_iter().take_while(|(other, _)| *other != waiter);
+        ahead.map(|(_, other)| other).collect()
     }
 
     /// Returns whether a server is listed that may go on with the stream of a claim; `true` for a
@@ -282,7 +299,7 @@
             slots += server.capped_rate_per_s(requests_per_s) * server.work_ms / 1_000.0;
             work_ms = work_ms.max(server.work_ms);
         }
-        self.ranked_ahead(waiter, claim, now).count() as f64 * work_ms / slots + work_ms / 2.0
+        self.ranked_ahead(waiter, claim, now).len() as f64 * work_ms / slots + work_ms / 2.0
     }
 
     /// Sends a queued request to the best placement; returns `false` if there is none now.
@@ -299,7 +316,7 @@
         let Some((placement, expected_ms)) = self.choose(&live.claim, now) else { return false };
         let claim = live.claim.clone();
         self.record_prompt(&claim, &placement, now);
-        self.take_allowances(&claim.service, &placement, now);
+        self.take_allowances(&claim, &placement, now);
         self.use_placement(request, placement, expected_ms, now, effects);
         true
     }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -184,6 +184,10 @@
     pub stored_origins: Vec<streams::Origin>,
     pub origin_records: usize,
     pub records: Map<(usize, u64), Record>,
+    /// Instances of an older build, which knows of no limits.
+    pub older: Vec<usize>,
+    /// Instances whose messages are lost in both directions.
+    pub muted: Vec<usize>,
     /// When each instance first received an answer that names a limit, by server.
     pub told: Map<(Bytes, usize), Duration>,
 }
@@ -194,6 +198,16 @@
 pub const LIMIT_WINDOW: Duration = Duration::from_secs(8);
 const KEY: &[u8] = b"key";
 
+/// Returns the key with which callers send to a host.
+fn key_for(host: &'static str) -> Option<Bytes> {
+    match host {
+        "limited" => Some(Bytes::from_static(KEY)),
+        // The names of these workspaces are their keys.
+        "busy" | "quiet" => Some(Bytes::from_static(host.as_bytes())),
+        _ => None,
+    }
+}
+
 /// The time until the instances of a large fleet agree on the coordinators.
 const COORDINATION_WARMUP: Duration = Duration::from_millis(2_500);
 
@@ -216,6 +230,8 @@
             stored_origins: Vec::new(),
             origin_records: 0,
             records: Map::default(),
+            older: Vec::new(),
+            muted: Vec::new(),
             told: Map::default(),
         };
         for index in 0..instances {
@@ -404,7 +420,20 @@
                 self.arrived(instance, host, tokens, prompt, resumes);
             }
             Action::Message { to, from, message } => {
-                if let Some(index) = self.addresses.iter().position(|known| *known == to) {
+                let index = self.addresses.iter().position(|known| *known == to);
+                let from_index = self.addresses.iter().position(|known| *known == from);
+                let is_lost = |index: &usize| {
+                    let is_unknown = self.older.contains(index)
+                        && matches!(
+                            message,
+                            message::Message::ServerLimits(_)
+                                | message::Message::ReserveForWorkspace { .. }
+                        );
+                    let is_muted =
+                        |index: Option<usize>| index.is_some_and(|it| self.muted.contains(&it));
+                    is_unknown || is_muted(Some(*index)) || is_muted(from_index)
+                };
+                if let Some(index) = index.filter(|index| !is_lost(index)) {
                     self.apply(index, fleet::Event::Received { from, message });
                 }
             }
@@ -461,7 +490,7 @@
             id: Bytes::from(request.to_string()),
             host: host.to_string(),
             path: "/x".to_string(),
-            key: (host == "limited").then(|| Bytes::from_static(KEY)),
+            key: key_for(host),
             deadline: None,
             tokens,
             prompt,
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -153,6 +153,9 @@
             }
             None => server_limits::Statement::Unlimited,
         };
+        if self.older.contains(&instance) {
+            return;
+        }
         self.apply(instance, fleet::Event::AnswerReceived { request, limit, is_authentic });
     }
 
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -31,6 +31,8 @@
         route("order", "desk", catalog::Repeat::Once, false),
         route("query", "desk", catalog::Repeat::Idempotent, false),
         catalog::Route { is_open: false, ..route("limited", "desk", catalog::Repeat::Once, false) },
+        catalog::Route { is_open: false, ..route("busy", "desk", catalog::Repeat::Once, false) },
+        catalog::Route { is_open: false, ..route("quiet", "desk", catalog::Repeat::Once, false) },
     ];
     let limit = catalog::Limit {
         rate_per_s: LIMIT_PER_S,
@@ -44,6 +46,12 @@
         priority: None,
         limit: Some(limit),
     };
+    let unlimited = |name: &str| catalog::Workspace {
+        name: name.into(),
+        keys: vec![catalog::key_digest(&Bytes::from(name.to_string()))],
+        priority: None,
+        limit: None,
+    };
     let engine = catalog::EngineShape { slots: 64, memory_tokens: MEMORY_TOKENS };
     catalog::Catalog::new(catalog::Content {
         version: 1,
@@ -52,7 +60,9 @@
             catalog::Service { name: "llm".into(), engine: Some(engine) },
             catalog::Service { name: "desk".into(), engine: None },
         ],
-        workspaces: Some(vec![sync::Arc::new(workspace)]),
+        workspaces: Some(
+            [workspace, unlimited("busy"), unlimited("quiet")].map(sync::Arc::new).to_vec(),
+        ),
         caller_limits: catalog::CallerLimits {
             header_bytes: 1,
             body_bytes: 1,
