--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -22,6 +22,7 @@
 use tokio::io::AsyncWriteExt as _;
 
 mod broken_streams;
+mod endless_answers;
 
 const KEY: &str = "the-key";
 
