Bound the memory that answers of servers take

Cause: bodies, events and answers for the router's own use were collected until they ended or the deadline had passed; only heads were bounded, each for itself. Class: memory that another side decides about.

Ruled out: a bound on whole answers only (a sound large answer would fail); relaying every answer (an answer that ends early could not be repeated elsewhere any more).

Change: a thirty-second of the machine's memory (MemoryLimitMb of the settings) is kept of a plain answer; beyond that, or when all answers together hold a quarter, it is relayed as it comes, with backpressure. An answer without a stated length may reach a quarter of the memory, one with a length its length. An event may have 1 MB, a head 64 KB with interim ones, a prefill's answer or a list of prompts 4 MB, one of the store 8 MB. Chunks for slow callers count until they are sent. A longer answer is closed, never complete for its caller, repeated only where the route allows it and nothing was forwarded (streams go on after their last event), and ejects its server. Line answer_too_long, counter by part.

Looked for elsewhere: heads, interim heads, bodies of failures, callers of HTTP/1.0, prompt lists, releases, the store (all bounded now).

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -116,6 +116,8 @@
     Unresponsive,
     /// The answer ended early, after a part of it was forwarded.
     Truncated,
+    /// The answer has no end, or is longer than this instance takes.
+    Endless,
 }
 
 /// An input of the reducer.
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -45,6 +45,8 @@
     Interrupted,
     /// The server's stream ended after a part of an event.
     InsideEvent,
+    /// The server's answer has no end, or an event of it.
+    Endless,
 }
 
 impl StreamEnd {
@@ -56,6 +58,30 @@
             Self::Expired => "expired",
             Self::Interrupted => "interrupted",
             Self::InsideEvent => "inside_event",
+            Self::Endless => "endless",
+        }
+    }
+}
+
+/// A part of a server's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerPart {
+    /// The head, with interim ones.
+    Head,
+    /// The whole body, or as much of it as is kept before it is relayed.
+    Body,
+    /// An event of a stream.
+    Event,
+}
+
+impl AnswerPart {
+    /// Returns the name of the part in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Body => "body",
+            Self::Event => "event",
         }
     }
 }
@@ -291,6 +317,19 @@
         /// The number of bytes after the last whole event.
         partial_bytes: usize,
     },
+    /// A server's answer has no end, or is longer than this instance takes; its connection is closed.
+    AnswerTooLong {
+        /// The caller's id of the request.
+        request: String,
+        /// The id of the server.
+        server: String,
+        /// The part of the answer that is too long.
+        part: AnswerPart,
+        /// The length that this instance takes, in bytes.
+        limit_bytes: usize,
+        /// The memory that all answers took, in bytes.
+        held_bytes: usize,
+    },
     /// A request is ended by an answer of this instance.
     Refused {
         /// The caller's id of the request.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -74,9 +74,10 @@
             }
             Outcome::Misdirected => self.retry_rejected(request, &at, now, effects),
             Outcome::Unsent => self.retry_unsent(request, &at, now, effects),
-            Outcome::ConnectionLost | Outcome::Unresponsive | Outcome::Truncated => {
-                self.retry_broken(request, &at, now, effects)
-            }
+            Outcome::ConnectionLost
+            | Outcome::Unresponsive
+            | Outcome::Truncated
+            | Outcome::Endless => self.retry_broken(request, &at, now, effects),
         }
         self.place_waiting(now, effects);
     }
@@ -168,6 +169,10 @@
             _ => {}
         }
         let Some(evidence) = evidence(outcome) else { return };
+        if *outcome == Outcome::Endless {
+            // Together with the evidence below it ejects the server at once.
+            self.servers.record_warning(&at.server);
+        }
         let Some(pause) = self.servers.record_evidence(&at.server, evidence, now) else { return };
         self.send_warning(&at.server, message::Finding::Fails, now, effects);
         let failure_share = self.servers.get(&at.server).map_or(1.0, |server| server.failure_share);
@@ -293,7 +298,9 @@
         if let Some(live) = self.requests.get_mut(&request) {
             live.may_have_run = true;
         }
-        let is_allowed = self.may_run_again(request, now);
+        // Only streams go on after a part of their answer was forwarded.
+        let is_stream = self.requests.get(&request).is_some_and(|live| live.route.is_stream);
+        let is_allowed = (is_stream || !at.is_started) && self.may_run_again(request, now);
         if is_allowed {
             self.retry_elsewhere(request, at, now, effects);
         }
@@ -525,7 +532,9 @@
         Outcome::Prefilled { .. } | Outcome::Finished { .. } => Some(servers::Evidence::Answered),
         Outcome::Failed { .. } => Some(servers::Evidence::Erred),
         Outcome::ConnectionLost | Outcome::Truncated => Some(servers::Evidence::Failed),
-        Outcome::Unsent | Outcome::Unresponsive => Some(servers::Evidence::Unreachable),
+        Outcome::Unsent | Outcome::Unresponsive | Outcome::Endless => {
+            Some(servers::Evidence::Unreachable)
+        }
     }
 }
 
@@ -541,5 +550,6 @@
         Outcome::ConnectionLost => "broken".to_string(),
         Outcome::Unresponsive => "silent".to_string(),
         Outcome::Truncated => "cut".to_string(),
+        Outcome::Endless => "endless".to_string(),
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -37,7 +37,7 @@
     pub bootstrap: bool,
     /// The addresses on which this process listens.
     pub listen_addrs: ListenAddrs,
-    /// The CPU capacity of the machine.
+    /// The capacity of the machine.
     pub limits: Limits,
     /// The bounds that the fleet must keep.
     pub bounds: Bounds,
@@ -59,7 +59,7 @@
     pub directory_addr: Option<net::SocketAddr>,
 }
 
-/// The CPU capacity of a machine.
+/// The capacity of a machine.
 #[derive(Debug, Clone, PartialEq, serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Limits {
@@ -67,6 +67,14 @@
     pub cpu_fraction: f64,
     /// The speed of that core relative to a standard core.
     pub cpu_cores: f64,
+    /// The memory that the process may take, in MiB.
+    #[serde(default = "default_memory_limit_mb")]
+    pub memory_limit_mb: f64,
+}
+
+/// The memory that is assumed for a machine whose settings name none, in MiB.
+fn default_memory_limit_mb() -> f64 {
+    96.0
 }
 
 /// The bounds from the settings that the fleet must keep.
@@ -206,6 +214,7 @@
             discovery,
             peers,
             metrics: metrics_port.map(|port| net::SocketAddr::from((self.ip, port))),
+            memory_bytes: (self.limits.memory_limit_mb * 1_024.0 * 1_024.0) as usize,
             grace: time::Duration::from_secs_f64(self.bounds.grace_s),
         })
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -21,6 +21,9 @@
 /// The maximum size of the records that one read returns.
 const MAX_READ_BYTES: usize = 1_048_576;
 
+/// The maximum size of a response: a page of records as text, and some more.
+const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+
 /// A failed call to the store.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -225,7 +228,7 @@
                 Some(connection) => connection,
                 None => upstream::Connection::open(self.address).await?,
             };
-            let response = connection.exchange(request).await?;
+            let response = connection.exchange(request, MAX_RESPONSE_BYTES).await?;
             Ok::<_, upstream::UpstreamError>((connection, response))
         };
         let (connection, response) =
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,6 +14,7 @@
 pub mod dialect;
 pub mod gossip;
 pub mod lines;
+pub mod memory;
 pub mod meters;
 pub mod mirror;
 pub mod relay;
@@ -72,6 +73,8 @@
     pub peers: net::SocketAddr,
     /// The address on which metrics are scraped, if any.
     pub metrics: Option<net::SocketAddr>,
+    /// The memory that the process may take, in bytes.
+    pub memory_bytes: usize,
     /// The grace period: the time from SIGTERM until the process is killed.
     pub grace: time::Duration,
 }
@@ -89,7 +92,7 @@
     let listener = callers::bind(options.callers)?;
     let gossip = gossip::Gossip::bind(options.peers)?;
     let mirror = callers::bind(options.peers)?;
-    let context = context::Context::new(options.fleet.clone(), dialect);
+    let context = context::Context::new(options.fleet.clone(), dialect, options.memory_bytes);
     for address in &options.discovery {
         let listener = callers::bind(*address)?;
         tokio::task::spawn_local(callers::serve_discovery(listener, rc::Rc::clone(&context)));
--- a/src/router/body.rs
+++ b/src/router/body.rs
@@ -8,6 +8,8 @@
 use http_body_util::Full;
 use hyper::body;
 
+use crate::router::memory;
+
 /// A stream ended prematurely: the caller's connection is closed without the last chunk, so that
 /// the caller does not take the body as complete.
 #[derive(Debug, thiserror::Error)]
@@ -17,8 +19,8 @@
 /// A part of a stream.
 #[derive(Debug)]
 pub enum Chunk {
-    /// Some bytes of the body.
-    Data(Bytes),
+    /// Some bytes of the body, and the memory that they take until they are sent.
+    Data(Bytes, memory::Held),
     /// The body is complete. A stream that closes without this part is interrupted.
     End,
 }
@@ -51,7 +53,7 @@
                 .poll_frame(context)
                 .map_err(|never: convert::Infallible| match never {}),
             Self::Stream(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
-                Some(Chunk::Data(bytes)) => Some(Ok(body::Frame::data(bytes))),
+                Some(Chunk::Data(bytes, _held)) => Some(Ok(body::Frame::data(bytes))),
                 Some(Chunk::End) => None,
                 None => Some(Err(StreamInterrupted)),
             }),
--- a/src/router/body/tests.rs
+++ b/src/router/body/tests.rs
@@ -5,6 +5,11 @@
 
 use super::Body;
 use super::Chunk;
+use crate::router::memory;
+
+fn data() -> Chunk {
+    Chunk::Data(Bytes::from_static(b"a"), memory::Memory::new(1_024).hold())
+}
 
 fn stream(chunks: Vec<Chunk>) -> Body {
     let (sender, receiver) = tokio::sync::mpsc::channel(chunks.len());
@@ -16,8 +21,8 @@
 
 #[tokio::test]
 async fn a_stream_whose_sender_is_dropped_is_interrupted() {
-    let dropped = stream(vec![Chunk::Data(Bytes::from_static(b"a"))]);
+    let dropped = stream(vec![data()]);
     assert!(dropped.collect().await.is_err());
-    let ended = stream(vec![Chunk::Data(Bytes::from_static(b"a")), Chunk::End]);
+    let ended = stream(vec![data(), Chunk::End]);
     assert_eq!(ended.collect().await.expect("the end is stated").to_bytes(), "a");
 }
--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -154,7 +154,8 @@
     context: &context::Context,
 ) -> requests::Response {
     let (head, body) = response.into_parts();
-    match body.collect().await {
+    let max_bytes = context.memory.max_buffered_bytes();
+    match Limited::new(body, max_bytes).collect().await {
         Ok(body) => http::Response::from_parts(head, body::Body::full(body.to_bytes())),
         Err(failure) => {
             log::debug!("a stream to a caller of HTTP/1.0 is not delivered: {failure}");
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -19,6 +19,7 @@
 use crate::router::clock;
 use crate::router::dialect;
 use crate::router::lines;
+use crate::router::memory;
 use crate::router::meters;
 use crate::router::upstream;
 
@@ -56,6 +57,8 @@
     own: rc::Weak<Self>,
     /// Translates HTTP messages of callers and servers.
     pub dialect: rc::Rc<dyn dialect::Dialect>,
+    /// The memory that answers of servers take.
+    pub memory: rc::Rc<memory::Memory>,
     /// The clock that the fleet state's timestamps come from.
     pub clock: clock::Clock,
     /// Notified when this instance's load has changed.
@@ -82,10 +85,15 @@
 
 impl Context {
     /// Creates the state of an instance that has just started.
-    pub fn new(options: fleet::Options, dialect: rc::Rc<dyn dialect::Dialect>) -> rc::Rc<Self> {
+    pub fn new(
+        options: fleet::Options,
+        dialect: rc::Rc<dyn dialect::Dialect>,
+        memory_bytes: usize,
+    ) -> rc::Rc<Self> {
         rc::Rc::new_cyclic(|own| Self {
             own: rc::Weak::clone(own),
             dialect,
+            memory: memory::Memory::new(memory_bytes),
             clock: clock::Clock::start(),
             load_change: tokio::sync::Notify::new(),
             urgent_change: tokio::sync::Notify::new(),
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -15,6 +15,9 @@
 /// Updates the metrics that depend on a decision.
 pub fn record_decision(decision: &decision::Decision) {
     match decision {
+        decision::Decision::AnswerTooLong { part, .. } => {
+            metrics::counter!("answers_too_long_total", "part" => part.name()).increment(1);
+        }
         decision::Decision::GrantDeclined { .. } => {
             metrics::counter!("grants_declined_total").increment(1);
         }
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -16,12 +16,16 @@
 use crate::router::body;
 use crate::router::context;
 use crate::router::dialect;
+use crate::router::memory;
 use crate::router::relay;
 use crate::router::upstream;
 
 /// Chunks of a stream buffered for a slow caller before backpressure reaches the server.
 const STREAM_BUFFER_CHUNKS: usize = 32;
 
+/// The interval at which a chunk of an answer waits for memory that other answers give back.
+const MEMORY_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
 /// The wait before the caller's connection of an interrupted stream is closed, so that the events
 /// already relayed are sent first.
 const FLUSH_PAUSE: time::Duration = time::Duration::from_millis(5);
@@ -60,13 +64,40 @@
     Complete(http::Response<Bytes>),
     /// A complete response with a status of a failure; another server may be tried.
     Failure(http::Response<Bytes>),
-    /// A stream of events whose first event has been received.
+    /// A stream of events whose first event has been received, or an answer that is too long to be
+    /// kept.
     Stream(Box<Stream>),
 }
 
-/// A stream of events from a server.
+/// What is relayed of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Relayed {
+    /// Whole events.
+    Events,
+    /// All bytes as they come.
+    Bytes,
+}
+
+/// The start of an answer.
+enum Start {
+    /// It is whole.
+    Whole(Bytes),
+    /// It goes on.
+    Partial(Bytes),
+}
+
+/// Why an answer could not be read.
+enum ReadFault {
+    /// Its connection was lost, or it ended early.
+    Lost,
+    /// A part of it is longer than this instance takes.
+    TooLong(decision::AnswerPart, usize),
+}
+
+/// A server's answer that is relayed as it comes.
 struct Stream {
     server: ids::ServerId,
+    relayed: Relayed,
     head: http::response::Parts,
     body: Incoming,
     /// All bytes read so far; empty if the body ended without any.
@@ -203,7 +234,17 @@
         let request =
             dialect.write_request(&self.head, self.body.clone(), dispatch, remaining, after_event);
         let lost = Attempt::Outcome(fleet::Outcome::ConnectionLost);
-        let Ok(response) = connection.send(request).await else { return lost };
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(upstream::UpstreamError::ResponseTooLong(bytes)) => {
+                let fault = ReadFault::TooLong(decision::AnswerPart::Head, bytes);
+                return self.unreadable(dispatch, fault);
+            }
+            Err(failure) => {
+                log::debug!("server at {}: {failure}", dispatch.address);
+                return lost;
+            }
+        };
         let (head, mut body) = response.into_parts();
         let response_head = dialect.read_response_head(&head, &self.call);
         self.report_limit(dispatch, &head, response_head);
@@ -221,16 +262,27 @@
             return lost;
         }
         if self.is_stream && is_success && !is_prefill && is_event_stream(&head) {
-            let Some(first) = read_first_event(&mut body).await else { return lost };
+            let first = match self.read_first_event(&mut body).await {
+                Ok(first) => first,
+                Err(fault) => return self.unreadable(dispatch, fault),
+            };
             if first.is_empty() && framing(&head) == decision::Framing::ConnectionClose {
                 return lost;
             }
-            let server = dispatch.server.clone();
-            return Attempt::Stream(Box::new(Stream { server, head, body, first, connection }));
+            let (server, relayed) = (dispatch.server.clone(), Relayed::Events);
+            let stream = Stream { server, relayed, head, body, first, connection };
+            return Attempt::Stream(Box::new(stream));
         }
-        let Ok(body) = body.collect().await else { return lost };
-        let body = body.to_bytes();
         if is_prefill {
+            let max_bytes = memory::MAX_INTERNAL_ANSWER_BYTES;
+            let body = match upstream::read_whole(body, max_bytes).await {
+                Ok(body) => body,
+                Err(upstream::UpstreamError::ResponseTooLong(bytes)) => {
+                    let fault = ReadFault::TooLong(decision::AnswerPart::Body, bytes);
+                    return self.unreadable(dispatch, fault);
+                }
+                Err(_) => return lost,
+            };
             return Attempt::Outcome(match dialect.read_prefill_response(&body) {
                 Some(handle) if is_success => fleet::Outcome::Prefilled { handle },
                 _ => fleet::Outcome::ConnectionLost,
@@ -238,8 +290,88 @@
         }
         let is_failure =
             head.status.is_server_error() || NOT_RUN_STATUSES.contains(&head.status.as_u16());
-        let response = http::Response::from_parts(head, body);
-        if is_failure { Attempt::Failure(response) } else { Attempt::Complete(response) }
+        let body_start = match self.read_start(&mut body).await {
+            Ok(body_start) => body_start,
+            Err(fault) => return self.unreadable(dispatch, fault),
+        };
+        match body_start {
+            Start::Whole(body) => {
+                let response = http::Response::from_parts(head, body);
+                if is_failure { Attempt::Failure(response) } else { Attempt::Complete(response) }
+            }
+            // A failure is kept while other servers are tried, and a stream cannot go on inside it.
+            Start::Partial(_) if is_failure || self.is_stream => {
+                let max_bytes = self.guard.context.memory.max_buffered_bytes();
+                let fault = ReadFault::TooLong(decision::AnswerPart::Body, max_bytes);
+                self.unreadable(dispatch, fault)
+            }
+            Start::Partial(first) => {
+                let (server, relayed) = (dispatch.server.clone(), Relayed::Bytes);
+                let stream = Stream { server, relayed, head, body, first, connection };
+                Attempt::Stream(Box::new(stream))
+            }
+        }
+    }
+
+    /// Returns the outcome of an answer that could not be read.
+    fn unreadable(&self, dispatch: &fleet::Dispatch, fault: ReadFault) -> Attempt {
+        Attempt::Outcome(match fault {
+            ReadFault::Lost => fleet::Outcome::ConnectionLost,
+            ReadFault::TooLong(part, limit_bytes) => {
+                self.log_too_long(&dispatch.server, part, limit_bytes);
+                fleet::Outcome::Endless
+            }
+        })
+    }
+
+    fn log_too_long(&self, server: &ids::ServerId, part: decision::AnswerPart, limit_bytes: usize) {
+        self.guard.context.log(&decision::Decision::AnswerTooLong {
+            request: String::from_utf8_lossy(&self.call.id).into_owned(),
+            server: String::from_utf8_lossy(server).into_owned(),
+            part,
+            limit_bytes,
+            held_bytes: self.guard.context.memory.held_bytes(),
+        });
+    }
+
+    /// Reads a body until it is whole, or longer than what is kept of it.
+    async fn read_start(&self, body: &mut Incoming) -> Result<Start, ReadFault> {
+        let memory = &self.guard.context.memory;
+        let mut held = memory.hold();
+        let mut bytes = bytes::BytesMut::new();
+        loop {
+            let Some(frame) = body.frame().await else { return Ok(Start::Whole(bytes.freeze())) };
+            let frame = frame.map_err(|_| ReadFault::Lost)?;
+            let Some(data) = frame.data_ref() else { continue };
+            let has_room = held.grow(data.len());
+            bytes.extend_from_slice(data);
+            if !has_room || bytes.len() > memory.max_buffered_bytes() {
+                return Ok(Start::Partial(bytes.freeze()));
+            }
+        }
+    }
+
+    /// Reads until the first event is complete and returns all bytes read; none if the body ends
+    /// without any.
+    async fn read_first_event(&self, body: &mut Incoming) -> Result<Bytes, ReadFault> {
+        let mut held = self.guard.context.memory.hold();
+        let mut events = relay::EventBuffer::default();
+        let mut bytes = bytes::BytesMut::new();
+        loop {
+            let Some(frame) = body.frame().await else {
+                return if bytes.is_empty() { Ok(Bytes::new()) } else { Err(ReadFault::Lost) };
+            };
+            let frame = frame.map_err(|_| ReadFault::Lost)?;
+            let Some(data) = frame.data_ref() else { continue };
+            bytes.extend_from_slice(data);
+            if events.push(data).is_some() {
+                return Ok(bytes.freeze());
+            }
+            if bytes.len() > memory::MAX_EVENT_BYTES || !held.grow(data.len()) {
+                let part = decision::AnswerPart::Event;
+                return Err(ReadFault::TooLong(part, memory::MAX_EVENT_BYTES));
+            }
+        }
     }
 
     /// Reports what an answer states about the limit of its server, unless it is that of another
@@ -301,7 +433,10 @@
         let mut head = stream.head.clone();
         self.guard.context.dialect.clean_response_head(&mut head);
         let (chunks, receiver) = tokio::sync::mpsc::channel(STREAM_BUFFER_CHUNKS);
-        tokio::task::spawn_local(self.relay(stream, chunks));
+        match stream.relayed {
+            Relayed::Events => tokio::task::spawn_local(self.relay(stream, chunks)),
+            Relayed::Bytes => tokio::task::spawn_local(self.relay_bytes(stream, chunks)),
+        };
         http::Response::from_parts(head, body::Body::Stream(receiver))
     }
 
@@ -313,13 +448,14 @@
             let end = self.relay_events(current, &chunks).await;
             self.log_stream_end(&server, framing, end);
             match end {
-                decision::StreamEnd::Finished => return self.finish_stream(&chunks).await,
+                decision::StreamEnd::Finished => return self.finish_stream(200, &chunks).await,
                 // Dropping the task reports that the caller has disconnected.
                 decision::StreamEnd::CallerDisconnected => return,
                 decision::StreamEnd::Expired => self.report_expired(),
                 decision::StreamEnd::Interrupted | decision::StreamEnd::InsideEvent => {
                     self.report_outcome(fleet::Outcome::Truncated);
                 }
+                decision::StreamEnd::Endless => self.report_outcome(fleet::Outcome::Endless),
             }
             stream = self.next_stream(&chunks).await;
         }
@@ -327,8 +463,12 @@
         tokio::time::sleep(FLUSH_PAUSE).await;
     }
 
-    async fn finish_stream(&mut self, chunks: &tokio::sync::mpsc::Sender<body::Chunk>) {
-        self.report_outcome(fleet::Outcome::Finished { status: 200 });
+    async fn finish_stream(
+        &mut self,
+        status: u16,
+        chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
+    ) {
+        self.report_outcome(fleet::Outcome::Finished { status });
         self.guard.has_ended = true;
         if chunks.send(body::Chunk::End).await.is_err() {
             log::debug!("the caller disconnected before the end of its stream was sent");
@@ -379,29 +519,123 @@
         }
     }
 
+    /// Relays an answer that is too long to be kept, and ends it as its server does. It cannot go on
+    /// at another server.
+    async fn relay_bytes(mut self, stream: Stream, chunks: tokio::sync::mpsc::Sender<body::Chunk>) {
+        self.report_outcome(fleet::Outcome::Started);
+        let status = stream.head.status.as_u16();
+        let (server, framing) = (stream.server.clone(), framing(&stream.head));
+        let end = self.relay_body(stream, &chunks).await;
+        self.log_stream_end(&server, framing, end);
+        match end {
+            decision::StreamEnd::Finished => return self.finish_stream(status, &chunks).await,
+            decision::StreamEnd::CallerDisconnected => return,
+            decision::StreamEnd::Expired => self.report_expired(),
+            decision::StreamEnd::Interrupted | decision::StreamEnd::InsideEvent => {
+                self.report_outcome(fleet::Outcome::Truncated);
+            }
+            decision::StreamEnd::Endless => self.report_outcome(fleet::Outcome::Endless),
+        }
+        self.guard.has_ended = true;
+    }
+
+    async fn relay_body(
+        &self,
+        stream: Stream,
+        chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
+    ) -> decision::StreamEnd {
+        let Stream { server, head, mut body, first, connection: _connection, .. } = stream;
+        let max_bytes = match framing(&head) {
+            decision::Framing::Length => usize::MAX,
+            decision::Framing::Chunked | decision::Framing::ConnectionClose => {
+                self.guard.context.memory.max_unframed_bytes()
+            }
+        };
+        let mut relayed_bytes = 0;
+        let mut next = Some(first);
+        loop {
+            if let Some(bytes) = next.take() {
+                relayed_bytes += bytes.len();
+                if relayed_bytes > max_bytes {
+                    self.log_too_long(&server, decision::AnswerPart::Body, max_bytes);
+                    return decision::StreamEnd::Endless;
+                }
+                if let Err(end) = self.forward(bytes, chunks).await {
+                    return end;
+                }
+            }
+            match self.next_frame(&mut body, chunks).await {
+                Err(end) => return end,
+                Ok(None) => return decision::StreamEnd::Finished,
+                Ok(Some(Err(_))) => return decision::StreamEnd::Interrupted,
+                Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
+            }
+        }
+    }
+
+    /// Passes bytes on to the caller, as soon as there is memory for them.
+    async fn forward(
+        &self,
+        bytes: Bytes,
+        chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
+    ) -> Result<(), decision::StreamEnd> {
+        let mut held = self.guard.context.memory.hold();
+        while !held.grow(bytes.len()) {
+            if self.remaining().is_zero() {
+                return Err(decision::StreamEnd::Expired);
+            }
+            tokio::select! {
+                () = tokio::time::sleep(MEMORY_CHECK_INTERVAL) => {}
+                () = chunks.closed() => return Err(decision::StreamEnd::CallerDisconnected),
+            }
+        }
+        let chunk = body::Chunk::Data(bytes, held);
+        match tokio::time::timeout(self.remaining(), chunks.send(chunk)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(decision::StreamEnd::CallerDisconnected),
+            Err(_) => Err(decision::StreamEnd::Expired),
+        }
+    }
+
+    /// Reads the next frame of an answer while its caller is connected and its deadline has not
+    /// passed.
+    async fn next_frame(
+        &self,
+        body: &mut Incoming,
+        chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
+    ) -> Result<Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>, decision::StreamEnd> {
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(self.remaining(), body.frame()) => frame,
+            () = chunks.closed() => return Err(decision::StreamEnd::CallerDisconnected),
+        };
+        frame.map_err(|_| decision::StreamEnd::Expired)
+    }
+
     async fn relay_events(
         &mut self,
         stream: Stream,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
     ) -> decision::StreamEnd {
-        let Stream { mut body, first, connection: _connection, .. } = stream;
+        let Stream { server, mut body, first, connection: _connection, .. } = stream;
         self.events.discard_partial();
+        let mut held = self.guard.context.memory.hold();
         let mut next = self.events.push(&first);
         loop {
-            if let Some(events) = next.take() {
-                let chunk = body::Chunk::Data(events);
-                match tokio::time::timeout(self.remaining(), chunks.send(chunk)).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) => return decision::StreamEnd::CallerDisconnected,
-                    Err(_) => return decision::StreamEnd::Expired,
-                }
+            if let Some(events) = next.take()
+                && let Err(end) = self.forward(events, chunks).await
+            {
+                return end;
             }
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(self.remaining(), body.frame()) => frame,
-                () = chunks.closed() => return decision::StreamEnd::CallerDisconnected,
-            };
-            match frame {
-                Err(_) => return decision::StreamEnd::Expired,
+            if !held.resize(self.events.partial().len()) {
+                return decision::StreamEnd::Interrupted;
+            }
+            if self.events.partial().len() > memory::MAX_EVENT_BYTES {
+                let part = decision::AnswerPart::Event;
+                self.log_too_long(&server, part, memory::MAX_EVENT_BYTES);
+                return decision::StreamEnd::Endless;
+            }
+            match self.next_frame(&mut body, chunks).await {
+                Err(end) => return end,
                 Ok(None) if !self.events.partial().is_empty() => {
                     return decision::StreamEnd::InsideEvent;
                 }
@@ -433,19 +667,3 @@
         decision::Framing::ConnectionClose
     }
 }
-
-/// Reads until the first event is complete and returns all bytes read; none if the body ends without
-/// any. Returns `None` if the connection fails or the body ends inside the event.
-async fn read_first_event(body: &mut Incoming) -> Option<Bytes> {
-    let mut events = relay::EventBuffer::default();
-    let mut bytes = bytes::BytesMut::new();
-    loop {
-        let Some(frame) = body.frame().await else { return bytes.is_empty().then(Bytes::new) };
-        let frame = frame.ok()?;
-        let Some(data) = frame.data_ref() else { continue };
-        bytes.extend_from_slice(data);
-        if events.push(data).is_some() {
-            return Some(bytes.freeze());
-        }
-    }
-}
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -159,6 +159,7 @@
         discovery: Vec::new(),
         peers: peer_address,
         metrics: None,
+        memory_bytes: 128 * 1_024 * 1_024,
         grace: Duration::from_secs(1),
     };
     let dialect = rc::Rc::new(headers::PlatformDialect);
