Let servers of the soak name limits and answer without end

Cause: no stand-in named a limit or answered without end, so neither fault could be seen by a run of real processes.

Change: servers begin, change and withdraw limits of 0 to 5 requests a second, and answer for a while without the end of a body or an event; a proxy writes heads without end. The users' rule on limits is held against every request that reaches a server, from any instance, a second after the server begins to name its limit; no instance may have taken more memory than its settings name (110 MiB).

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -19,6 +19,18 @@
 /// Requests that it runs at once; more are rejected.
 const SLOTS: u32 = 12;
 
+/// The length of the parts of an answer without end.
+const ENDLESS_PART_BYTES: usize = 16 * 1_024;
+
+/// What is wrong with a server.
+#[derive(Debug, Default)]
+pub struct Trouble {
+    /// The requests a second that it takes from all instances, which its answers name.
+    pub limit_per_s: cell::Cell<Option<f64>>,
+    /// Whether its answers have no end.
+    pub is_endless: cell::Cell<bool>,
+}
+
 /// A slot that is taken until it is dropped.
 struct Slot(rc::Rc<cell::Cell<u32>>);
 
@@ -43,13 +55,22 @@
     version: &'static str,
     address: net::SocketAddr,
     judge: rc::Rc<judge::Judge>,
+    trouble: rc::Rc<Trouble>,
 ) -> io::Result<net::SocketAddr> {
     let name: rc::Rc<str> = rc::Rc::from(name);
     let running = rc::Rc::new(cell::Cell::new(0_u32));
     http::serve(address, move |request| {
         let (name, judge) = (rc::Rc::clone(&name), rc::Rc::clone(&judge));
-        let running = rc::Rc::clone(&running);
-        async move { answer(&name, version, &judge, &running, request).await }
+        let (running, trouble) = (rc::Rc::clone(&running), rc::Rc::clone(&trouble));
+        async move {
+            judge.note_arrival(&name);
+            let mut answer = answer(&name, version, &judge, &running, &trouble, request).await;
+            let limit = trouble.limit_per_s.get().map(|limit| limit.to_string());
+            if let Some(Ok(limit)) = limit.as_deref().map(hyper::header::HeaderValue::from_str) {
+                answer.headers_mut().insert("server-limit", limit);
+            }
+            answer
+        }
     })
     .await
 }
@@ -59,6 +80,7 @@
     version: &'static str,
     judge: &rc::Rc<judge::Judge>,
     running: &rc::Rc<cell::Cell<u32>>,
+    trouble: &Trouble,
     request: hyper::Request<Incoming>,
 ) -> http::Response {
     let header = |name: &str| {
@@ -96,7 +118,10 @@
         drop(slot);
         judge.note_answered(&answered);
     };
-    let mut answer = if is_stream {
+    let mut answer = if trouble.is_endless.get() {
+        let event = streams::event(version, last_event + 1);
+        endless(is_stream.then_some(event))
+    } else if is_stream {
         streams::response(version, last_event, streams::Ending::draw(&attempt, name), finish)
     } else {
         tokio::time::sleep(WORK).await;
@@ -110,3 +135,13 @@
     }
     answer
 }
+
+/// Returns an answer whose body has no end, or its second event if there is a first one.
+fn endless(first_event: Option<String>) -> http::Response {
+    let first = first_event.map(|event| bytes::Bytes::from(event + "data: ")).into_iter();
+    let part = bytes::Bytes::from(vec![b'x'; ENDLESS_PART_BYTES]);
+    let parts = first.chain(std::iter::repeat(part));
+    let frames = parts.map(|part| Ok(hyper::body::Frame::data(part)));
+    let body = http_body_util::StreamBody::new(futures_util::stream::iter(frames));
+    hyper::Response::new(body.boxed_unsync())
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -8,6 +8,9 @@
 
 use rustix::process as signals;
 
+/// The memory that an instance may take, in MiB.
+const MEMORY_LIMIT_MB: u64 = 110;
+
 /// A machine with an instance on it.
 pub struct Machine {
     program: path::PathBuf,
@@ -55,7 +58,7 @@
                 "NodeName = \"node-{ip}\"\nIp = \"{ip}\"\nZone = \"z\"\nInternalPorts = [7500, 7515]\n\
                  SeedNodes = [{seeds}]\nBootstrap = {is_first}\n[ListenAddrs]\n\
                  Frontend = \"{ip}:8360\"\nReady = \"{ip}:8365\"\nControlPlane = \"{ip}:8367\"\n\
-                 DirectoryAddr = \"{ip}:8364\"\n[Limits]\nCpuFraction = 0.25\nCpuCores = 1\n[Bounds]\n\
+                 DirectoryAddr = \"{ip}:8364\"\n[Limits]\nCpuFraction = 0.25\nCpuCores = 1\nMemoryLimitMb = {MEMORY_LIMIT_MB}\n[Bounds]\n\
                  GraceS = 6\nQuotaWindowS = 8\nRetryBudgetRatio = 0.2\nRetryWindowS = 10\n\
                  BudgetSlack = 60\n[Platform]\nAddress = \"{store}\"\n"
             ),
@@ -83,6 +86,15 @@
         let _ = signals::kill_process(id, signal);
     }
 
+    /// Returns the most memory that the instance has taken in MiB, if that is too much.
+    pub fn excess_memory_mb(&self) -> Option<u64> {
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id())).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let peak_mb = peak.trim().trim_end_matches(" kB").parse::<u64>().ok()? / 1_024;
+        (peak_mb > MEMORY_LIMIT_MB).then_some(peak_mb)
+    }
+
     /// Returns whether the instance has ended, and forgets it then.
     pub fn has_ended(&mut self) -> bool {
         let has_ended = match &mut self.child {
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -12,6 +12,12 @@
 /// The time in which a leaving server must get no more requests, on a busy machine.
 const LEFT_WITHIN: time::Duration = time::Duration::from_millis(3_500);
 
+/// The window in which requests to a server with a limit are counted.
+const LIMIT_WINDOW: time::Duration = time::Duration::from_secs(4);
+
+/// The time after a server begins to name its limit from which requests count, on a busy machine.
+const LIMIT_NOTICE: time::Duration = time::Duration::from_secs(1);
+
 /// Returns whether a path's answers are streams.
 pub fn is_stream(path: &str) -> bool {
     path.starts_with("/stream/") || path.starts_with("/resume/")
@@ -73,8 +79,19 @@
     events: String,
 }
 
+/// A time in which a server names a limit.
+#[derive(Debug, Clone)]
+struct Limit {
+    server: String,
+    per_s: f64,
+    since: time::Duration,
+    until: Option<time::Duration>,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    arrivals: BTreeMap<String, Vec<time::Duration>>,
+    limits: Vec<Limit>,
     attempts: BTreeMap<String, Attempt>,
     unknown_runs: Vec<Run>,
     withdrawn: BTreeMap<String, time::Duration>,
@@ -113,6 +130,38 @@
         self.state.borrow_mut().attempts.insert(attempt.to_string(), attempt_state);
     }
 
+    /// Notes that a request has reached a server, whatever comes of it.
+    pub fn note_arrival(&self, server: &str) {
+        let at = self.start.elapsed();
+        let mut state = self.state.borrow_mut();
+        state.arrivals.entry(server.to_string()).or_default().push(at);
+    }
+
+    /// Notes that a server begins or, with `None`, ends to name a limit.
+    pub fn note_limit(&self, server: &str, per_s: Option<f64>) {
+        let now = self.start.elapsed();
+        let mut state = self.state.borrow_mut();
+        let current = |limit: &&mut Limit| limit.server == server && limit.until.is_none();
+        if let Some(limit) = state.limits.iter_mut().find(current) {
+            limit.until = Some(now);
+        }
+        if let Some(per_s) = per_s {
+            let server = server.to_string();
+            state.limits.push(Limit { server, per_s, since: now, until: None });
+        }
+    }
+
+    /// Returns the most requests that a server got in a window of its limit, in parts of what it
+    /// allows.
+    pub fn most_of_a_limit(&self) -> f64 {
+        let state = self.state.borrow();
+        let most = state
+            .limits
+            .iter()
+            .map(|limit| most_in_a_window(limit, &state) as f64 / allowed(limit));
+        most.fold(0.0, f64::max)
+    }
+
     /// Notes a run.
     pub fn note_run(&self, run: Run) {
         let at = self.start.elapsed();
@@ -189,6 +238,12 @@
         let state = self.state.borrow();
         let mut violations: Vec<_> =
             state.unknown_runs.iter().map(|run| format!("nobody sent {run:?}")).collect();
+        for limit in &state.limits {
+            let most = most_in_a_window(limit, &state);
+            if most as f64 > allowed(limit) {
+                violations.push(format!("{most} requests in 4 s at {limit:?}"));
+            }
+        }
         for (id, attempt) in &state.attempts {
             check(id, attempt, &state, &mut violations);
         }
@@ -196,6 +251,24 @@
     }
 }
 
+/// Returns the requests that a server with a limit may get in a window.
+fn allowed(limit: &Limit) -> f64 {
+    1.5 * limit.per_s * LIMIT_WINDOW.as_secs_f64() + 5.0
+}
+
+/// Returns the most requests that reached a server in a window while it named a limit.
+fn most_in_a_window(limit: &Limit, state: &State) -> usize {
+    let Some(arrivals) = state.arrivals.get(&limit.server) else { return 0 };
+    let counts = |at: &time::Duration| {
+        *at >= limit.since + LIMIT_NOTICE && limit.until.is_none_or(|until| *at <= until)
+    };
+    let counted: Vec<_> = arrivals.iter().copied().filter(counts).collect();
+    let within = |start: &time::Duration| {
+        counted.iter().filter(|at| *at >= start && **at < *start + LIMIT_WINDOW).count()
+    };
+    counted.iter().map(within).max().unwrap_or(0)
+}
+
 fn check(id: &str, attempt: &Attempt, state: &State, violations: &mut Vec<String>) {
     let mut violate = |what: &str| {
         let runs = &attempt.runs;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -22,6 +22,8 @@
     MuteAnswers,
     /// Nothing passes, and nothing is closed.
     Silent,
+    /// Each request is answered by a head without end.
+    EndlessHead,
 }
 
 /// The mode of a proxy, and whether it was disturbed.
@@ -54,6 +56,10 @@
                 reset(&caller);
                 continue;
             }
+            if mode.0.get() == Mode::EndlessHead {
+                tokio::task::spawn_local(write_endless_head(caller));
+                continue;
+            }
             let Ok(server) = tokio::net::TcpStream::connect(to).await else { continue };
             tokio::task::spawn_local(relay(caller, server, mode.clone()));
         }
@@ -61,6 +67,14 @@
     Ok((address, switch))
 }
 
+/// Writes a head until the caller closes.
+async fn write_endless_head(mut caller: tokio::net::TcpStream) {
+    let mut part = b"HTTP/1.1 200 OK\r\n".to_vec();
+    while caller.write_all(&part).await.is_ok() {
+        part = b"x-field: endless\r\n".repeat(100);
+    }
+}
+
 /// Makes the close of a connection a reset.
 fn reset(stream: &tokio::net::TcpStream) {
     // Closing with unread bytes resets as well, so a failure here changes nothing.
@@ -97,7 +111,8 @@
             return to.shutdown().await;
         }
         match switch.0.get() {
-            Mode::Clear => {}
+            // A head without end is only for new connections.
+            Mode::Clear | Mode::EndlessHead => {}
             Mode::Delay(delay) => tokio::time::sleep(delay).await,
             Mode::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
             Mode::MuteAnswers if !is_answer => {}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -90,6 +90,15 @@
     tokio::task::LocalSet::new().block_on(&runtime, play(options))
 }
 
+/// A server with its proxy.
+struct Server {
+    name: String,
+    switch: proxy::Switch,
+    trouble: rc::Rc<backend::Trouble>,
+    /// Renews its entry.
+    beats: tokio::task::JoinHandle<()>,
+}
+
 struct World {
     rng: rand_chacha::ChaCha8Rng,
     judge: rc::Rc<judge::Judge>,
@@ -98,7 +107,7 @@
     machines: Vec<fleet::Machine>,
     seeds: Vec<net::Ipv4Addr>,
     disturbances: rc::Rc<callers::Disturbances>,
-    servers: Vec<(String, proxy::Switch, tokio::task::JoinHandle<()>)>,
+    servers: Vec<Server>,
     next_server: usize,
     version: u64,
     has_gone_route: bool,
@@ -107,6 +116,8 @@
     left: Vec<String>,
     ip: [u8; 3],
     faults: Vec<String>,
+    /// The machines whose instance took too much memory.
+    excesses: Vec<String>,
 }
 
 async fn play(options: &Options) -> Result<Report, RunError> {
@@ -137,6 +148,7 @@
         left: Vec::new(),
         ip,
         faults: Vec::new(),
+        excesses: Vec::new(),
     };
     world.configure();
     for _ in 0..SERVERS {
@@ -151,6 +163,7 @@
     while tokio::time::Instant::now() < end {
         let pause = world.rng.random_range(200..900);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        world.check_memory();
         world.restart_ended()?;
         world.draw_fault().await?;
     }
@@ -159,7 +172,10 @@
     let (served, sent) = world.judge.counts();
     let faults = std::mem::take(&mut world.faults);
     let (completed, resumed) = world.judge.resumed();
-    let violations = world.judge.violations();
+    world.check_memory();
+    let mut violations = world.judge.violations();
+    violations.append(&mut world.excesses);
+    let most_of_a_limit = world.judge.most_of_a_limit();
     drop(world);
     let count = faults.len();
     if violations.is_empty() {
@@ -170,7 +186,7 @@
         return Err(RunError::NothingServed(sent));
     }
     let summary = format!(
-        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed"
+        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed, {most_of_a_limit:.2} of a limit used at most"
     );
     Ok(Report { summary, violations, faults })
 }
@@ -192,6 +208,14 @@
         self.machines[index].start(self.store_address, &seeds, is_first)
     }
 
+    fn check_memory(&mut self) {
+        for machine in &self.machines {
+            if let Some(peak_mb) = machine.excess_memory_mb() {
+                self.excesses.push(format!("{} took {peak_mb} MiB", machine.ip));
+            }
+        }
+    }
+
     fn restart_ended(&mut self) -> io::Result<()> {
         for index in 0..self.machines.len() {
             if self.machines[index].has_ended() {
@@ -241,7 +265,8 @@
         let [a, b, c] = self.ip;
         let any = net::SocketAddr::from(([a, b, c, 3], 0));
         let version = streams::VERSIONS[self.next_server % streams::VERSIONS.len()];
-        let address = backend::start(&name, version, any, rc::Rc::clone(&self.judge)).await?;
+        let (judge, trouble) = (rc::Rc::clone(&self.judge), rc::Rc::<backend::Trouble>::default());
+        let address = backend::start(&name, version, any, judge, rc::Rc::clone(&trouble)).await?;
         let (proxied, switch) = proxy::start(any, address).await?;
         let store = rc::Rc::clone(&self.store);
         let id = name.clone();
@@ -251,7 +276,7 @@
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
-        self.servers.push((name, switch, beats));
+        self.servers.push(Server { name, switch, trouble, beats });
         Ok(())
     }
 
@@ -259,9 +284,9 @@
         let machine = self.rng.random_range(0..self.machines.len());
         let server = self.rng.random_range(0..self.servers.len());
         let span = time::Duration::from_millis(self.rng.random_range(500..2_500));
-        let kind = self.rng.random_range(0..13);
+        let kind = self.rng.random_range(0..17);
         let at_ms = self.judge.elapsed().as_millis();
-        let name = &self.servers[server].0;
+        let name = &self.servers[server].name;
         self.faults.push(format!("{at_ms} ms: kind {kind}, machine {machine}, {name}, {span:?}"));
         match kind {
             0 => {
@@ -285,6 +310,9 @@
             9 => self.replace_server(server).await?,
             10 => self.restore_store(),
             11 => self.kill_all(),
+            13 | 14 => self.name_limit(server),
+            15 => self.make_endless(server, span),
+            16 => self.disturb_server(server, proxy::Mode::EndlessHead, span),
             _ => self.change_configuration(),
         }
         Ok(())
@@ -319,7 +347,7 @@
         for machine in 0..self.machines.len() {
             self.disturb(machine, span);
         }
-        let switch = self.servers[server].1.clone();
+        let switch = self.servers[server].switch.clone();
         switch.set(mode);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(span).await;
@@ -327,6 +355,31 @@
         });
     }
 
+    /// A server in need names a limit, changes it or withdraws it.
+    fn name_limit(&mut self, server: usize) {
+        let Server { name, trouble, .. } = &self.servers[server];
+        let limit_per_s = match trouble.limit_per_s.get() {
+            Some(_) if self.rng.random_bool(0.3) => None,
+            _ => Some(f64::from(self.rng.random_range(0..50_u8)) / 10.0),
+        };
+        trouble.limit_per_s.set(limit_per_s);
+        self.judge.note_limit(name, limit_per_s);
+        self.faults.push(format!("{name} takes {limit_per_s:?} a second"));
+    }
+
+    /// The answers of a server have no end for a while.
+    fn make_endless(&self, server: usize, span: time::Duration) {
+        for machine in 0..self.machines.len() {
+            self.disturb(machine, span);
+        }
+        let trouble = rc::Rc::clone(&self.servers[server].trouble);
+        trouble.is_endless.set(true);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(span).await;
+            trouble.is_endless.set(false);
+        });
+    }
+
     fn break_store(&self, span: time::Duration) {
         let mode = if span.as_millis().is_multiple_of(2) {
             store::Mode::Busy
@@ -366,7 +419,7 @@
     /// A server leaves, and another one comes.
     async fn replace_server(&mut self, server: usize) -> io::Result<()> {
         self.add_server().await?;
-        let (name, _, beats) = self.servers.remove(server);
+        let Server { name, beats, .. } = self.servers.remove(server);
         beats.abort();
         let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
         self.store.put("keyed.servers", &name, gone.as_bytes());
