Open a connection for each plain call of serve

Callers saw (shown by a test): the answer of another call. A service sent a second copy of its last answer when the next request arrived on a kept connection; the caller of /second got the answer to /first.

Cause: serve kept connections for calls that may be repeated, and nothing in an answer of a service says to which call it belongs.

Ruled out: comparing an echoed id (a service need not echo any); closing connections on bytes that arrive while idle (hyper does that; this copy comes after the next request).

Change: plain calls never use a kept connection, so that the choice goes from the command too; nor do orders to engines and cancellations. Reads of an engine's state still do: a second copy is a state of moments ago. An exchange between instances is bounded to 16 MB.

--- a/src/borders/callers/plain.rs
+++ b/src/borders/callers/plain.rs
@@ -160,9 +160,9 @@
             {
                 self.fail(attempt, request::Failure::not_run(request::Fault::Connect)).await
             }
-            request::Command::Forward { attempt, address, fresh, keep_answer, .. } => {
+            request::Command::Forward { attempt, address, keep_answer, .. } => {
                 self.keep_answer = keep_answer;
-                self.forward(attempt, address, fresh).await
+                self.forward(attempt, address).await
             }
             request::Command::Replay { answer, .. } => {
                 self.reply.send_response(replay_response(answer));
@@ -176,19 +176,14 @@
         }
     }
 
-    async fn forward(
-        &mut self,
-        attempt: ids::Attempt,
-        address: net::SocketAddr,
-        fresh: bool,
-    ) -> step::Step {
+    async fn forward(&mut self, attempt: ids::Attempt, address: net::SocketAddr) -> step::Step {
         let Some(body) = self.upload.take() else {
             return self.fail(attempt, request::Failure::not_run(request::Fault::Closed)).await;
         };
         let message = hyper::Request::from_parts(self.parts.clone(), body);
         let upload_timeout = self.upload_timeout();
         let (request, caller) = (self.request, self.caller);
-        let call = services::Call { request, address, caller, message, fresh, upload_timeout };
+        let call = services::Call { request, address, caller, message, upload_timeout };
         let context = sync::Arc::clone(&self.context);
         let result = tokio::select! {
             result = context.services.forward(call) => result,
--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -135,6 +135,9 @@
     ) -> Result<(hyper::StatusCode, A), engines::QueryError> {
         let unreachable = |fault| engines::QueryError::Unreachable { address, fault };
         let malformed = || engines::QueryError::Malformed { address };
+        // A second copy of an earlier answer must not confirm an order or a cancellation.
+        let is_read = method == hyper::Method::GET;
+        let reuse = if is_read { http::Reuse::Pooled } else { http::Reuse::Never };
         let request = hyper::Request::builder()
             .method(method)
             .uri(path)
@@ -145,7 +148,7 @@
         let limit = QUERY_TIMEOUT + time::Duration::from_millis(CACHE_POLL_WAIT_MS);
         let response = self
             .client
-            .send(address, request, http::Reuse::Pooled, limit)
+            .send(address, request, reuse, limit)
             .await
             .map_err(|failure| unreachable(failure.fault))?;
         let status = response.status();
--- a/src/borders/services.rs
+++ b/src/borders/services.rs
@@ -24,8 +24,6 @@
     pub caller: net::SocketAddr,
     /// The request to forward.
     pub message: http::Request,
-    /// Whether the call must use a new connection.
-    pub fresh: bool,
     /// Time for sending the body, added to the timeout for the first byte of the response.
     pub upload_timeout: time::Duration,
 }
@@ -55,7 +53,8 @@
     async fn run(&self, call: Call) -> Result<http::Response, request::Failure> {
         let mut message = call.message;
         headers::prepare(&mut message, call.request, call.address, call.caller);
-        let reuse = if call.fresh { http::Reuse::Never } else { http::Reuse::Pooled };
+        // A service may send a second copy of its last answer, which nothing tells from the next one.
+        let reuse = http::Reuse::Never;
         let first_byte_timeout = self.first_byte_timeout + call.upload_timeout;
         let mut response =
             self.client.send(call.address, message, reuse, first_byte_timeout).await?;
--- a/src/core/request/command.rs
+++ b/src/core/request/command.rs
@@ -43,9 +43,6 @@
         server: ids::ServerId,
         /// The server's address.
         address: net::SocketAddr,
-        /// Whether only a new or very recently used connection may be used, since the call must not
-        /// be sent twice.
-        fresh: bool,
         /// Whether to report the whole answer, so that it can be replayed to callers that resend.
         keep_answer: bool,
         /// The time after which the call must not be sent, because its claim may expire.
--- a/src/core/request/plain.rs
+++ b/src/core/request/plain.rs
@@ -291,7 +291,6 @@
             attempt: self.attempts,
             server,
             address,
-            fresh: !self.idempotent,
             keep_answer: self.has_claim,
             send_before: self.has_claim.then(|| self.arrived_at + claims::constants::SEND_WINDOW),
         };
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -35,6 +35,9 @@
 /// The maximum length of an encoded request.
 const MAX_REQUEST_BYTES: u64 = 256;
 
+/// The maximum length of an encoded response; a longer one cannot be decoded.
+const MAX_RESPONSE_BYTES: u64 = 16 * 1_024 * 1_024;
+
 /// A request for changes, with what the requesting instance has already. Encoded by position, so
 /// the order of the fields is fixed.
 #[derive(Debug, Clone, Copy, serde::Serialize, serde::Deserialize)]
@@ -187,7 +190,7 @@
     stream.write_all(&bytes).await?;
     stream.shutdown().await?;
     let mut bytes = Vec::new();
-    stream.read_to_end(&mut bytes).await?;
+    stream.take(MAX_RESPONSE_BYTES).read_to_end(&mut bytes).await?;
     decode(&bytes).map_err(io::Error::other)
 }
 
--- a/tests/plain_http.rs
+++ b/tests/plain_http.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use galenayard::borders::engines::openai;
+use galenayard::borders::services::Services as _;
 use galenayard::borders::{callers, http, services};
 use galenayard::core::request;
 use galenayard::settings;
@@ -89,7 +90,6 @@
                     attempt: 1,
                     server: Bytes::from_static(b"s1"),
                     address: service,
-                    fresh: true,
                     keep_answer: call.idempotency_key.is_some(),
                     send_before: call.path.ends_with(b"/late").then_some(Duration::ZERO),
                 };
@@ -394,3 +394,43 @@
     let ending = site.endings.recv().await;
     insta::assert_snapshot!(format!("{answer}\n\n{ending:?}"));
 }
+
+/// A server that sends its last answer once more as soon as another request arrives on a connection.
+async fn spawn_repeating_service() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                let mut last = String::new();
+                while let Ok(length @ 1..) = stream.read(&mut request).await {
+                    let text = String::from_utf8_lossy(&request[..length]).into_owned();
+                    let path = text.split(' ').nth(1).unwrap_or_default();
+                    let own =
+                        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}", path.len());
+                    // The other side may have closed the connection.
+                    drop(stream.write_all(format!("{last}{own}").as_bytes()).await);
+                    last = own;
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_second_copy_of_an_answer_never_answers_the_next_call() {
+    let address = spawn_repeating_service().await;
+    let timeouts = http::Timeouts { connect: LIMIT, idle: LIMIT };
+    let services = services::HttpServices::new(http::Client::new(timeouts), LIMIT);
+    for path in ["/first", "/second", "/third"] {
+        let message = Request::get(path).body(http::empty()).expect("a valid request");
+        let caller = SocketAddr::from(([127, 0, 0, 1], 1));
+        let upload_timeout = Duration::ZERO;
+        let call = services::Call { request: 1, address, caller, message, upload_timeout };
+        let response = services.forward(call).await.expect("the service answers");
+        let body = response.into_body().collect().await.expect("the answer is whole").to_bytes();
+        assert_eq!(body, path);
+    }
+}
--- a/tests/sessions/bench.rs
+++ b/tests/sessions/bench.rs
@@ -273,8 +273,8 @@
         request::Command::Decode { attempt, server, start, .. } => {
             format!("decode on {server:?}, attempt {attempt}, {start:?}")
         }
-        request::Command::Forward { attempt, server, fresh, .. } => {
-            format!("forward to {server:?}, attempt {attempt}, fresh connection: {fresh}")
+        request::Command::Forward { attempt, server, .. } => {
+            format!("forward to {server:?}, attempt {attempt}")
         }
         request::Command::Replay { answer, .. } => format!("replay {answer:?}"),
         request::Command::Refuse(refusal) => format!("refuse {refusal:?}"),
