Take no requests any more before a planned stop ends

Callers saw (shown by a test): connections closed without an answer. A stopping instance took requests until its process ended, and it ended as soon as none was in progress at one look, or at 0.95 of the grace; what had been accepted since was cut off. Four callers that keep coming leave 4 requests in progress.

Cause: the end was decided by a count that new requests can change after it was read.

Ruled out: waiting longer (the same at a later moment).

Change: after 0.55 of the grace the listener is closed, after all that waits in it was accepted, connections end after the request in progress, idle ones at once, and the process ends when all have.

Measured: a_planned_stop_under_load_answers_every_request_that_was_passed_on failed before (4 in progress) and passes.

--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -58,13 +58,22 @@
     listen().map_err(|source| router::RouterError::Bind { address, source })
 }
 
-/// Accepts callers' connections and serves their requests for as long as the instance runs.
+/// Accepts callers' connections and serves their requests until the instance takes no more.
 pub async fn serve(listener: tokio::net::TcpListener, context: rc::Rc<context::Context>) {
     if tokio::time::timeout(CONFIGURATION_GRACE, wait_for_configuration(&context)).await.is_err() {
         log::warn!("no configuration yet; requests are refused until there is one");
     }
+    let mut closing = context.closing.subscribe();
     loop {
-        let Some(stream) = accept(&listener).await else { continue };
+        let accepted = tokio::select! {
+            biased;
+            accepted = accept(&listener) => accepted,
+            // The sender lives as long as the context.
+            _ = closing.wait_for(|is_closing| *is_closing) => return,
+        };
+        let Some(stream) = accepted else { continue };
+        let connections = &context.caller_connections;
+        connections.set(connections.get() + 1);
         tokio::task::spawn_local(serve_connection(stream, rc::Rc::clone(&context)));
     }
 }
@@ -105,9 +114,20 @@
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(8_192) * 2)
         .serve_connection(rt::TokioIo::new(stream), service);
-    if let Err(failure) = connection.await {
+    let mut connection = std::pin::pin!(connection);
+    let mut closing = context.closing.subscribe();
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        _ = closing.wait_for(|is_closing| *is_closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(failure) = served {
         log::debug!("a caller's connection failed: {failure}");
     }
+    let connections = &context.caller_connections;
+    connections.set(connections.get().saturating_sub(1));
 }
 
 async fn serve_request(
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -69,6 +69,10 @@
     pub origin_lookup: tokio::sync::Notify,
     /// Whether this instance is stopping; responses then close their connections.
     pub stopping: tokio::sync::watch::Sender<bool>,
+    /// Whether this instance takes no requests any more; connections end after the one in progress.
+    pub closing: tokio::sync::watch::Sender<bool>,
+    /// The number of open connections of callers.
+    pub caller_connections: cell::Cell<usize>,
     /// When the store's servers were last read, by this instance or by a peer that it asked.
     pub store_read_at: cell::Cell<Option<ids::Timestamp>>,
     /// The end of the servers' topic when it was last read.
@@ -99,6 +103,8 @@
             urgent_change: tokio::sync::Notify::new(),
             origin_lookup: tokio::sync::Notify::new(),
             stopping: tokio::sync::watch::Sender::new(false),
+            closing: tokio::sync::watch::Sender::new(false),
+            caller_connections: cell::Cell::new(0),
             store_read_at: cell::Cell::new(None),
             servers_end: cell::Cell::new(0),
             fleet: cell::RefCell::new(fleet::Fleet::new(options)),
--- a/src/router/stop.rs
+++ b/src/router/stop.rs
@@ -36,12 +36,20 @@
         unix::signal(unix::SignalKind::terminate()).map_err(router::RouterError::Signals)?;
     terminate.recv().await;
     log::info!("received SIGTERM; draining requests");
+    drain(&context, grace).await;
+    Ok(())
+}
+
+/// Lets callers move to other instances and ends all requests, for most of the grace period at most.
+pub async fn drain(context: &context::Context, grace: time::Duration) {
     let stop_requested_at = context.now();
     let streams_until = stop_requested_at + grace.mul_f64(ACCEPT_STREAMS_FRACTION);
     context.apply(fleet::Event::ShutdownStarted { streams_until });
     context.stopping.send_replace(true);
     tokio::time::sleep(grace.mul_f64(ACCEPT_REQUESTS_FRACTION)).await;
-    while context.read(|fleet| fleet.request_count()) > 0
+    // What is accepted from now on could be cut off, so nothing is.
+    context.closing.send_replace(true);
+    while (context.read(|fleet| fleet.request_count()) > 0 || context.caller_connections.get() > 0)
         && context.now().saturating_sub(stop_requested_at) < grace.mul_f64(DRAIN_FRACTION)
     {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
@@ -50,5 +58,4 @@
     log::info!("stopped with {remaining} requests in progress");
     // Gives the last responses and log lines time to be written.
     tokio::time::sleep(DRAIN_CHECK_INTERVAL * 3).await;
-    Ok(())
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -23,6 +23,7 @@
 
 mod broken_streams;
 mod endless_answers;
+mod shutdown;
 
 const KEY: &str = "the-key";
 
--- /dev/null
+++ b/tests/router/shutdown.rs
@@ -0,0 +1,66 @@
+//! Tests that a planned stop under load leaves no accepted request without its answer.
+
+use std::cell;
+use std::rc;
+use std::time::Duration;
+
+use galenayard::router::stop;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+use super::COMPLETE_RESPONSE;
+use super::request;
+use super::run;
+use super::start;
+
+/// How long the server takes for an answer.
+const WORK: Duration = Duration::from_millis(40);
+
+const GRACE: Duration = Duration::from_millis(1_500);
+
+/// Starts a server that answers each request after a while.
+async fn slow_server() -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut request = [0; 4_096];
+                // The request is shorter than that, and its content does not matter.
+                let _ = stream.read(&mut request).await;
+                tokio::time::sleep(WORK).await;
+                // The router may have closed the connection.
+                let _ = stream.write_all(COMPLETE_RESPONSE).await;
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn a_planned_stop_under_load_answers_every_request_that_was_passed_on() {
+    run(async {
+        let (callers, context) = start(&[slow_server().await]).await;
+        let (answered, cut) = (rc::Rc::new(cell::Cell::new(0)), rc::Rc::new(cell::Cell::new(0)));
+        for _ in 0..4 {
+            let (answered, cut) = (rc::Rc::clone(&answered), rc::Rc::clone(&cut));
+            tokio::task::spawn_local(async move {
+                // Callers keep coming until the instance refuses their connections.
+                while let Ok(mut stream) = tokio::net::TcpStream::connect(callers).await {
+                    let sent = stream.write_all(request("order").as_bytes()).await;
+                    let mut response = Vec::new();
+                    let read = stream.read_to_end(&mut response).await;
+                    let is_answered = response.starts_with(b"HTTP/1.1 200");
+                    answered.set(answered.get() + usize::from(is_answered));
+                    // A connection that is reset was not read.
+                    let is_cut = sent.is_ok() && read.is_ok() && response.is_empty();
+                    cut.set(cut.get() + usize::from(is_cut));
+                }
+            });
+        }
+        stop::drain(&context, GRACE).await;
+        assert_eq!(context.read(|fleet| fleet.request_count()), 0, "requests in progress");
+        assert!(answered.get() > 0);
+        assert_eq!(cut.get(), 0, "connections closed without an answer");
+    });
+}
