Believe a rejection only if it is not that of another request

Callers saw (shown by a test): an order that ran twice, or a promise that it had not run. A server's 503 with Not-Executed, or 421, that bears the id of another request was taken as a rejection of this one: the order was sent to the next server, and without one its caller got a 503.

Cause: the id in the answer was compared after the rejection was believed.

Ruled out: demanding the id in every rejection (rejections without any come from servers that are full).

--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -248,6 +248,9 @@
         let (head, mut body) = response.into_parts();
         let response_head = dialect.read_response_head(&head, &self.call);
         self.report_limit(dispatch, &head, response_head);
+        if response_head.is_foreign {
+            return lost;
+        }
         if response_head.is_misdirected {
             return Attempt::Outcome(fleet::Outcome::Misdirected);
         }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -307,6 +307,20 @@
     }
 }
 
+#[test]
+fn a_rejection_of_another_request_does_not_promise_that_this_one_has_not_run() {
+    let rejected: &[u8] = b"HTTP/1.1 503 Full\r\nAttempt-Id: zz\r\nNot-Executed: 1\r\n\
+        Content-Length: 0\r\n\r\n";
+    let misdirected: &[u8] = b"HTTP/1.1 421 Other\r\nAttempt-Id: zz\r\nContent-Length: 0\r\n\r\n";
+    for response in [rejected, misdirected] {
+        run(async {
+            let (got, arrivals) = run_request("order", &[response, COMPLETE_RESPONSE]).await;
+            assert!(got.starts_with("HTTP/1.1 502"), "{got}");
+            assert_eq!(arrivals.len(), 1);
+        });
+    }
+}
+
 const INTERRUPTED_STREAM: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
     19\r\nid: 1\ndata: a\n\nid: 2\ndat\r\n";
