End streams of engines that send only events without data

Callers saw (shown by a test): in serve, a stream that never ended. An engine that sends an event without data now and then, or events of other requests, began the wait for the next event anew each time.

Cause: the timeout was one for each event of the connection, not for each event of the answer.

Ruled out on the users' platform: a stream ends at its route's timeout there, and slow streams are not cut before.

Change: the wait for the next chunk has one deadline.

Measured: a_stalled_stream_that_sends_a_few_bytes_now_and_then_ends failed before (no end within 60 times the timeout) and passes with 108 unit tests.

--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -287,8 +287,11 @@
     }
 
     async fn next_chunk(&mut self) -> Result<Option<engines::Chunk>, request::Failure> {
+        // Events without data, and those of other requests, do not extend the wait.
+        let deadline = tokio::time::Instant::now() + self.timeout;
         loop {
-            let event = match timer::timeout(self.timeout, self.events.next()).await {
+            let remaining = deadline.saturating_duration_since(tokio::time::Instant::now());
+            let event = match timer::timeout(remaining, self.events.next()).await {
                 Ok(Some(Ok(event))) => event,
                 Ok(Some(Err(_)) | None) => {
                     return Err(request::Failure::maybe_run(request::Fault::Closed));
--- a/src/borders/engines/openai/tests.rs
+++ b/src/borders/engines/openai/tests.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 
 use crate::borders::engines;
 use crate::borders::engines::Stream as _;
@@ -60,3 +61,16 @@
     let outcome = read(stream(&[OTHER; 8])).await;
     assert_eq!(outcome, (Vec::new(), Err(request::Fault::Crossed)));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_stalled_stream_that_sends_a_few_bytes_now_and_then_ends() {
+    // Events without data, 400 ms apart.
+    let events = futures_util::stream::unfold((), |()| async {
+        tokio::time::sleep(time::Duration::from_millis(400)).await;
+        Some((Ok(hyper::body::Frame::data(Bytes::from_static(b"id: 1\n\n"))), ()))
+    });
+    let body = http_body_util::StreamBody::new(Box::pin(events)).boxed_unsync();
+    let stalled = openai::EventStream { events: sse_stream::SseStream::new(body), ..stream(&[]) };
+    let ended = tokio::time::timeout(TIMEOUT * 60, read(stalled)).await;
+    assert_eq!(ended, Ok((Vec::new(), Err(request::Fault::Gap))));
+}
