Search for limits of servers only while one may have any

Cause: the new checks looked through the servers of a service for each request, and through the members on each tick, also where no server names a limit.

--- a/src/core/fleet/fairness.rs
+++ b/src/core/fleet/fairness.rs
@@ -70,6 +70,9 @@
         queue: Vec<(waiting::Waiter, &'a claim::Claim)>,
         now: ids::Timestamp,
     ) -> Vec<(waiting::Waiter, &'a claim::Claim)> {
+        if !self.servers.may_have_limits() {
+            return queue;
+        }
         let mut shared: collections::Map<catalog::ServiceId, bool> = collections::Map::default();
         let mut turns: collections::Map<(User, u8), f64> = collections::Map::default();
         let mut ranked = Vec::with_capacity(queue.len());
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -245,6 +245,8 @@
     /// The position from which on all removals are remembered; `None` before the first complete
     /// listing.
     removals_known_since: Option<ids::StorePosition>,
+    /// Whether a server may have a limit; without one, requests cost no search for limits.
+    may_have_limits: bool,
 }
 
 impl Directory {
@@ -584,6 +586,7 @@
         }
         server.limit_changed = now;
         if let Some(rate_per_s) = current {
+            self.may_have_limits = true;
             match &mut server.allowance {
                 Some(allowance) if previous.is_some() => allowance.set_rate(rate_per_s, now),
                 Some(allowance) => allowance.restart(rate_per_s, now),
@@ -626,6 +629,16 @@
         }
     }
 
+    /// Returns whether a server may have a limit.
+    pub fn may_have_limits(&self) -> bool {
+        self.may_have_limits
+    }
+
+    /// Notes whether a server still has a limit.
+    pub fn update_may_have_limits(&mut self) {
+        self.may_have_limits = self.servers.values().any(|server| server.allowance().is_some());
+    }
+
     /// Returns the servers whose limit is in force or was withdrawn after `since`.
     pub fn with_limits(&self, since: ids::Timestamp) -> impl Iterator<Item = &Server> {
         let is_reported = move |server: &&Server| {
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -208,6 +208,9 @@
         service: &catalog::ServiceId,
         now: ids::Timestamp,
     ) -> Option<refusal::LimitView> {
+        if !self.servers.may_have_limits() {
+            return None;
+        }
         let (mut limited_servers, mut unlimited_servers, mut rate_per_s) = (0, 0, 0.0);
         for server in self.servers.of_service(service).filter(|server| server.is_usable(now)) {
             match server.allowance() {
@@ -277,10 +280,8 @@
     /// its part of the limits serves few.
     pub(super) fn return_to_owners(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let is_limited = |request: &call::RequestNumber| {
-            self.requests.get(request).is_some_and(|live| {
-                let mut servers = self.servers.of_service(&live.claim.service);
-                servers.any(|server| server.allowance().is_some())
-            })
+            let service = self.requests.get(request).map(|live| &live.claim.service);
+            service.is_some_and(|service| self.limit_view(service, now).is_some())
         };
         let waiting: Vec<_> = self.waiting.iter().copied().filter(is_limited).collect();
         for request in waiting {
@@ -292,23 +293,25 @@
 
     /// Sends what changed since the last reports and, in intervals, all that is known.
     pub(super) fn report_limits(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let live = self.live_incarnations(now);
-        self.servers.retain_limit_holders(|holder| live.contains(&holder));
         if now >= self.limit_reports.last_repeated + constants::LIMIT_REPORT_INTERVAL {
             self.limit_reports.last_repeated = now;
+            self.servers.update_may_have_limits();
             self.limit_reports.servers.clear();
             let since = now.saturating_sub(constants::LIMIT_WITHDRAWAL_REPORT_PERIOD);
             let limited = self.servers.with_limits(since);
             let limited: Vec<_> = limited.map(|server| server.entry.id.clone()).collect();
+            if limited.is_empty() {
+                return;
+            }
+            let live = self.live_incarnations(now);
+            self.servers.retain_limit_holders(|holder| live.contains(&holder));
             return self.send_limit_reports(&limited, now, effects);
         }
-        let due: Vec<_> = self.limit_reports.servers.drain().collect();
-        let message = self.limit_reports_of(&due, now);
-        for (to, message) in message.into_iter().flat_map(|message| {
-            self.limit_counters(now).into_iter().map(move |to| (to, message.clone()))
-        }) {
-            effects.push(Effect::SendMessage { to, message });
+        if self.limit_reports.servers.is_empty() {
+            return;
         }
+        let due: Vec<_> = self.limit_reports.servers.drain().collect();
+        self.send_reports_to(&self.limit_counters(now), &due, now, effects);
     }
 
     /// Reports on servers: a coordinator to all, another instance to the coordinators.
@@ -320,8 +323,18 @@
     ) {
         let targets =
             if self.is_coordinator { self.known_peers() } else { self.limit_counters(now) };
+        self.send_reports_to(&targets, servers, now, effects);
+    }
+
+    fn send_reports_to(
+        &self,
+        targets: &[net::SocketAddr],
+        servers: &[ids::ServerId],
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
         for message in self.limit_reports_of(servers, now) {
-            for to in &targets {
+            for to in targets {
                 effects.push(Effect::SendMessage { to: *to, message: message.clone() });
             }
         }
