Bound the events of engines' streams in serve

Callers saw: nothing yet; a test shows it. serve collected an event of an engine's stream until it ended.

Cause: the parser of events has no bound. Class: memory that another side decides about, as in the router's answers.

Change: the body of a stream fails once an event is longer than 1 MB; the attempt ends as one whose connection was lost.

Measured: an_event_without_end_is_not_collected takes all 1,024 parts without the check and passes with it.

--- a/src/borders/engines/openai.rs
+++ b/src/borders/engines/openai.rs
@@ -1,12 +1,16 @@
 //! The adapter for engines with an OpenAI-compatible API and `kv_transfer_params`.
 
 use std::net;
+use std::pin;
 use std::sync;
+use std::sync::atomic;
+use std::task;
 use std::time;
 
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use futures_util::future;
+use hyper::body;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -27,6 +31,9 @@
 /// The maximum length of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// The maximum length of one event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Timeout of queries to engines, without the long poll's wait.
 const QUERY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -98,13 +105,8 @@
         let body = wire::decode_body(&call, &source);
         let response = self.post(&call, body, limit).await?;
         let response = check_status(response).await?;
-        Ok(Box::new(EventStream {
-            request: call.request,
-            events: sse_stream::SseStream::new(response.into_body()),
-            timeout: limit,
-            event_timeout: self.timeouts.event_timeout,
-            consecutive_foreign_events: 0,
-        }))
+        let event_timeout = self.timeouts.event_timeout;
+        Ok(Box::new(EventStream::new(call.request, response.into_body(), limit, event_timeout)))
     }
 
     async fn post(
@@ -270,16 +272,61 @@
     }
 }
 
+/// A body that fails when one event is longer than [`MAX_EVENT_BYTES`].
+struct EventBound {
+    body: http::Body,
+    /// The bytes that were read since the last event.
+    event_bytes: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl body::Body for EventBound {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, http::BodyError>>> {
+        let polled = pin::Pin::new(&mut self.body).poll_frame(context);
+        let task::Poll::Ready(Some(Ok(frame))) = &polled else { return polled };
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        let before = self.event_bytes.fetch_add(bytes, atomic::Ordering::Relaxed);
+        if before + bytes > MAX_EVENT_BYTES {
+            return task::Poll::Ready(Some(Err(http::BodyError::new("an event is too long"))));
+        }
+        polled
+    }
+}
+
 /// The server-sent events of one decode attempt.
 struct EventStream {
     request: ids::RequestId,
-    events: sse_stream::SseStream<http::Body>,
+    events: sse_stream::SseStream<EventBound>,
+    event_bytes: sync::Arc<atomic::AtomicUsize>,
     timeout: time::Duration,
     event_timeout: time::Duration,
     consecutive_foreign_events: u32,
 }
 
 impl EventStream {
+    fn new(
+        request: ids::RequestId,
+        body: http::Body,
+        timeout: time::Duration,
+        event_timeout: time::Duration,
+    ) -> Self {
+        let event_bytes = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let body = EventBound { body, event_bytes: sync::Arc::clone(&event_bytes) };
+        Self {
+            request,
+            events: sse_stream::SseStream::new(body),
+            event_bytes,
+            timeout,
+            event_timeout,
+            consecutive_foreign_events: 0,
+        }
+    }
+
     /// Counts an event of another request, which is dropped.
     fn count_foreign_event(&mut self) {
         self.consecutive_foreign_events += 1;
@@ -298,6 +345,7 @@
                 }
                 Err(_) => return Err(request::Failure::maybe_run(request::Fault::Gap)),
             };
+            self.event_bytes.store(0, atomic::Ordering::Relaxed);
             self.timeout = self.event_timeout;
             let Some(data) = event.data else { continue };
             if data == "[DONE]" {
--- a/src/borders/engines/openai/tests.rs
+++ b/src/borders/engines/openai/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of streams that contain events of other requests.
 
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::Bytes;
@@ -25,13 +27,11 @@
         body.push_str(&format!("data: {text}\n\n"));
     }
     body.push_str("data: [DONE]\n\n");
-    openai::EventStream {
-        request: OWN,
-        events: sse_stream::SseStream::new(http::full(Bytes::from(body))),
-        timeout: TIMEOUT,
-        event_timeout: TIMEOUT,
-        consecutive_foreign_events: 0,
-    }
+    stream_of(http::full(Bytes::from(body)))
+}
+
+fn stream_of(body: http::Body) -> openai::EventStream {
+    openai::EventStream::new(OWN, body, TIMEOUT, TIMEOUT)
 }
 
 /// Reads a stream to its end; returns the token texts and the fault with which it ended, if any.
@@ -70,7 +70,23 @@
         Some((Ok(hyper::body::Frame::data(Bytes::from_static(b"id: 1\n\n"))), ()))
     });
     let body = http_body_util::StreamBody::new(Box::pin(events)).boxed_unsync();
-    let stalled = openai::EventStream { events: sse_stream::SseStream::new(body), ..stream(&[]) };
-    let ended = tokio::time::timeout(TIMEOUT * 60, read(stalled)).await;
+    let ended = tokio::time::timeout(TIMEOUT * 60, read(stream_of(body))).await;
     assert_eq!(ended, Ok((Vec::new(), Err(request::Fault::Gap))));
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_event_without_end_is_not_collected() {
+    const MOST_PARTS: usize = 1_024;
+    let parts = std::iter::repeat_n(Bytes::from(vec![b'x'; 16 * 1_024]), MOST_PARTS);
+    let taken = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counted = sync::Arc::clone(&taken);
+    let frames = parts.map(move |part| {
+        counted.fetch_add(1, atomic::Ordering::Relaxed);
+        Ok(hyper::body::Frame::data(part))
+    });
+    let body = http_body_util::StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync();
+    let outcome = read(stream_of(body)).await;
+    assert_eq!(outcome, (Vec::new(), Err(request::Fault::Closed)));
+    let taken = taken.load(atomic::Ordering::Relaxed);
+    assert!(taken < MOST_PARTS / 8, "{taken} of {MOST_PARTS} parts");
+}
