--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -92,6 +92,8 @@
     Lost,
     /// A part of it is longer than this instance takes.
     TooLong(decision::AnswerPart, usize),
+    /// All answers together take too much memory, which is no fault of this server.
+    NoMemory,
 }
 
 /// A server's answer that is relayed as it comes.
@@ -303,9 +305,13 @@
                 if is_failure { Attempt::Failure(response) } else { Attempt::Complete(response) }
             }
             // A failure is kept while other servers are tried, and a stream cannot go on inside it.
-            Start::Partial(_) if is_failure || self.is_stream => {
+            Start::Partial(first) if is_failure || self.is_stream => {
                 let max_bytes = self.guard.context.memory.max_buffered_bytes();
-                let fault = ReadFault::TooLong(decision::AnswerPart::Body, max_bytes);
+                let fault = if first.len() > max_bytes {
+                    ReadFault::TooLong(decision::AnswerPart::Body, max_bytes)
+                } else {
+                    ReadFault::NoMemory
+                };
                 self.unreadable(dispatch, fault)
             }
             Start::Partial(first) => {
@@ -320,6 +326,11 @@
     fn unreadable(&self, dispatch: &fleet::Dispatch, fault: ReadFault) -> Attempt {
         Attempt::Outcome(match fault {
             ReadFault::Lost => fleet::Outcome::ConnectionLost,
+            ReadFault::NoMemory => {
+                let held_bytes = self.guard.context.memory.held_bytes();
+                log::warn!("dropping an answer, as all answers take {held_bytes} bytes");
+                fleet::Outcome::ConnectionLost
+            }
             ReadFault::TooLong(part, limit_bytes) => {
                 self.log_too_long(&dispatch.server, part, limit_bytes);
                 fleet::Outcome::Endless
@@ -370,10 +381,13 @@
             if events.push(data).is_some() {
                 return Ok(bytes.freeze());
             }
-            if bytes.len() > memory::MAX_EVENT_BYTES || !held.grow(data.len()) {
+            if bytes.len() > memory::MAX_EVENT_BYTES {
                 let part = decision::AnswerPart::Event;
                 return Err(ReadFault::TooLong(part, memory::MAX_EVENT_BYTES));
             }
+            if !held.grow(data.len()) {
+                return Err(ReadFault::NoMemory);
+            }
         }
     }
 
