Name the time slots of limits and explain them in the terms of the field

Cause: a reader of the diff meets turns in two meanings, and words that are not the field's.

Change: time slots for sends without a grant, turns for workspaces only; comments. Behaviour stays as it is.

--- a/src/borders/services.rs
+++ b/src/borders/services.rs
@@ -53,7 +53,7 @@
     async fn run(&self, call: Call) -> Result<http::Response, request::Failure> {
         let mut message = call.message;
         headers::prepare(&mut message, call.request, call.address, call.caller);
-        // A service may send a second copy of its last answer, which nothing tells from the next one.
+        // A second copy of the last answer on a kept connection looks like the next answer.
         let reuse = http::Reuse::Never;
         let first_byte_timeout = self.first_byte_timeout + call.upload_timeout;
         let mut response =
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -239,8 +239,8 @@
 /// one request at a time. An answer shows whether its server names a limit.
 pub const PROBING_PERIOD: time::Duration = time::Duration::from_millis(1_000);
 
-/// The time within which an owner must have heard from most instances to grant whole limits: two
-/// intervals of their digests, and shorter than the time after which another one takes over.
+/// The maximum age of digests of most instances with which an owner grants whole limits: two of
+/// their intervals, and shorter than the time after which another instance takes over.
 pub const OWNER_CONTACT_PERIOD: time::Duration = time::Duration::from_millis(800);
 
 /// The interval at which instances repeat what they know of limits that servers name.
--- a/src/core/fleet/server_limits/allowance.rs
+++ b/src/core/fleet/server_limits/allowance.rs
@@ -1,4 +1,4 @@
-//! How many requests may be sent to a server within the limit that it names.
+//! A token bucket with the rate that a server names, and time slots for requests without a grant.
 
 use std::mem;
 use std::time;
@@ -27,7 +27,7 @@
 /// reports.
 const KEEPER_VALIDITY: time::Duration = time::Duration::from_millis(3_500);
 
-/// The maximum number of granting instances that are told apart in the counts of one server.
+/// The maximum number of granting instances that are distinguished in the counts of one server.
 const MAX_GRANTERS: usize = 4;
 
 /// The requests that an instance has sent to a server with a limit since the instance's start, by
@@ -55,12 +55,12 @@
     updated: ids::Timestamp,
     /// When the limit was learned.
     since: ids::Timestamp,
-    /// The place of this instance's turns among those of others, as a part of their interval.
+    /// The offset of this instance's slots from those of others, as a part of their interval.
     phase: f64,
-    /// The last turn that was used.
-    used_turn: Option<u64>,
+    /// The last slot that was used.
+    used_slot: Option<u64>,
     last_sent: ids::Timestamp,
-    /// The instances that are known to keep the limit when they grant, and since when.
+    /// The instances that keep the limit when they grant, with the time of their last report of it.
     keepers: collections::Map<ids::Incarnation, ids::Timestamp>,
     counts: SendCounts,
     /// The requests of each other instance that are known, without those granted by this one.
@@ -77,7 +77,7 @@
             updated: now,
             since: now,
             phase,
-            used_turn: None,
+            used_slot: None,
             last_sent: now,
             keepers: collections::Map::default(),
             counts: Vec::new(),
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Starts anew with a limit that was named again after the server had withdrawn one.
+    /// Restarts with a limit that was named again after the server had withdrawn one.
     pub fn restart(&mut self, rate_per_s: f64, now: ids::Timestamp) {
         let (counts, others) = (mem::take(&mut self.counts), mem::take(&mut self.others));
         *self = Self { counts, others, ..Self::new(rate_per_s, self.phase, now) };
@@ -126,11 +126,11 @@
                 time::Duration::from_secs_f64(missing / self.rate_per_s)
             }
             Pacing::Share { instances } => {
-                let turn = self.turn(instances, now);
-                if turn.is_open && self.used_turn != Some(turn.number) {
+                let slot = self.slot(instances, now);
+                if slot.is_open && self.used_slot != Some(slot.number) {
                     return time::Duration::ZERO;
                 }
-                turn.until_next
+                slot.until_next
             }
         }
     }
@@ -138,7 +138,7 @@
     /// Uses the allowance for one request.
     pub fn take(&mut self, pacing: Pacing, now: ids::Timestamp) {
         if let Pacing::Share { instances } = pacing {
-            self.used_turn = Some(self.turn(instances, now).number);
+            self.used_slot = Some(self.slot(instances, now).number);
         }
         self.debit(1.0, now);
     }
@@ -155,23 +155,23 @@
         now.saturating_sub(self.last_sent) >= TRICKLE_INTERVAL
     }
 
-    /// Returns the present turn of this instance. The turns of all instances are spread over an
+    /// Returns the present slot of this instance. The slots of all instances are spread over an
     /// interval in which the server takes one request from each, and one that is not used lapses:
     /// after a silence, instances would else send all at once.
-    fn turn(&self, instances: usize, now: ids::Timestamp) -> Turn {
+    fn slot(&self, instances: usize, now: ids::Timestamp) -> Slot {
         let instances = instances.max(1) as f64;
         let length_s = 1.0 / (self.rate_per_s * UNGRANTED_SHARE);
         let interval_s = length_s * instances;
         let elapsed_s = now.saturating_sub(self.since).as_secs_f64();
-        // The first turn begins up to one interval after the limit was learned.
+        // The first slot begins up to one interval after the limit was learned.
         let position = elapsed_s / interval_s - self.phase;
         let number = position.floor();
-        let into_turn_s = (position - number) * interval_s;
-        Turn {
+        let into_slot_s = (position - number) * interval_s;
+        Slot {
             number: number.max(0.0) as u64,
-            is_open: number >= 0.0 && into_turn_s < length_s,
+            is_open: number >= 0.0 && into_slot_s < length_s,
             until_next: time::Duration::from_secs_f64(
-                (interval_s - into_turn_s).clamp(MIN_WAIT_S, MAX_WAIT_S),
+                (interval_s - into_slot_s).clamp(MIN_WAIT_S, MAX_WAIT_S),
             ),
         }
     }
@@ -246,12 +246,12 @@
     }
 }
 
-/// The bounds of the wait for a turn, in seconds.
+/// The bounds of the wait for a slot, in seconds.
 const MIN_WAIT_S: f64 = 0.001;
 const MAX_WAIT_S: f64 = 3_600.0;
 
-/// A turn in which an instance may send one request without a grant.
-struct Turn {
+/// A time slot in which an instance may send one request without a grant.
+struct Slot {
     number: u64,
     is_open: bool,
     until_next: time::Duration,
--- a/src/core/fleet/server_limits/allowance/tests.rs
+++ b/src/core/fleet/server_limits/allowance/tests.rs
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn turns_that_were_not_used_do_not_add_up() {
+fn slots_that_were_not_used_do_not_add_up() {
     let pacing = Pacing::Share { instances: 6 };
     let mut allowance = Allowance::new(4.0, 0.0, ms(0));
     let now = ms(60_000);
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -105,8 +105,8 @@
         true
     }
 
-    /// Returns the part of the limits of a service's servers that this instance may use. An owner that
-    /// does not hear from most instances may have a counterpart beyond a partition.
+    /// Returns the part of the limits of a service's servers that this instance may use. An owner without
+    /// recent digests of most instances may have a counterpart on the other side of a partition.
     pub(super) fn pacing(
         &self,
         service: &catalog::ServiceId,
@@ -123,11 +123,11 @@
         if !is_owner() {
             return server_limits::Pacing::Share { instances };
         }
-        let heard = 1 + self.peers.count_active_within(constants::OWNER_CONTACT_PERIOD, now);
-        if heard * 2 > instances {
+        let active = 1 + self.peers.count_active_within(constants::OWNER_CONTACT_PERIOD, now);
+        if active * 2 > instances {
             server_limits::Pacing::Fleet
         } else {
-            server_limits::Pacing::Share { instances: instances.div_ceil(heard) }
+            server_limits::Pacing::Share { instances: instances.div_ceil(active) }
         }
     }
 
--- a/tests/fleet/server_limits.rs
+++ b/tests/fleet/server_limits.rs
@@ -40,11 +40,11 @@
 /// Checks the platform's rule for a server that has named `limit_per_s` from `named` on.
 fn assert_rule_is_kept(world: &World, server: &str, limit_per_s: f64, named: Duration) {
     let allowed = 1.5 * limit_per_s * WINDOW.as_secs_f64() + 5.0;
-    let is_told = |at: Duration, instance: usize| {
-        let told = world.told.get(&(server.to_string().into(), instance));
-        told.is_some_and(|told| at >= *told + NOTICE)
+    let is_notified = |at: Duration, instance: usize| {
+        let notified = world.notified.get(&(server.to_string().into(), instance));
+        notified.is_some_and(|notified| at >= *notified + NOTICE)
     };
-    let most = most_in_a_window(world, server, named + CONTACT, is_told);
+    let most = most_in_a_window(world, server, named + CONTACT, is_notified);
     assert!(most as f64 <= allowed, "{server}: {most} requests in 4 s, {allowed} allowed");
 }
 
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -189,7 +189,7 @@
     /// Instances whose messages are lost in both directions.
     pub muted: Vec<usize>,
     /// When each instance first received an answer that names a limit, by server.
-    pub told: Map<(Bytes, usize), Duration>,
+    pub notified: Map<(Bytes, usize), Duration>,
 }
 
 /// The limit of the workspace that sends requests to the host `limited`.
@@ -232,7 +232,7 @@
             records: Map::default(),
             older: Vec::new(),
             muted: Vec::new(),
-            told: Map::default(),
+            notified: Map::default(),
         };
         for index in 0..instances {
             world.instances.push(Some(new_fleet(index, world.addresses[index])));
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -148,7 +148,7 @@
         };
         let limit = match self.backends[server].limit_per_s {
             Some(rate_per_s) => {
-                self.told.entry((server.clone(), instance)).or_insert(self.now);
+                self.notified.entry((server.clone(), instance)).or_insert(self.now);
                 server_limits::Statement::PerSecond(rate_per_s)
             }
             None => server_limits::Statement::Unlimited,
