Move the limits of servers out of the directory of servers

Change: what servers and the directory do about limits stands in servers/limits.rs. Behaviour stays as it is.

--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -11,6 +11,8 @@
 use crate::core::fleet::streams;
 use crate::core::ids;
 
+mod limits;
+
 pub mod entry;
 
 pub use entry::Entry;
@@ -125,51 +127,6 @@
         }
     }
 
-    /// Keeps the limit across a change of the entry that is no restart.
-    fn keep_limit_of(&mut self, former: Self) {
-        self.has_answered = former.has_answered;
-        self.limit = former.limit;
-        self.limit_changed = former.limit_changed;
-        self.allowance = former.allowance;
-    }
-
-    /// Returns the answers that show whether the server names a rate limit.
-    pub fn limit(&self) -> server_limits::Evidence {
-        self.limit
-    }
-
-    /// Returns when the server last named, changed or withdrew a limit, as far as known.
-    pub fn limit_changed(&self) -> ids::Timestamp {
-        self.limit_changed
-    }
-
-    /// Returns the use of the limit in force; `None` without a limit.
-    pub fn allowance(&self) -> Option<&server_limits::Allowance> {
-        self.allowance.as_ref().filter(|_| self.limit.rate_per_s().is_some())
-    }
-
-    /// Returns the time until the limit in force allows a request.
-    pub fn limit_wait(&self, pacing: server_limits::Pacing, now: ids::Timestamp) -> time::Duration {
-        self.allowance().map_or(time::Duration::ZERO, |allowance| allowance.wait(pacing, now))
-    }
-
-    /// Returns whether the server has a limit and has had no request for so long that it should get
-    /// the next one, which may show that the limit is withdrawn.
-    pub fn is_due_for_trickle(&self, now: ids::Timestamp) -> bool {
-        self.allowance().is_some_and(|allowance| allowance.is_idle(now))
-    }
-
-    /// Returns whether an answer of the server was received since this instance has started.
-    pub fn has_answered(&self) -> bool {
-        self.has_answered
-    }
-
-    /// Returns the requests a second that the server can take, of at most `unlimited_per_s`.
-    pub fn capped_rate_per_s(&self, unlimited_per_s: f64) -> f64 {
-        let limit = self.allowance().map(server_limits::Allowance::rate_per_s);
-        limit.map_or(unlimited_per_s, |limit| limit.min(unlimited_per_s))
-    }
-
     /// Returns whether the server was listed so recently that not all instances may know it.
     pub fn is_recently_listed(&self, now: ids::Timestamp) -> bool {
         now.saturating_sub(self.listed) <= constants::CHANGE_REPORT_PERIOD
@@ -566,95 +523,6 @@
         }
     }
 
-    /// Adds evidence of the rate limit of a server that started at `born_ms`; returns the limits
-    /// before and after, in requests a second, if they differ.
-    pub fn record_limit(
-        &mut self,
-        id: &ids::ServerId,
-        born_ms: u64,
-        evidence: server_limits::Evidence,
-        phase: f64,
-        now: ids::Timestamp,
-    ) -> Option<(Option<f64>, Option<f64>)> {
-        let server = self.servers.get_mut(id).filter(|server| server.entry.born_ms == born_ms)?;
-        server.has_answered = true;
-        let previous = server.limit.rate_per_s();
-        server.limit.merge(evidence);
-        let current = server.limit.rate_per_s();
-        if previous == current {
-            return None;
-        }
-        server.limit_changed = now;
-        if let Some(rate_per_s) = current {
-            self.may_have_limits = true;
-            match &mut server.allowance {
-                Some(allowance) if previous.is_some() => allowance.set_rate(rate_per_s, now),
-                Some(allowance) => allowance.restart(rate_per_s, now),
-                None => {
-                    server.allowance = Some(server_limits::Allowance::new(rate_per_s, phase, now));
-                }
-            }
-        }
-        Some((previous, current))
-    }
-
-    /// Returns the use of the limit in force of a server that started at `born_ms`.
-    pub fn allowance_mut(
-        &mut self,
-        id: &ids::ServerId,
-        born_ms: u64,
-    ) -> Option<&mut server_limits::Allowance> {
-        let server = self.servers.get_mut(id).filter(|server| server.entry.born_ms == born_ms)?;
-        server.limit.rate_per_s()?;
-        server.allowance.as_mut()
-    }
-
-    /// Uses the allowance of a server for one request, if it has a limit.
-    pub fn take_allowance(
-        &mut self,
-        id: &ids::ServerId,
-        pacing: server_limits::Pacing,
-        now: ids::Timestamp,
-    ) {
-        let Some(born_ms) = self.servers.get(id).map(|server| server.entry.born_ms) else { return };
-        if let Some(allowance) = self.allowance_mut(id, born_ms) {
-            allowance.take(pacing, now);
-        }
-    }
-
-    /// Records that a server has answered another instance.
-    pub fn record_answered(&mut self, id: &ids::ServerId) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.has_answered = true;
-        }
-    }
-
-    /// Returns whether a server may have a limit.
-    pub fn may_have_limits(&self) -> bool {
-        self.may_have_limits
-    }
-
-    /// Notes whether a server still has a limit.
-    pub fn update_may_have_limits(&mut self) {
-        self.may_have_limits = self.servers.values().any(|server| server.allowance().is_some());
-    }
-
-    /// Returns the servers whose limit is in force or was withdrawn after `since`.
-    pub fn with_limits(&self, since: ids::Timestamp) -> impl Iterator<Item = &Server> {
-        let is_reported = move |server: &&Server| {
-            server.allowance().is_some()
-                || (server.allowance.is_some() && server.limit_changed >= since)
-        };
-        self.servers.values().filter(is_reported)
-    }
-
-    /// Forgets what is known of instances for which `is_live` returns `false`.
-    pub fn retain_limit_holders<F: Fn(ids::Incarnation) -> bool>(&mut self, is_live: F) {
-        for allowance in self.servers.values_mut().filter_map(|server| server.allowance.as_mut()) {
-            allowance.retain_holders(&is_live);
-        }
-    }
-
     /// Pauses handovers from a prefill server.
     pub fn pause_handover(&mut self, id: &ids::ServerId, now: ids::Timestamp) {
         if let Some(server) = self.servers.get_mut(id) {
