--- a/src/core/fleet/servers/limits.rs
+++ b/src/core/fleet/servers/limits.rs
@@ -20,11 +20,6 @@
         self.limit
     }
 
-    /// Returns when the server last named, changed or withdrew a limit, as far as known.
-    pub fn limit_changed(&self) -> ids::Timestamp {
-        self.limit_changed
-    }
-
     /// Returns the use of the limit in force; `None` without a limit.
     pub fn allowance(&self) -> Option<&server_limits::Allowance> {
         self.allowance.as_ref().filter(|_| self.limit.rate_per_s().is_some())
