Log and count the calls that a request has cost, and the parts of prompts

Two faults of the retry budget cannot be told apart in the logs: how many calls reached servers for one request, and what requests that break with their server have in common.

Each send states the number of calls before it, as the platform's rule counts them (the first prefill that a server accepts is none), and the first parts of its prompt; repeats_total counts the repeats. The simulation records the calls that reach servers. No decision changes.

--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -121,6 +121,8 @@
             phase: live::Phase::Waiting,
             attempt: 0,
             grant: None,
+            arrivals: 0,
+            has_prefilled: false,
             run_attempts: 0,
             prefill_server: None,
             may_have_run: false,
--- a/src/core/fleet/call.rs
+++ b/src/core/fleet/call.rs
@@ -13,6 +13,9 @@
 /// The id of the last part of a prompt, which belongs to one request or session.
 pub type PromptId = u64;
 
+/// The id of a part of a prompt that requests share.
+pub type PartId = u64;
+
 /// The id of a stream: that of the caller's attempt that brought its first event.
 pub type StreamId = Bytes;
 
@@ -27,6 +30,14 @@
     u64::from_be_bytes(*first)
 }
 
+/// The maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 4;
+
+/// Returns the first parts of a prompt as text for a log line.
+pub fn part_names(parts: &[PartId]) -> Vec<String> {
+    parts.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{part:x}")).collect()
+}
+
 /// The token counts of a language request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tokens {
@@ -76,6 +87,8 @@
     pub tokens: Option<Tokens>,
     /// The id of its prompt, if the request contains one.
     pub prompt: Option<PromptId>,
+    /// The ids of the other parts of its prompt, in their order.
+    pub shared_parts: Vec<PartId>,
     /// The stream that it resumes, if it does; empty if the caller does not name the stream.
     pub resumes: Option<StreamId>,
 }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -229,6 +229,13 @@
         resumes: Option<String>,
         /// The work that the server is asked to do.
         step: &'static str,
+        /// The calls that servers may have received for the request before, without the first
+        /// prefill that one accepted; each call after the first one counts towards the budget of
+        /// retries.
+        repeats: u32,
+        /// The first of the parts of its prompt that other requests may share.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        shared_parts: Vec<String>,
         /// The requests at the server before this one, as far as this instance knows.
         load: u32,
         /// The prompt tokens that the server has to prefill for this request; 0 for a plain or
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::sync;
 
+use crate::core::fleet::Outcome;
 use crate::core::fleet::Step;
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
@@ -130,6 +131,10 @@
     pub attempt: u32,
     /// The grant of its reservation, if an owner granted it.
     pub grant: Option<Grant>,
+    /// The calls that servers may have received for it, without the first prefill that one accepted.
+    pub arrivals: u32,
+    /// Whether a server has accepted a prefill for it.
+    pub has_prefilled: bool,
     /// The number of servers that were sent a run of it and may have received it.
     pub run_attempts: u32,
     /// The server that has prefilled its prompt for a handover.
@@ -157,6 +162,15 @@
         (!stream.is_empty()).then(|| call::stream_key(stream))
     }
 
+    /// Corrects the number of arrivals by the end of a call to a server.
+    pub fn count_arrival(&mut self, outcome: &Outcome) {
+        let is_first_prefill = matches!(outcome, Outcome::Prefilled { .. })
+            && !std::mem::replace(&mut self.has_prefilled, true);
+        if is_first_prefill || *outcome == Outcome::Unsent {
+            self.arrivals = self.arrivals.saturating_sub(1);
+        }
+    }
+
     /// Returns whether it may be sent to another server.
     pub fn can_try_another_server(&self) -> bool {
         (self.claim.tried.len() as u32) < constants::MAX_TRIED_SERVERS
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -50,6 +50,7 @@
             return self.record_started(request, &at, now, effects);
         }
         live.phase = live::Phase::Ending;
+        live.count_arrival(&outcome);
         effects.push(Effect::Log(decision::Decision::Ended {
             request: fleet::text(&live.call.id),
             route: live.route.name.clone(),
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -447,6 +447,8 @@
         if step != fleet::Step::Prefill {
             live.run_attempts += 1;
         }
+        let repeats = live.arrivals;
+        live.arrivals += 1;
         let ahead = known.load();
         let limit_per_s = known.allowance().map(server_limits::Allowance::rate_per_s);
         live.phase = live::Phase::AtServer(live::AtServer {
@@ -466,6 +468,8 @@
             software_version: known.entry.software_version.clone(),
             resumes: live.call.resumes.as_ref().map(fleet::text),
             step: step.name(),
+            repeats,
+            shared_parts: call::part_names(&live.call.shared_parts),
             load: ahead.requests,
             prompt_tokens: load.tokens_to_prefill,
             expected_tokens: tokens.expected_tokens,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -78,6 +78,9 @@
 /// a stopping instance must still accept requests for all that time.
 const ADDRESSES_TTL_S: f64 = 1.4;
 
+/// The maximum number of parts of a prompt that are read, besides the last one.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// Translates the platform's HTTP messages.
 #[derive(Debug, Clone, Copy)]
 pub struct PlatformDialect;
@@ -121,6 +124,7 @@
             let (scheme, key) = value.split_once(' ')?;
             scheme.eq_ignore_ascii_case("bearer").then(|| Bytes::from(key.trim().to_string()))
         });
+        let (prompt, shared_parts) = text(PREFIX_HASH).map(parse_parts).unwrap_or_default();
         Ok(call::Call {
             id: Bytes::from(id.to_string()),
             host,
@@ -131,7 +135,8 @@
                 .map(|ms| time::Duration::from_secs_f64((ms / 1_000.0).min(86_400.0))),
             tokens: text(TOKEN_COUNT)
                 .and_then(|count| parse_token_counts(count, text(LENGTH_HINT))),
-            prompt: text(PREFIX_HASH).and_then(parse_last_part),
+            prompt,
+            shared_parts,
             resumes: text(LAST_EVENT_ID)
                 .map(|_| Bytes::from(text(RESUMES).unwrap_or_default().to_string())),
         })
@@ -284,10 +289,12 @@
     })
 }
 
-/// Returns the id of the last part of a prompt.
-fn parse_last_part(parts: &str) -> Option<call::PromptId> {
-    let (id, _tokens) = parts.rsplit(',').next()?.split_once(':')?;
-    parse_part_id(id)
+/// Returns the id of the last part of a prompt, and those of the parts before it.
+fn parse_parts(parts: &str) -> (Option<call::PromptId>, Vec<call::PartId>) {
+    let id_of = |part: &str| parse_part_id(part.split_once(':')?.0);
+    let (shared, last) = parts.rsplit_once(',').unwrap_or(("", parts));
+    let shared = shared.split(',').filter_map(id_of).take(MAX_SHARED_PARTS).collect();
+    (id_of(last), shared)
 }
 
 fn parse_part_id(id: &str) -> Option<call::PromptId> {
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -30,7 +30,10 @@
             metrics::counter!("refused_total", "reason" => reason, "workspace" => workspace)
                 .increment(1);
         }
-        decision::Decision::Sent { step, waited_ms, limit_per_s, .. } => {
+        decision::Decision::Sent { step, repeats, waited_ms, limit_per_s, .. } => {
+            if *repeats > 0 {
+                metrics::counter!("repeats_total", "step" => *step).increment(1);
+            }
             if limit_per_s.is_some() {
                 metrics::counter!("sent_within_server_limits_total", "step" => *step).increment(1);
             }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -165,6 +165,16 @@
     pub resumes: Option<call::StreamId>,
 }
 
+/// A call that reached a server.
+#[derive(Debug, Clone)]
+pub struct ServerCall {
+    pub at: Duration,
+    /// The instance and its number of the request.
+    pub request: (usize, u64),
+    /// Whether it is a prefill that the server accepts.
+    pub is_accepted_prefill: bool,
+}
+
 pub struct World {
     pub now: Duration,
     instances: Vec<Option<fleet::Fleet>>,
@@ -183,11 +193,15 @@
     /// The origins of streams in the store, and the number of records that hold them.
     pub stored_origins: Vec<streams::Origin>,
     pub origin_records: usize,
+    /// The calls that reached a server, in their order.
+    pub calls: Vec<ServerCall>,
     pub records: Map<(usize, u64), Record>,
     /// Instances of an older build, which knows of no limits.
     pub older: Vec<usize>,
     /// Instances whose messages are lost in both directions.
     pub muted: Vec<usize>,
+    /// Instances that cannot connect to a server.
+    pub cut_off: Vec<(usize, &'static str)>,
     /// When each instance first received an answer that names a limit, by server.
     pub notified: Map<(Bytes, usize), Duration>,
 }
@@ -198,6 +212,10 @@
 pub const LIMIT_WINDOW: Duration = Duration::from_secs(8);
 const KEY: &[u8] = b"key";
 
+/// The fleet's bounds on retries.
+pub const RETRY_RATIO: f64 = 0.2;
+pub const RETRY_SLACK: f64 = 30.0;
+
 /// Returns the key with which callers send to a host.
 fn key_for(host: &'static str) -> Option<Bytes> {
     match host {
@@ -229,9 +247,11 @@
             datagrams: 0,
             stored_origins: Vec::new(),
             origin_records: 0,
+            calls: Vec::new(),
             records: Map::default(),
             older: Vec::new(),
             muted: Vec::new(),
+            cut_off: Vec::new(),
             notified: Map::default(),
         };
         for index in 0..instances {
@@ -494,6 +514,7 @@
             deadline: None,
             tokens,
             prompt,
+            shared_parts: Vec::new(),
             resumes,
         };
         self.apply(instance, fleet::Event::Arrived { request, call });
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -14,7 +14,19 @@
         };
         let backend = self.backends.get_mut(&dispatch.server).expect("the server exists");
         backend.arrivals.push((now, instance));
-        let health = backend.health;
+        let is_cut_off = |(from, server): &(usize, &str)| {
+            *from == instance && server.as_bytes() == &*dispatch.server
+        };
+        let is_cut_off = self.cut_off.iter().any(is_cut_off);
+        let health = if is_cut_off { Health::Unreachable } else { backend.health };
+        if health != Health::Unreachable {
+            self.calls.push(ServerCall {
+                at: now,
+                request: (instance, request),
+                is_accepted_prefill: health == Health::Healthy
+                    && dispatch.step == fleet::Step::Prefill,
+            });
+        }
         let unhealthy = match health {
             Health::Healthy => None,
             Health::AnswersErrors if request.is_multiple_of(2) => None,
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -117,7 +117,11 @@
         domain: "a".to_string(),
         is_first_start,
         quota_window: LIMIT_WINDOW,
-        retries: budget::RetryBounds { ratio: 0.2, slack: 30.0, window: Duration::from_secs(10) },
+        retries: budget::RetryBounds {
+            ratio: RETRY_RATIO,
+            slack: RETRY_SLACK,
+            window: Duration::from_secs(10),
+        },
         seeds: vec![address(1_000)],
     }
 }
