Reproduce repeats beyond the budget

Three tests of the virtual fleet count what reaches servers by the platform's rule, and fail on this code: - a prefill and a run after a loss: 39 repeats for 41 requests in 10 s, 38.2 allowed (one instance, engines that fail half of their runs); - a prompt that no decode server takes is prefilled again: 20 streams of 160 (one instance cannot reach the decode servers, whose owner goes on granting them); - all instances lost: 51 repeats for 103 requests, 50.6 allowed.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod coordination;
 mod listing;
+mod retry_budget;
 mod server_limits;
 mod versions;
 mod world;
