Pay for each call that reaches a server beyond the first of its request

Callers of summary-llm saw requests refused or cut after the fleet had spent its budget of retries: 107 repeats for 74 requests in 10 s, 67 allowed (the users' record).

Cause: retries were paid when they were decided, one unit each, while a retry of a prompt that was read before reaches servers twice, for its prefill and its run. Any other path to a send paid nothing. Ruled out: a takeover by another instance (no request has sends from two).

Now the place where a request leaves for a server asks for what the rule counts: calls beyond the first, without the first prefill that a server accepts. A repeated prefill pays for its run as well, so that no prompt is read in vain; what was not sent is given back. As all is counted, instances spend 0.85 of the budget instead of 0.7.

--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -123,6 +123,7 @@
             grant: None,
             arrivals: 0,
             has_prefilled: false,
+            prepaid_repeats: 0,
             run_attempts: 0,
             prefill_server: None,
             may_have_run: false,
@@ -176,6 +177,7 @@
         if let live::Phase::AtServer(at) = &live.phase {
             self.release_load(at);
         }
+        self.budget.refund(&live.claim.service, live.prepaid_repeats);
         if !live.may_have_run {
             self.refund_charge(&live, now, effects);
         }
--- a/src/core/fleet/budget.rs
+++ b/src/core/fleet/budget.rs
@@ -1,4 +1,5 @@
-//! The part of the fleet's retry budget that this instance may spend.
+//! The part of the fleet's retry budget that this instance may spend: for each call that reaches a
+//! server beyond the first one of its request.
 //!
 //! Load pattern: many servers fail or reject requests at the same time, and each request would be
 //! retried.
@@ -54,10 +55,11 @@
         expire(&mut window.requests, length, now);
     }
 
-    /// Spends one retry of this instance's part of the budget; returns `false` if it is used up.
+    /// Spends `count` calls of this instance's part of the budget; returns `false` if fewer are left.
     pub fn spend(
         &mut self,
         service: &catalog::ServiceId,
+        count: u32,
         members: usize,
         now: ids::Timestamp,
     ) -> bool {
@@ -68,12 +70,20 @@
         let slack = bounds.slack / members.max(1) as f64;
         let allowed =
             constants::RETRY_BUDGET_SHARE * (bounds.ratio * window.requests.len() as f64 + slack);
-        if (window.retries.len() + 1) as f64 > allowed {
+        if window.retries.len() as f64 + f64::from(count) > allowed {
             return false;
         }
-        window.retries.push_back(now);
+        window.retries.extend((0..count).map(|_| now));
         true
     }
+
+    /// Gives back `count` calls that were not made.
+    pub fn refund(&mut self, service: &catalog::ServiceId, count: u32) {
+        if let Some(window) = self.windows.get_mut(service) {
+            let left = window.retries.len().saturating_sub(count as usize);
+            window.retries.truncate(left);
+        }
+    }
 }
 
 fn expire(times: &mut VecDeque<ids::Timestamp>, length: time::Duration, now: ids::Timestamp) {
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -70,9 +70,9 @@
 /// The maximum number of origins in one record, well below the store's limit of its size.
 pub const MAX_ORIGINS_PER_RECORD: usize = 2_000;
 
-/// The share of the fleet's retry budget that an instance spends; the rest covers retries of
-/// instances that ended within the window.
-pub const RETRY_BUDGET_SHARE: f64 = 0.7;
+/// The share of the fleet's retry budget that instances spend; the rest covers retries of instances
+/// that ended within the window.
+pub const RETRY_BUDGET_SHARE: f64 = 0.85;
 
 /// The prefill speed that is assumed for a prefill server before any observation, in prompt tokens
 /// per millisecond: that of current accelerators.
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -32,6 +32,8 @@
     pub decode_reservation: Option<(ids::ServerId, servers::Load)>,
     /// Whether the answer has started.
     pub is_started: bool,
+    /// Whether the call is a repeat, which the budget of retries has paid.
+    pub is_repeat: bool,
 }
 
 /// The wait for the owner of a service to grant a reservation.
@@ -135,6 +137,8 @@
     pub arrivals: u32,
     /// Whether a server has accepted a prefill for it.
     pub has_prefilled: bool,
+    /// The repeats that the budget of retries has paid and that were not made yet.
+    pub prepaid_repeats: u32,
     /// The number of servers that were sent a run of it and may have received it.
     pub run_attempts: u32,
     /// The server that has prefilled its prompt for a handover.
@@ -163,14 +167,29 @@
     }
 
     /// Corrects the number of arrivals by the end of a call to a server.
-    pub fn count_arrival(&mut self, outcome: &Outcome) {
+    pub fn count_arrival(&mut self, at: &AtServer, outcome: &Outcome) {
         let is_first_prefill = matches!(outcome, Outcome::Prefilled { .. })
             && !std::mem::replace(&mut self.has_prefilled, true);
         if is_first_prefill || *outcome == Outcome::Unsent {
             self.arrivals = self.arrivals.saturating_sub(1);
+            self.prepaid_repeats += u32::from(at.is_repeat);
         }
     }
 
+    /// Returns the number of repeats that a step makes, with the run that follows a prefill.
+    pub fn repeats_of(&self, step: &Step) -> u32 {
+        match step {
+            _ if self.arrivals == 0 => 0,
+            Step::Prefill if self.has_prefilled => 2,
+            Step::Run | Step::Resume | Step::Prefill | Step::Decode { .. } => 1,
+        }
+    }
+
+    /// Returns the most repeats that another try from the beginning makes.
+    pub fn max_repeats_of_retry(&self) -> u32 {
+        if self.claim.engine.is_some() && self.has_prefilled { 2 } else { 1 }
+    }
+
     /// Returns whether it may be sent to another server.
     pub fn can_try_another_server(&self) -> bool {
         (self.claim.tried.len() as u32) < constants::MAX_TRIED_SERVERS
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -50,7 +50,7 @@
             return self.record_started(request, &at, now, effects);
         }
         live.phase = live::Phase::Ending;
-        live.count_arrival(&outcome);
+        live.count_arrival(&at, &outcome);
         effects.push(Effect::Log(decision::Decision::Ended {
             request: fleet::text(&live.call.id),
             route: live.route.name.clone(),
@@ -227,11 +227,15 @@
         });
         match found {
             Some(server) => {
+                let step = Step::Decode { source, handle };
+                let (service, repeats) = (live.claim.service.clone(), live.repeats_of(&step));
+                if !self.pay_for_repeats(request, repeats, now) {
+                    self.release_held_kv_cache(request, &step, now, effects);
+                    return self.refuse_unserved(request, now, effects);
+                }
                 if !is_reserved {
-                    let service = live.claim.service.clone();
                     self.servers.take_allowance(&server, self.pacing(&service, now), now);
                 }
-                let step = Step::Decode { source, handle };
                 let expected_ms = constants::DECODE_START_MS;
                 self.send(request, &server, step, expected_ms, now, effects);
             }
@@ -334,7 +338,12 @@
         if at.step == Step::Prefill {
             return self.retry_prefill(request, at, now, effects);
         }
-        if self.spend_retry(request, now) {
+        let repeats = match at.step {
+            // The next decode server fetches the same KV cache.
+            Step::Decode { .. } => 1,
+            Step::Run | Step::Resume | Step::Prefill => self.max_repeats_of_retry(request),
+        };
+        if self.can_retry(request, now) && self.pay_for_repeats(request, repeats, now) {
             return self.retry_not_run(request, at, now, effects);
         }
         self.refuse_unserved(request, now, effects);
@@ -348,18 +357,40 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        if self.spend_retry(request, now) {
+        let repeats = self.max_repeats_of_retry(request);
+        if self.can_retry(request, now) && self.pay_for_repeats(request, repeats, now) {
             return self.retry_elsewhere(request, at, now, effects);
         }
         self.refuse_unserved(request, now, effects);
     }
 
-    fn spend_retry(&mut self, request: call::RequestNumber, now: ids::Timestamp) -> bool {
-        let Some(live) = self.requests.get(&request) else { return false };
-        let has_time = live.expires > now + MIN_RETRY_TIME && live.can_try_another_server();
-        let service = live.claim.service.clone();
-        let members = self.peers.instance_count(now);
-        has_time && self.budget.spend(&service, members, now)
+    fn can_retry(&self, request: call::RequestNumber, now: ids::Timestamp) -> bool {
+        self.requests.get(&request).is_some_and(|live| {
+            live.expires > now + MIN_RETRY_TIME && live.can_try_another_server()
+        })
+    }
+
+    fn max_repeats_of_retry(&self, request: call::RequestNumber) -> u32 {
+        self.requests.get(&request).map_or(1, live::LiveRequest::max_repeats_of_retry)
+    }
+
+    /// Takes repeats of a request from the budget, as far as they are not paid yet; returns whether all
+    /// are paid.
+    pub(super) fn pay_for_repeats(
+        &mut self,
+        request: call::RequestNumber,
+        repeats: u32,
+        now: ids::Timestamp,
+    ) -> bool {
+        // The seeds are instances that this one may not know yet.
+        let members = self.peers.member_count(now).max(self.seeds.len());
+        let Some(live) = self.requests.get_mut(&request) else { return false };
+        let missing = repeats.saturating_sub(live.prepaid_repeats);
+        if missing > 0 && !self.budget.spend(&live.claim.service, missing, members, now) {
+            return false;
+        }
+        live.prepaid_repeats += missing;
+        true
     }
 
     fn retry_unsent(
@@ -384,9 +415,8 @@
         let has_time = live.expires > now + MIN_RETRY_TIME;
         let is_allowed =
             live.is_idempotent() && live.run_attempts < live.route.attempts && has_time;
-        let service = live.claim.service.clone();
-        let members = self.peers.instance_count(now);
-        is_allowed && self.budget.spend(&service, members, now)
+        let repeats = live.max_repeats_of_retry();
+        is_allowed && self.pay_for_repeats(request, repeats, now)
     }
 
     fn retry_elsewhere(
@@ -421,7 +451,7 @@
     }
 
     /// Refuses a request that no server accepted.
-    fn refuse_unserved(
+    pub(super) fn refuse_unserved(
         &mut self,
         request: call::RequestNumber,
         now: ids::Timestamp,
@@ -493,6 +523,18 @@
         self.end_request(request, now, effects)
     }
 
+    fn release_held_kv_cache(
+        &mut self,
+        request: call::RequestNumber,
+        step: &Step,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Step::Decode { source, handle } = step {
+            self.release_kv_cache(request, *source, handle.clone(), now, effects);
+        }
+    }
+
     /// Frees a KV cache that the decode server may not have fetched.
     fn release_unused_kv_cache(
         &mut self,
@@ -502,11 +544,10 @@
     ) {
         let Some(live) = self.requests.get(&request) else { return };
         if let live::Phase::AtServer(at) = &live.phase
-            && let Step::Decode { source, handle } = &at.step
             && !at.is_started
         {
-            let (address, handle) = (*source, handle.clone());
-            self.release_kv_cache(request, address, handle, now, effects);
+            let step = at.step.clone();
+            self.release_held_kv_cache(request, &step, now, effects);
         }
     }
 
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -388,13 +388,27 @@
     ) {
         match placement {
             placement::Placement::Plain(server) | placement::Placement::Direct(server) => {
-                self.send(request, &server, fleet::Step::Run, expected_ms, now, effects);
+                self.send_or_refuse(request, &server, fleet::Step::Run, expected_ms, now, effects);
             }
             placement::Placement::Kept(server) => {
-                self.send(request, &server, fleet::Step::Resume, expected_ms, now, effects);
+                self.send_or_refuse(
+                    request,
+                    &server,
+                    fleet::Step::Resume,
+                    expected_ms,
+                    now,
+                    effects,
+                );
             }
             placement::Placement::Handover { prefill, decode } => {
-                self.send(request, &prefill, fleet::Step::Prefill, expected_ms, now, effects);
+                self.send_or_refuse(
+                    request,
+                    &prefill,
+                    fleet::Step::Prefill,
+                    expected_ms,
+                    now,
+                    effects,
+                );
                 self.reserve_decode(request, decode);
             }
         }
@@ -418,7 +432,25 @@
         }
     }
 
-    /// Sends a request to a server and adds its load there.
+    /// Sends a request to a server, or refuses it if the budget of retries does not pay for that.
+    fn send_or_refuse(
+        &mut self,
+        request: call::RequestNumber,
+        server: &ids::ServerId,
+        step: fleet::Step,
+        expected_ms: f64,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get(&request) else { return };
+        let repeats = live.repeats_of(&step);
+        if !self.pay_for_repeats(request, repeats, now) {
+            return self.refuse_unserved(request, now, effects);
+        }
+        self.send(request, server, step, expected_ms, now, effects);
+    }
+
+    /// Sends a request, whose repeats are paid, to a server and adds its load there.
     pub(super) fn send(
         &mut self,
         request: call::RequestNumber,
@@ -449,6 +481,11 @@
         }
         let repeats = live.arrivals;
         live.arrivals += 1;
+        live.prepaid_repeats = live.prepaid_repeats.saturating_sub(u32::from(repeats > 0));
+        if step != fleet::Step::Prefill {
+            let unused = std::mem::take(&mut live.prepaid_repeats);
+            self.budget.refund(&live.claim.service, unused);
+        }
         let ahead = known.load();
         let limit_per_s = known.allowance().map(server_limits::Allowance::rate_per_s);
         live.phase = live::Phase::AtServer(live::AtServer {
@@ -460,6 +497,7 @@
             queued_prefill_tokens: ahead.tokens_to_prefill + load.tokens_to_prefill,
             decode_reservation: None,
             is_started: false,
+            is_repeat: repeats > 0,
         });
         effects.push(Effect::Log(decision::Decision::Sent {
             request: fleet::text(&live.call.id),
