Keep the KV cache of a prompt that no decode server takes

Callers saw (users' record): a prompt read twice at the same server some 20 ms apart before any run, another four times; each counts as a repeat of the whole fleet.

Cause: when a prompt was prefilled and no decode server had capacity, its KV cache was freed and the request was placed from the beginning, without the budget. The owner of the service granted it at once, as the decode servers answered others.

Now the KV cache is held while the request waits for a decode server, for up to 1.5 s; then the request is refused as not run, so that its caller can turn to an instance that reaches one. Every end of a request frees what it holds.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -554,6 +554,7 @@
         self.end_lookups(now, effects);
         self.report_limits(now, effects);
         self.return_to_owners(now, effects);
+        self.refuse_held(now, effects);
         self.refuse_unservable(now, effects);
         self.place_waiting(now, effects);
     }
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -126,6 +126,7 @@
             prepaid_repeats: 0,
             run_attempts: 0,
             prefill_server: None,
+            held: None,
             may_have_run: false,
             has_failed_answer: false,
             route,
@@ -171,6 +172,7 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) -> Option<live::LiveRequest> {
+        self.release_held_prompt(request, now, effects);
         let live = self.requests.remove(&request)?;
         self.report_end(request, &live, effects);
         self.waiting.retain(|waiting| *waiting != request);
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -142,6 +142,9 @@
 /// The share of an engine's KV cache above which no request is placed that misses its objective.
 pub const LATE_KV_CACHE_SHARE: f64 = 0.75;
 
+/// The time for which a prefilled prompt waits for a decode server: longer than most ejections.
+pub const MAX_HELD_PROMPT_WAIT: time::Duration = time::Duration::from_millis(1_500);
+
 /// The time for which a prefill server gets no handover after one of its KV cache handles was
 /// rejected.
 pub const HANDOVER_PAUSE: time::Duration = time::Duration::from_secs(3);
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::sync;
 
+use crate::core::fleet::HandleId;
 use crate::core::fleet::Outcome;
 use crate::core::fleet::Step;
 use crate::core::fleet::call;
@@ -93,6 +94,17 @@
     }
 }
 
+/// A prefilled prompt that waits for a decode server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldPrompt {
+    /// The prefill server that holds its KV cache.
+    pub source: net::SocketAddr,
+    /// The KV cache handle at that server.
+    pub handle: HandleId,
+    /// When the wait started.
+    pub since: ids::Timestamp,
+}
+
 /// The phase of a request.
 #[derive(Debug, Clone)]
 pub enum Phase {
@@ -143,6 +155,8 @@
     pub run_attempts: u32,
     /// The server that has prefilled its prompt for a handover.
     pub prefill_server: Option<ids::ServerId>,
+    /// Its prompt, if it was prefilled and no decode server had capacity.
+    pub held: Option<HeldPrompt>,
     /// Whether a server may have run it. If so, no answer promises that it has not run.
     pub may_have_run: bool,
     /// Whether a server's failed answer is stored for it.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -209,7 +209,7 @@
     }
 
     /// Sends a prefilled request to a decode server: the given one, or the best one with capacity.
-    /// Without any, the KV cache is released and the request waits again.
+    /// Without any, the KV cache is held while the request waits for one.
     fn send_to_decode_server(
         &mut self,
         request: call::RequestNumber,
@@ -230,7 +230,7 @@
                 let step = Step::Decode { source, handle };
                 let (service, repeats) = (live.claim.service.clone(), live.repeats_of(&step));
                 if !self.pay_for_repeats(request, repeats, now) {
-                    self.release_held_kv_cache(request, &step, now, effects);
+                    self.release_kv_cache_of(request, &step, now, effects);
                     return self.refuse_unserved(request, now, effects);
                 }
                 if !is_reserved {
@@ -240,12 +240,51 @@
                 self.send(request, &server, step, expected_ms, now, effects);
             }
             None => {
-                self.release_kv_cache(request, source, handle, now, effects);
+                if let Some(live) = self.requests.get_mut(&request) {
+                    let held = live::HeldPrompt { source, handle, since: now };
+                    live.held.get_or_insert(held);
+                }
                 self.wait_again(request, now, effects);
             }
         }
     }
 
+    /// Sends a request whose KV cache is held to a decode server; returns whether there is one.
+    pub(super) fn try_place_held(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(live) = self.requests.get(&request) else { return false };
+        let Some(engine) = live.claim.engine else { return false };
+        let query = self.query(&live.claim, 1.0, now);
+        let Some(server) = placement::best_decode_server(&self.servers, engine, query) else {
+            return false;
+        };
+        let held = self.requests.get_mut(&request).and_then(|live| live.held.take());
+        let Some(live::HeldPrompt { source, handle, .. }) = held else { return false };
+        let service = self.requests[&request].claim.service.clone();
+        self.servers.take_allowance(&server, self.pacing(&service, now), now);
+        self.send_to_decode_server(request, Some(server), source, handle, now, effects);
+        true
+    }
+
+    /// Refuses requests whose KV cache was held for too long: other instances may reach decode servers
+    /// that this one does not.
+    pub(super) fn refuse_held(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let is_overdue = |live: &live::LiveRequest| {
+            let since = live.held.as_ref().map(|held| held.since);
+            since.is_some_and(|since| now.saturating_sub(since) >= constants::MAX_HELD_PROMPT_WAIT)
+        };
+        let overdue = self.requests.iter().filter(|(_, live)| is_overdue(live));
+        let mut overdue: Vec<_> = overdue.map(|(request, _)| *request).collect();
+        overdue.sort_unstable();
+        for request in overdue {
+            self.refuse_unserved(request, now, effects);
+        }
+    }
+
     fn finish(
         &mut self,
         request: call::RequestNumber,
@@ -523,7 +562,20 @@
         self.end_request(request, now, effects)
     }
 
-    fn release_held_kv_cache(
+    /// Frees the KV cache of a request that ends before a decode server had capacity.
+    pub(super) fn release_held_prompt(
+        &mut self,
+        request: call::RequestNumber,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let held = self.requests.get_mut(&request).and_then(|live| live.held.take());
+        if let Some(held) = held {
+            self.release_kv_cache(request, held.source, held.handle, now, effects);
+        }
+    }
+
+    fn release_kv_cache_of(
         &mut self,
         request: call::RequestNumber,
         step: &Step,
@@ -547,7 +599,7 @@
             && !at.is_started
         {
             let step = at.step.clone();
-            self.release_held_kv_cache(request, &step, now, effects);
+            self.release_kv_cache_of(request, &step, now, effects);
         }
     }
 
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -280,7 +280,8 @@
     /// its part of the limits serves few.
     pub(super) fn return_to_owners(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let is_limited = |request: &call::RequestNumber| {
-            let service = self.requests.get(request).map(|live| &live.claim.service);
+            let live = self.requests.get(request).filter(|live| live.held.is_none());
+            let service = live.map(|live| &live.claim.service);
             service.is_some_and(|service| self.limit_view(service, now).is_some())
         };
         let waiting: Vec<_> = self.waiting.iter().copied().filter(is_limited).collect();
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -48,8 +48,10 @@
     ) {
         let Some(live) = self.requests.get(&request) else { return };
         let is_servable = self.has_generator(&live.claim, now);
+        // The grant of the owner has led to no decode server.
+        let is_held = live.held.is_some();
         let is_shared = self.is_shared_fairly(&live.claim.service, now);
-        if is_servable && self.request_reservation(request, now, effects) {
+        if is_servable && !is_held && self.request_reservation(request, now, effects) {
             return;
         }
         if is_servable && is_shared {
@@ -313,6 +315,9 @@
         if !matches!(live.phase, live::Phase::Waiting) {
             return false;
         }
+        if live.held.is_some() {
+            return self.try_place_held(request, now, effects);
+        }
         let Some((placement, expected_ms)) = self.choose(&live.claim, now) else { return false };
         let claim = live.claim.clone();
         self.record_prompt(&claim, &placement, now);
