Count the slack of the retry budget as spent when an instance joins a running fleet

Callers: after a loss of all instances the fleet repeats up to twice what a window allows, and the servers that return are met by all of it.

Cause: an instance that starts had its whole part of the slack, whatever its predecessors spent in the window, and divided it by the members that it knew, itself alone at first. What holds for the fleet hung on what one process remembers.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -352,7 +352,7 @@
             peers: peers::Peers::default(),
             quotas: quota::Quotas::new(options.quota_window, options.is_first_start),
             pending_history: None,
-            budget: budget::RetryBudget::new(options.retries),
+            budget: budget::RetryBudget::new(options.retries, !options.is_first_start),
             requests: collections::Map::default(),
             waiting: Vec::new(),
             claims: collections::Map::default(),
--- a/src/core/fleet/budget.rs
+++ b/src/core/fleet/budget.rs
@@ -33,13 +33,16 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     bounds: RetryBounds,
+    /// Whether instances have spent of the budget before this one started.
+    has_predecessors: bool,
     windows: collections::Map<catalog::ServiceId, Window>,
 }
 
 impl RetryBudget {
-    /// Creates a budget without any requests or retries.
-    pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, windows: collections::Map::default() }
+    /// Creates a budget without any requests or retries. Instances that ran before may have spent the
+    /// whole slack.
+    pub fn new(bounds: RetryBounds, has_predecessors: bool) -> Self {
+        Self { bounds, has_predecessors, windows: collections::Map::default() }
     }
 
     /// Changes the bounds; requests and retries counted before still count.
@@ -67,7 +70,8 @@
         let window = self.windows.entry(service.clone()).or_default();
         expire(&mut window.requests, bounds.window, now);
         expire(&mut window.retries, bounds.window, now);
-        let slack = bounds.slack / members.max(1) as f64;
+        let is_slack_spent = self.has_predecessors && now < bounds.window;
+        let slack = if is_slack_spent { 0.0 } else { bounds.slack / members.max(1) as f64 };
         let allowed =
             constants::RETRY_BUDGET_SHARE * (bounds.ratio * window.requests.len() as f64 + slack);
         if window.retries.len() as f64 + f64::from(count) > allowed {
