Reproduce parts of prompts that go on to crash servers

Engines of the virtual fleet end 50 ms after they begin to answer a prompt with a given part, take what is on them along, and return after 3.5 s under another id.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Simulated fleets in virtual time: queueing, refusal and placement of requests.
 
 mod coordination;
+mod crashing_parts;
 mod listing;
 mod retry_budget;
 mod server_limits;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,6 +1,7 @@
 //! A simulation of instances, engines and plain servers in virtual time, without sockets.
 
 mod backends;
+mod crashes;
 mod fixtures;
 mod views;
 
@@ -60,50 +61,30 @@
     AnswersErrors,
 }
 
+/// What distinguishes a request that arrives.
+#[derive(Debug, Clone, Default)]
+pub struct Arrival {
+    pub host: &'static str,
+    pub tokens: Option<call::Tokens>,
+    pub prompt: Option<call::PromptId>,
+    pub shared_parts: Vec<call::PartId>,
+    pub resumes: Option<call::StreamId>,
+}
+
 #[derive(Debug)]
 enum Action {
-    Arrive {
-        instance: usize,
-        host: &'static str,
-        tokens: Option<call::Tokens>,
-        prompt: Option<call::PromptId>,
-        resumes: Option<call::StreamId>,
-    },
-    Message {
-        to: net::SocketAddr,
-        from: net::SocketAddr,
-        message: message::Message,
-    },
-    Progress {
-        instance: usize,
-        request: u64,
-        sends: u32,
-        outcome: fleet::Outcome,
-    },
-    Tick {
-        instance: usize,
-    },
-    Digest {
-        instance: usize,
-    },
-    Kill {
-        instance: usize,
-    },
-    List {
-        change: servers::EntryChange,
-    },
-    SetHealth {
-        server: Bytes,
-        health: Health,
-    },
-    SetLimit {
-        server: Bytes,
-        limit_per_s: Option<f64>,
-    },
-    Apply {
-        instance: usize,
-        event: fleet::Event,
-    },
+    Arrive { instance: usize, call: Arrival },
+    Crash { server: Bytes },
+    Return { entry: servers::Entry },
+    Message { to: net::SocketAddr, from: net::SocketAddr, message: message::Message },
+    Progress { instance: usize, request: u64, sends: u32, outcome: fleet::Outcome },
+    Tick { instance: usize },
+    Digest { instance: usize },
+    Kill { instance: usize },
+    List { change: servers::EntryChange },
+    SetHealth { server: Bytes, health: Health },
+    SetLimit { server: Bytes, limit_per_s: Option<f64> },
+    Apply { instance: usize, event: fleet::Event },
 }
 
 struct Scheduled(Duration, u64, Action);
@@ -142,6 +123,23 @@
     arrivals: Vec<(Duration, usize)>,
 }
 
+impl Backend {
+    fn new(entry: &servers::Entry) -> Self {
+        Self {
+            health: Health::Healthy,
+            free_at: vec![Duration::ZERO; if entry.stage.is_some() { 1 } else { 6 }],
+            memory_tokens: 0,
+            most_memory_tokens: 0,
+            prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            prefilling: 0,
+            most_prefilling: 0,
+            prompts: Vec::new(),
+            limit_per_s: None,
+            arrivals: Vec::new(),
+        }
+    }
+}
+
 /// The events of one request.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
@@ -163,6 +161,10 @@
     pub begun_at: Vec<Bytes>,
     /// The stream that it resumes.
     pub resumes: Option<call::StreamId>,
+    /// The parts of its prompt that others may share.
+    pub shared_parts: Vec<call::PartId>,
+    /// Whether it is at a server.
+    pub is_in_flight: bool,
 }
 
 /// A call that reached a server.
@@ -200,6 +202,14 @@
     pub older: Vec<usize>,
     /// Instances whose messages are lost in both directions.
     pub muted: Vec<usize>,
+    /// The parts of prompts that end each server that begins to answer them.
+    pub crashing_parts: Vec<call::PartId>,
+    /// The crashes, with the id of the server.
+    pub crashes: Vec<(Duration, Bytes)>,
+    /// The offset of the last change of an entry in the store.
+    store_end: u64,
+    /// The entries of the servers.
+    entries: Map<Bytes, servers::Entry>,
     /// Instances that cannot connect to a server.
     pub cut_off: Vec<(usize, &'static str)>,
     /// When each instance first received an answer that names a limit, by server.
@@ -251,6 +261,10 @@
             records: Map::default(),
             older: Vec::new(),
             muted: Vec::new(),
+            crashing_parts: Vec::new(),
+            crashes: Vec::new(),
+            store_end: 1,
+            entries: entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect(),
             cut_off: Vec::new(),
             notified: Map::default(),
         };
@@ -258,19 +272,7 @@
             world.instances.push(Some(new_fleet(index, world.addresses[index])));
         }
         for entry in entries {
-            let backend = Backend {
-                health: Health::Healthy,
-                free_at: vec![Duration::ZERO; if entry.stage.is_some() { 1 } else { 6 }],
-                memory_tokens: 0,
-                most_memory_tokens: 0,
-                prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
-                prefilling: 0,
-                most_prefilling: 0,
-                prompts: Vec::new(),
-                limit_per_s: None,
-                arrivals: Vec::new(),
-            };
-            world.backends.insert(entry.id.clone(), backend);
+            world.backends.insert(entry.id.clone(), Backend::new(entry));
         }
         let catalog = sync::Arc::new(configuration());
         for index in 0..instances {
@@ -301,16 +303,15 @@
         host: &'static str,
         tokens: Option<call::Tokens>,
     ) {
-        self.schedule(
-            after,
-            Action::Arrive { instance, host, tokens, prompt: None, resumes: None },
-        );
+        let call = Arrival { host, tokens, ..Arrival::default() };
+        self.schedule(after, Action::Arrive { instance, call });
     }
 
     /// Schedules the arrival of a stream with the given prompt.
     pub fn arrive_with_prompt(&mut self, after: Duration, instance: usize, prompt: call::PromptId) {
         let (host, tokens, prompt) = ("stream", Some(PROMPT), Some(prompt));
-        self.schedule(after, Action::Arrive { instance, host, tokens, prompt, resumes: None });
+        let call = Arrival { host, tokens, prompt, ..Arrival::default() };
+        self.schedule(after, Action::Arrive { instance, call });
     }
 
     /// Schedules the arrival of a resumable stream, or of a caller that resumes one.
@@ -321,7 +322,8 @@
         resumes: Option<call::StreamId>,
     ) {
         let (host, tokens) = ("resumable", Some(PROMPT));
-        self.schedule(after, Action::Arrive { instance, host, tokens, prompt: None, resumes });
+        let call = Arrival { host, tokens, resumes, ..Arrival::default() };
+        self.schedule(after, Action::Arrive { instance, call });
     }
 
     /// Cuts all streams that a server generates now.
@@ -436,9 +438,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Arrive { instance, host, tokens, prompt, resumes } => {
-                self.arrived(instance, host, tokens, prompt, resumes);
-            }
+            Action::Arrive { instance, call } => self.arrived(instance, call),
+            Action::Crash { server } => self.crash(&server),
+            Action::Return { entry } => self.return_server(entry),
             Action::Message { to, from, message } => {
                 let index = self.addresses.iter().position(|known| *known == to);
                 let from_index = self.addresses.iter().position(|known| *known == from);
@@ -485,24 +487,19 @@
         }
     }
 
-    fn arrived(
-        &mut self,
-        instance: usize,
-        host: &'static str,
-        tokens: Option<call::Tokens>,
-        prompt: Option<call::PromptId>,
-        resumes: Option<call::StreamId>,
-    ) {
+    fn arrived(&mut self, instance: usize, arrival: Arrival) {
         if self.instances[instance].is_none() {
             return;
         }
         let request = self.next_request;
         self.next_request += 1;
+        let Arrival { host, tokens, prompt, shared_parts, resumes } = arrival;
         let record = Record {
             host,
             arrived: self.now,
             prompt,
             resumes: resumes.clone(),
+            shared_parts: shared_parts.clone(),
             ..Record::default()
         };
         self.records.insert((instance, request), record);
@@ -514,7 +511,7 @@
             deadline: None,
             tokens,
             prompt,
-            shared_parts: Vec::new(),
+            shared_parts,
             resumes,
         };
         self.apply(instance, fleet::Event::Arrived { request, call });
@@ -573,6 +570,7 @@
                 // After a refusal the router closes the connection to the server. The higher count
                 // makes the simulation ignore later progress at that server.
                 record.sends += 1;
+                record.is_in_flight = false;
                 self.free_memory(instance, request);
             }
             fleet::Effect::DeliverFailure { request } => self.record(instance, request).ends += 1,
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The time from the start of an answer that crashes its server until the server ends.
+const CRASH_AFTER: Duration = Duration::from_millis(50);
+
 impl World {
     pub(super) fn serve(&mut self, instance: usize, request: u64, dispatch: &fleet::Dispatch) {
         let now = self.now;
@@ -10,6 +13,7 @@
             record.sends += 1;
             record.last_send = now;
             record.last_server = dispatch.server.clone();
+            record.is_in_flight = true;
             record.sends
         };
         let backend = self.backends.get_mut(&dispatch.server).expect("the server exists");
@@ -127,8 +131,19 @@
         let record = self.record(instance, request);
         record.runs += 1;
         record.memory = Some((dispatch.server.clone(), kv_tokens));
-        let started = fleet::Outcome::Started;
-        self.schedule(after, Action::Progress { instance, request, sends, outcome: started });
+        let crashes = self
+            .crashing_parts
+            .iter()
+            .any(|part| self.records[&(instance, request)].shared_parts.contains(part));
+        if crashes {
+            let server = dispatch.server.clone();
+            self.schedule(after + CRASH_AFTER, Action::Crash { server });
+        }
+        // Some servers end before the first event has left them.
+        if !crashes || request.is_multiple_of(2) {
+            let started = fleet::Outcome::Started;
+            self.schedule(after, Action::Progress { instance, request, sends, outcome: started });
+        }
         let outcome = fleet::Outcome::Finished { status: 200 };
         self.schedule(after + STREAM, Action::Progress { instance, request, sends, outcome });
     }
@@ -190,6 +205,9 @@
             return;
         }
         self.state_limit(instance, request, &server, &outcome);
+        if outcome != fleet::Outcome::Started {
+            self.record(instance, request).is_in_flight = false;
+        }
         let record = self.record(instance, request);
         match &outcome {
             fleet::Outcome::Started => {
