Reproduce a request that goes on to crash servers

Plain servers of the virtual fleet end when they run a request with given content, which arrives again and again at any instance.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod coordination;
 mod crashing_parts;
+mod crashing_requests;
 mod listing;
 mod retry_budget;
 mod server_limits;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -71,6 +71,8 @@
     pub prompt: Option<call::PromptId>,
     pub shared_parts: Vec<call::PartId>,
     pub resumes: Option<call::StreamId>,
+    /// What its caller sends: equal for requests that are the same.
+    pub content: u64,
 }
 
 #[derive(Debug)]
@@ -165,6 +167,8 @@
     pub resumes: Option<call::StreamId>,
     /// The parts of its prompt that others may share.
     pub shared_parts: Vec<call::PartId>,
+    /// What its caller sends: equal for requests that are the same.
+    pub content: u64,
     /// Whether it is at a server.
     pub is_in_flight: bool,
 }
@@ -208,6 +212,8 @@
     pub muted: Vec<usize>,
     /// The parts of prompts that end each server that begins to answer them.
     pub crashing_parts: Vec<call::PartId>,
+    /// The requests that end each server that begins to run them.
+    pub crashing_contents: Vec<u64>,
     /// The crashes, with the id of the server.
     pub crashes: Vec<(Duration, Bytes)>,
     /// The offset of the last change of an entry in the store.
@@ -267,6 +273,7 @@
             older: Vec::new(),
             muted: Vec::new(),
             crashing_parts: Vec::new(),
+            crashing_contents: Vec::new(),
             crashes: Vec::new(),
             store_end: 1,
             entries: entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect(),
@@ -504,13 +511,14 @@
         }
         let request = self.next_request;
         self.next_request += 1;
-        let Arrival { host, tokens, prompt, shared_parts, resumes } = arrival;
+        let Arrival { host, tokens, prompt, shared_parts, resumes, content } = arrival;
         let record = Record {
             host,
             arrived: self.now,
             prompt,
             resumes: resumes.clone(),
             shared_parts: shared_parts.clone(),
+            content,
             ..Record::default()
         };
         self.records.insert((instance, request), record);
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -78,6 +78,12 @@
         }
         backend.free_at[0] = begins + WORK;
         let after = begins + WORK - now;
+        if self.crashes_servers(instance, request) {
+            let server = dispatch.server.clone();
+            self.record(instance, request).runs += 1;
+            self.schedule(begins + CRASH_AFTER - now, Action::Crash { server });
+            return;
+        }
         let record = self.record(instance, request);
         record.runs += 1;
         record.begun = Some(now + after);
@@ -133,10 +139,7 @@
         let record = self.record(instance, request);
         record.runs += 1;
         record.memory = Some((dispatch.server.clone(), kv_tokens));
-        let crashes = self
-            .crashing_parts
-            .iter()
-            .any(|part| self.records[&(instance, request)].shared_parts.contains(part));
+        let crashes = self.crashes_servers(instance, request);
         if crashes {
             let server = dispatch.server.clone();
             self.schedule(after + CRASH_AFTER, Action::Crash { server });
--- a/tests/fleet/world/crashes.rs
+++ b/tests/fleet/world/crashes.rs
@@ -21,6 +21,27 @@
         self.schedule(after, Action::Arrive { instance, call });
     }
 
+    /// Schedules the arrival of a request that is the same as others with this content.
+    pub fn arrive_with_content(
+        &mut self,
+        after: Duration,
+        instance: usize,
+        host: &'static str,
+        content: u64,
+        shared_parts: Vec<call::PartId>,
+    ) {
+        let tokens = (host != "query").then_some(PROMPT);
+        let call = Arrival { host, tokens, shared_parts, content, ..Arrival::default() };
+        self.schedule(after, Action::Arrive { instance, call });
+    }
+
+    /// Returns whether a request ends each server that begins to run it.
+    pub(super) fn crashes_servers(&self, instance: usize, request: u64) -> bool {
+        let record = &self.records[&(instance, request)];
+        self.crashing_contents.contains(&record.content)
+            || self.crashing_parts.iter().any(|part| record.shared_parts.contains(part))
+    }
+
     /// Ends a server for a reason of its own.
     pub fn crash_server(&mut self, after: Duration, server: &str) {
         let server = Bytes::from(server.to_string());
