Send nothing more to servers that state in answers that they leave

The adapter decodes it to a notice of the answer's head, of all answers but those of another server or to another request. The server is unavailable from then on for that start, whatever the list of servers says and if it is listed anew; running answers go on. Instances tell each other, and name servers that they must not use in their requests to the owner, so that an older owner does not grant them; a grant of one is not used.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -25,6 +25,7 @@
 pub mod kept;
 pub mod ledger;
 pub mod message;
+pub mod notices;
 pub mod peers;
 pub mod placement;
 pub mod quarantine;
@@ -175,6 +176,8 @@
         request: call::RequestNumber,
         /// What the answer states about the rate limit of its server.
         limit: server_limits::Statement,
+        /// What the answer states about further requests to its server.
+        notice: notices::Notice,
         /// Whether the answer is certainly one to this request.
         is_authentic: bool,
     },
@@ -434,7 +437,8 @@
                 self.log_refusal(&text(&id), refusal, None, None, now, &mut effects);
             }
             Event::Arrived { request, call } => self.arrive(request, call, now, &mut effects),
-            Event::AnswerReceived { request, limit, is_authentic } => {
+            Event::AnswerReceived { request, limit, notice, is_authentic } => {
+                self.receive_notice(request, notice, now, &mut effects);
                 self.receive_statement(request, limit, is_authentic, now, &mut effects);
             }
             Event::RequestProgressed { request, outcome } => {
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -83,7 +83,7 @@
             priority: claim.priority,
             objective_remaining_ms: waiting::millis(claim.objective_at.saturating_sub(now)),
             begin_remaining_ms: waiting::millis(claim.begin_by.saturating_sub(now)),
-            tried: claim.tried.clone(),
+            tried: self.unwilling_servers(claim, now),
             domain: claim.domain.clone(),
             prompt: claim.prompt,
         };
@@ -287,6 +287,10 @@
             message::Message::RequestsSurvived { features, age_ms } => {
                 self.receive_survival(&features, age_ms, now);
             }
+            message::Message::ServerLeaving { server, born_ms } => {
+                let source = decision::Source::Peer;
+                self.mark_leaving(&server, born_ms, source, now, effects);
+            }
             message::Message::Quarantines(reports) => {
                 self.receive_quarantines(&reports, now, effects);
             }
@@ -325,12 +329,14 @@
         let Some(request) = self.pending_request(ticket) else { return };
         let live::Phase::AwaitingGrant(awaiting) = &self.requests[&request].phase else { return };
         let awaiting = awaiting.clone();
-        let is_known = placement.servers().all(|server| self.servers.get(server).is_some());
+        let is_willing = |server| self.servers.get(server).is_some_and(|it| it.is_willing(now));
+        let is_known = placement.servers().all(is_willing);
         let generator = placement.servers().last().and_then(|server| self.servers.get(server));
         let binding = &self.requests[&request].claim.binding;
         let is_allowed = generator.is_some_and(|server| binding.allows(server));
         if !is_known || !is_allowed {
-            // This instance does not know the server yet, or the owner has an older entry of it.
+            // This instance does not know the server yet, or the owner has an older entry of it or does
+            // not know what it has asked of this instance.
             self.log_unresponsive_owner(request, &awaiting, now, effects);
             return self.place_without_owner(request, &awaiting, now, effects);
         }
--- a/src/core/fleet/containment.rs
+++ b/src/core/fleet/containment.rs
@@ -438,7 +438,7 @@
         }
     }
 
-    fn send_to_all(&self, message: &message::Message, effects: &mut Vec<Effect>) {
+    pub(super) fn send_to_all(&self, message: &message::Message, effects: &mut Vec<Effect>) {
         for to in self.known_peers() {
             effects.push(Effect::SendMessage { to, message: message.clone() });
         }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -87,10 +87,10 @@
     }
 }
 
-/// Where an instance learned of the limit of a server.
+/// Where an instance learned of the limit of a server, or that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum LimitSource {
+pub enum Source {
     /// From an answer of the server.
     Answer,
     /// From another instance.
@@ -144,7 +144,7 @@
         /// The limit before.
         previous_per_s: Option<f64>,
         /// Where this instance learned of it.
-        source: LimitSource,
+        source: Source,
         /// The time since the request was sent whose answer shows it.
         age_ms: u64,
         /// The number of servers of the service with a limit.
@@ -152,6 +152,13 @@
         /// The sum of their limits.
         service_rate_per_s: f64,
     },
+    /// A server states that it leaves: it gets no more requests until it starts again.
+    ServerLeaving {
+        /// The id of the server.
+        server: String,
+        /// Where this instance learned of it.
+        source: Source,
+    },
     /// A server names a limit that is not a number of requests a second; it is ignored.
     ServerLimitInvalid {
         /// The id of the server.
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -257,6 +257,13 @@
     },
     /// The requests that are refused as they crash servers.
     Quarantines(Vec<quarantine::Report>),
+    /// A server has stated that it leaves. Older builds ignore it.
+    ServerLeaving {
+        /// The id of the server.
+        server: ids::ServerId,
+        /// The start of its process, in milliseconds of its own clock.
+        born_ms: u64,
+    },
     /// A request with a reservation has progressed or ended.
     Progress {
         /// The ticket of the grant.
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::streams;
 use crate::core::ids;
 
+mod closures;
 mod limits;
 
 pub mod entry;
@@ -93,6 +94,8 @@
     ejections: u32,
     ejected_until: ids::Timestamp,
     handover_paused_until: ids::Timestamp,
+    /// What the server has asked for in its answers.
+    closure: closures::Closure,
     expired: Option<Expiry>,
     listed: ids::Timestamp,
     /// Whether the server was asked for the prompts that it holds.
@@ -121,6 +124,7 @@
             ejections: 0,
             ejected_until: ids::Timestamp::ZERO,
             handover_paused_until: ids::Timestamp::ZERO,
+            closure: closures::Closure::default(),
             expired: None,
             listed: now,
             has_listed_prompts: false,
@@ -144,10 +148,10 @@
         self.is_available(now) && now >= self.ejected_until
     }
 
-    /// Returns whether the server is listed and not draining. It may be ejected for some time.
+    /// Returns whether the server is listed, not draining and not leaving. It may be ejected for some time.
     pub fn is_available(&self, now: ids::Timestamp) -> bool {
         let is_listed = self.expired.is_none_or(|expiry| !expiry.is_final(now));
-        !self.entry.is_draining && is_listed
+        !self.entry.is_draining && !self.closure.is_leaving && is_listed
     }
 
     /// Returns whether the server may prefill for a handover; it may not for some time after one of
@@ -194,6 +198,7 @@
 pub struct Directory {
     servers: collections::Map<ids::ServerId, Server>,
     removed: collections::Map<ids::ServerId, ids::StorePosition>,
+    closures: closures::Closures,
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
@@ -258,7 +263,8 @@
         self.removed.remove(&entry.id);
         let Some(server) = self.servers.get_mut(&entry.id) else {
             self.by_service.entry(entry.service.clone()).or_default().push(entry.id.clone());
-            self.servers.insert(entry.id.clone(), Server::new(entry, now));
+            let closure = self.closures.of(&entry, now);
+            self.servers.insert(entry.id.clone(), Server { closure, ..Server::new(entry, now) });
             return true;
         };
         if server.entry.offset >= entry.offset {
@@ -285,7 +291,9 @@
             || server.entry.address != entry.address;
         if is_restarted || is_reassigned {
             let loads = (server.own, server.others);
-            let former = std::mem::replace(server, Server::new(entry, now));
+            let closure = self.closures.of(&entry, now);
+            let new = Server { closure, ..Server::new(entry, now) };
+            let former = std::mem::replace(server, new);
             // Requests in progress later subtract the load that they added.
             (server.own, server.others) = loads;
             if !is_restarted {
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -68,7 +68,7 @@
             }
         };
         let (server, born_ms, sent) = (at.server.clone(), at.born_ms, at.sent);
-        let source = decision::LimitSource::Answer;
+        let source = decision::Source::Answer;
         if self.record_limit(&server, born_ms, evidence, (source, sent), now, effects) {
             self.send_limit_reports(&[server], now, effects);
             self.place_waiting(now, effects);
@@ -81,7 +81,7 @@
         server: &ids::ServerId,
         born_ms: u64,
         evidence: server_limits::Evidence,
-        (source, sent): (decision::LimitSource, ids::Timestamp),
+        (source, sent): (decision::Source, ids::Timestamp),
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) -> bool {
@@ -395,7 +395,7 @@
                 continue;
             };
             let sent = evidence.named().map(|named| named.sent).max(evidence.unlimited_sent());
-            let source = (decision::LimitSource::Peer, sent.unwrap_or_default());
+            let source = (decision::Source::Peer, sent.unwrap_or_default());
             if self.record_limit(&report.server, report.born_ms, evidence, source, now, effects) {
                 changed.push(report.server.clone());
             }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -9,6 +9,7 @@
 
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::notices;
 use crate::core::fleet::refusal;
 use crate::core::fleet::server_limits;
 use crate::core::ids;
@@ -45,6 +46,9 @@
 /// The requests a second that the server takes from all instances together.
 const SERVER_LIMIT: &str = "server-limit";
 
+/// Present if the server leaves, with the value 1.
+const SERVER_LEAVING: &str = "server-leaving";
+
 /// Headers that only the router and the servers set; a caller's values are removed.
 const RESERVED_HEADERS: [&str; 12] = [
     TENANT,
@@ -199,6 +203,7 @@
             is_foreign: echoed.is_some_and(|echoed| echoed != call.id.as_ref()),
             is_signed: head.headers.contains_key(SERVER_STAMP),
             limit: parse_limit(&head.headers),
+            notice: notices::Notice { is_leaving: parse_leaving(&head.headers) },
         }
     }
 
@@ -278,6 +283,16 @@
     }
 }
 
+fn parse_leaving(headers: &http::HeaderMap) -> bool {
+    let values = || headers.get_all(SERVER_LEAVING).iter();
+    let is_leaving = values().any(|value| value.as_bytes().trim_ascii() == b"1");
+    let is_valid = |value: &http::HeaderValue| matches!(value.as_bytes().trim_ascii(), b"0" | b"1");
+    if !values().all(is_valid) {
+        log::warn!("ignoring an invalid statement of a server that it leaves");
+    }
+    is_leaving
+}
+
 fn parse_token_counts(count: &str, hint: Option<&str>) -> Option<call::Tokens> {
     let (prompt, output) = count.split_once(',')?;
     let output_tokens: u32 = output.trim().parse().ok()?;
--- a/src/router/dialect.rs
+++ b/src/router/dialect.rs
@@ -9,6 +9,7 @@
 
 use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::notices;
 use crate::core::fleet::server_limits;
 use crate::core::ids;
 use crate::router::body;
@@ -28,6 +29,8 @@
     pub is_signed: bool,
     /// What the response states about the rate limit of its server.
     pub limit: server_limits::Statement,
+    /// What the response states about further requests to its server.
+    pub notice: notices::Notice,
 }
 
 /// A request to the readiness and discovery listener.
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -413,6 +413,7 @@
         self.guard.context.apply(fleet::Event::AnswerReceived {
             request: self.guard.request,
             limit: response_head.limit,
+            notice: response_head.notice,
             is_authentic,
         });
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod listing;
+mod notices;
 mod retry_budget;
 mod server_limits;
 mod versions;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -19,6 +19,7 @@
 use galenayard::core::fleet::catalog;
 use galenayard::core::fleet::containment;
 use galenayard::core::fleet::message;
+use galenayard::core::fleet::notices;
 use galenayard::core::fleet::peers;
 use galenayard::core::fleet::quarantine;
 use galenayard::core::fleet::refusal;
@@ -123,6 +124,8 @@
     prompts: Vec<call::PromptId>,
     /// The limit that it names in its answers, in requests a second.
     limit_per_s: Option<f64>,
+    /// What else its answers state.
+    notice: notices::Notice,
     /// The requests that reached it: when, and from which instance.
     arrivals: Vec<(Duration, usize)>,
 }
@@ -139,6 +142,7 @@
             most_prefilling: 0,
             prompts: Vec::new(),
             limit_per_s: None,
+            notice: notices::Notice::default(),
             arrivals: Vec::new(),
         }
     }
@@ -179,6 +183,7 @@
     pub at: Duration,
     /// The instance and its number of the request.
     pub request: (usize, u64),
+    pub server: Bytes,
     /// Whether it is a prefill that the server accepts.
     pub is_accepted_prefill: bool,
 }
@@ -224,6 +229,8 @@
     pub cut_off: Vec<(usize, &'static str)>,
     /// When each instance first received an answer that names a limit, by server.
     pub notified: Map<(Bytes, usize), Duration>,
+    /// When instances received answers with a notice.
+    pub notices: Vec<(Duration, Bytes, usize)>,
 }
 
 /// The limit of the workspace that sends requests to the host `limited`.
@@ -279,6 +286,7 @@
             entries: entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect(),
             cut_off: Vec::new(),
             notified: Map::default(),
+            notices: Vec::new(),
         };
         for index in 0..instances {
             world.instances.push(Some(new_fleet(index, world.addresses[index])));
@@ -418,6 +426,12 @@
         self.schedule(after, Action::SetLimit { server, limit_per_s });
     }
 
+    /// Changes what a server states in its answers from now on.
+    pub fn set_notice(&mut self, server: &str, notice: notices::Notice) {
+        let backend = self.backends.get_mut(&Bytes::from(server.to_string()));
+        backend.expect("the server exists").notice = notice;
+    }
+
     /// Returns the requests that reached a server: when, and from which instance.
     pub fn arrivals(&self, server: &str) -> &[(Duration, usize)] {
         &self.backends[&Bytes::from(server.to_string())].arrivals
@@ -466,6 +480,7 @@
                                 | message::Message::ServerCrashed(_)
                                 | message::Message::RequestsSurvived { .. }
                                 | message::Message::Quarantines(_)
+                                | message::Message::ServerLeaving { .. }
                                 | message::Message::ReserveForWorkspace { .. }
                         );
                     let is_muted =
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -29,6 +29,7 @@
             self.calls.push(ServerCall {
                 at: now,
                 request: (instance, request),
+                server: dispatch.server.clone(),
                 is_accepted_prefill: health == Health::Healthy
                     && dispatch.step == fleet::Step::Prefill,
             });
@@ -188,10 +189,15 @@
             }
             None => server_limits::Statement::Unlimited,
         };
+        let notice = self.backends[server].notice;
+        if notice != notices::Notice::default() {
+            self.notices.push((self.now, server.clone(), instance));
+        }
         if self.older.contains(&instance) {
             return;
         }
-        self.apply(instance, fleet::Event::AnswerReceived { request, limit, is_authentic });
+        let event = fleet::Event::AnswerReceived { request, limit, notice, is_authentic };
+        self.apply(instance, event);
     }
 
     pub(super) fn progressed(
