Write quarantines to the store again at intervals

The store may come back from an older copy, which lacks a quarantine that was written once; a loss of all instances after it would have the servers crash again. Found by reading, when the soak's restored store was considered.

The first coordinator writes them again each 20 s while there are any.

--- a/src/platform/quarantines.rs
+++ b/src/platform/quarantines.rs
@@ -20,6 +20,9 @@
 /// The maximum number of quarantines in the store, well below the maximum size of a record.
 const MAX_STORED: usize = 64;
 
+/// The interval at which quarantines are written again: the store may be restored from an older copy.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_secs(20);
+
 /// The stored quarantines, and when they were written, in milliseconds since the Unix epoch.
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Record {
@@ -49,12 +52,18 @@
         }
         tokio::time::sleep(watch::RETRY_PAUSE).await;
     }
+    let mut repeats_at = context.now();
     loop {
         tokio::time::sleep(constants::QUARANTINE_WRITE_INTERVAL).await;
         let now = context.now();
-        if context.read(|fleet| fleet.is_limit_coordinator(now)) {
-            write(&mut store, &context).await;
+        if !context.read(|fleet| fleet.is_limit_coordinator(now)) {
+            continue;
+        }
+        if now >= repeats_at && context.read(|fleet| !fleet.quarantines(now).is_empty()) {
+            repeats_at = now + REPEAT_INTERVAL;
+            context.read(|fleet| fleet.put_back_quarantines());
         }
+        write(&mut store, &context).await;
     }
 }
 
