Crash servers, let them leave and ask for pauses in the soak

Requests with a part of a prompt and a repeated request end the soak's servers, which refuse connections from then on and come back under other names; servers state that they leave, or turn requests away and ask for pauses. Each check has a test that fails it.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -11,6 +11,7 @@
 
 use crate::http;
 use crate::judge;
+use crate::servers;
 use crate::streams;
 
 /// The work of a request.
@@ -29,6 +30,30 @@
     pub limit_per_s: cell::Cell<Option<f64>>,
     /// Whether its answers have no end.
     pub is_endless: cell::Cell<bool>,
+    /// Whether it leaves, which its answers state.
+    pub is_leaving: cell::Cell<bool>,
+    /// The pause that it asks for with each request that it turns away.
+    pub pause: cell::Cell<Option<time::Duration>>,
+    /// Notified when a request has crashed it.
+    pub crashed: tokio::sync::Notify,
+}
+
+/// The time from the start of a request that crashes its server until the server ends.
+const CRASH_AFTER: time::Duration = time::Duration::from_millis(30);
+
+/// The part of prompts that crashes servers.
+pub const CRASHING_PART: &str = "dead";
+
+/// The path of requests that crash servers.
+pub const CRASHING_PATH: &str = "/query/crash";
+
+/// Returns why a request crashes its server, if it does.
+fn crash_cause(path: &str, parts: &str) -> Option<servers::Cause> {
+    let mut parts = parts.split(',').filter_map(|part| part.split(':').next());
+    if parts.any(|part| part == CRASHING_PART) {
+        return Some(servers::Cause::Part(CRASHING_PART.to_string()));
+    }
+    (path == CRASHING_PATH).then(|| servers::Cause::Request(path.to_string()))
 }
 
 /// A slot that is taken until it is dropped.
@@ -63,18 +88,32 @@
         let (name, judge) = (rc::Rc::clone(&name), rc::Rc::clone(&judge));
         let (running, trouble) = (rc::Rc::clone(&running), rc::Rc::clone(&trouble));
         async move {
-            judge.note_arrival(&name);
+            let attempt = header(&request, "attempt-id");
+            let parts = header(&request, "prefix-hash");
+            let cause = crash_cause(request.uri().path(), &parts);
+            judge.note_arrival(&name, &attempt, cause);
+            let is_leaving = trouble.is_leaving.get();
             let mut answer = answer(&name, version, &judge, &running, &trouble, request).await;
             let limit = trouble.limit_per_s.get().map(|limit| limit.to_string());
             if let Some(Ok(limit)) = limit.as_deref().map(hyper::header::HeaderValue::from_str) {
                 answer.headers_mut().insert("server-limit", limit);
             }
+            if is_leaving {
+                let value = hyper::header::HeaderValue::from_static("1");
+                answer.headers_mut().insert("server-leaving", value);
+                judge.note_leaving(&name, &attempt);
+            }
             answer
         }
     })
     .await
 }
 
+fn header(request: &hyper::Request<Incoming>, name: &str) -> String {
+    let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_string()
+}
+
 async fn answer(
     name: &str,
     version: &'static str,
@@ -83,15 +122,14 @@
     trouble: &Trouble,
     request: hyper::Request<Incoming>,
 ) -> http::Response {
-    let header = |name: &str| {
-        let value = request.headers().get(name)?;
-        value.to_str().ok().map(str::to_string)
-    };
-    let attempt = header("attempt-id").unwrap_or_default();
-    let workspace = header("tenant").unwrap_or_default();
-    let has_key = header("authorization").is_some();
-    let is_other = header("expect-instance").is_some_and(|expected| expected != name);
-    let last_event = header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let header = |name: &str| header(&request, name);
+    let attempt = header("attempt-id");
+    let workspace = header("tenant");
+    let has_key = !header("authorization").is_empty();
+    let expected = header("expect-instance");
+    let is_other = !expected.is_empty() && expected != name;
+    let last_event = header("last-event-id").parse().unwrap_or(0);
+    let cause = crash_cause(request.uri().path(), &header("prefix-hash"));
     let path = request.uri().path().to_string();
     let is_stream = judge::is_stream(&path);
     // The answer does not depend on the body.
@@ -99,9 +137,17 @@
     if is_other {
         return http::response(421, "");
     }
-    if running.get() >= SLOTS {
+    let pause = trouble.pause.get();
+    if running.get() >= SLOTS || pause.is_some() {
+        if let Some(pause) = pause {
+            judge.note_pause(name, &attempt, pause);
+        }
         let mut full = http::response(503, "");
         full.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
+        let seconds = pause.map(|pause| pause.as_secs_f64().to_string());
+        if let Some(Ok(seconds)) = seconds.as_deref().map(hyper::header::HeaderValue::from_str) {
+            full.headers_mut().insert("retry-after", seconds);
+        }
         return full;
     }
     running.set(running.get() + 1);
@@ -112,6 +158,12 @@
         path,
         has_key,
     });
+    if let Some(cause) = cause {
+        tokio::time::sleep(CRASH_AFTER).await;
+        judge.note_crash(cause);
+        trouble.crashed.notify_one();
+        return std::future::pending().await;
+    }
     let slot = Slot(rc::Rc::clone(running));
     let (judge, answered) = (rc::Rc::clone(judge), attempt.clone());
     let finish = move || {
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections::BTreeMap;
+use std::hash;
 use std::net;
 use std::rc;
 use std::time;
@@ -14,6 +15,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 
+use crate::backend;
 use crate::judge;
 use crate::streams;
 
@@ -21,7 +23,7 @@
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
 /// The pause between two requests of a caller.
-const PAUSE: time::Duration = time::Duration::from_millis(60);
+pub const PAUSE: time::Duration = time::Duration::from_millis(60);
 
 /// Requests on one connection.
 const REQUESTS_ON_A_CONNECTION: u32 = 8;
@@ -57,6 +59,8 @@
     pub workspace: &'static str,
     /// Whether it may run more than once.
     pub is_idempotent: bool,
+    /// Whether a part of its prompt crashes servers.
+    pub crashes: bool,
 }
 
 /// A stream that was broken off and can be resumed.
@@ -95,8 +99,8 @@
 }
 
 impl Caller {
-    /// Sends requests for ever.
-    pub async fn run(self) {
+    /// Sends requests for ever, with a pause after each.
+    pub async fn run(self, pause: time::Duration) {
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(self.seed);
         let mut sequence = 0_u64;
         let mut broken: Option<BrokenStream> = None;
@@ -121,7 +125,7 @@
                 if !ended.is_reusable {
                     break;
                 }
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(pause).await;
             }
         }
     }
@@ -143,6 +147,7 @@
         }
         self.judge.note_sent(
             attempt,
+            instance,
             judge::Sent {
                 is_idempotent: kind.is_idempotent,
                 path: kind.path.to_string(),
@@ -187,6 +192,9 @@
         .header("attempt-id", attempt)
         .header("deadline-ms", ANSWER_TIMEOUT.as_millis().to_string())
         .header("authorization", format!("Bearer {}", kind.key));
+    if judge::is_stream(kind.path) {
+        request = request.header("prefix-hash", parts(kind, attempt));
+    }
     if let Some(broken) = resumed {
         request = request
             .header("last-event-id", broken.events.to_string())
@@ -195,6 +203,19 @@
     request.body(Full::new(Bytes::from_static(b"order"))).ok()
 }
 
+/// Returns the parts of a prompt: the first one of all, one of a few, perhaps one that crashes
+/// servers, and one of its own.
+fn parts(kind: Kind, attempt: &str) -> String {
+    let mut hasher = hash::DefaultHasher::new();
+    hash::Hash::hash(attempt, &mut hasher);
+    let own = hash::Hasher::finish(&hasher);
+    let crashing = match kind.crashes {
+        true => format!("{}:40,", backend::CRASHING_PART),
+        false => String::new(),
+    };
+    format!("f1:200,{:x}:50,{crashing}{own:x}:100", 16 + own % 8)
+}
+
 /// Sends a request and appends the body of a successful answer to `text` as it arrives.
 async fn exchange(
     sender: &mut http1::SendRequest<Full<Bytes>>,
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -2,8 +2,10 @@
 
 use std::cell;
 use std::collections::BTreeMap;
+use std::net;
 use std::time;
 
+use crate::servers;
 use crate::streams;
 
 /// The time in which a withdrawn key or route must stop working, on a busy machine.
@@ -96,6 +98,7 @@
     unknown_runs: Vec<Run>,
     withdrawn: BTreeMap<String, time::Duration>,
     left: BTreeMap<String, time::Duration>,
+    servers: servers::Servers,
 }
 
 /// Collects what is seen.
@@ -117,8 +120,9 @@
     }
 
     /// Notes what a caller sends.
-    pub fn note_sent(&self, attempt: &str, sent: Sent) {
+    pub fn note_sent(&self, attempt: &str, to: net::SocketAddr, sent: Sent) {
         let sent_at = self.start.elapsed();
+        self.state.borrow_mut().servers.note_sent(attempt, to, sent_at);
         let attempt_state = Attempt {
             sent,
             sent_at,
@@ -131,12 +135,41 @@
     }
 
     /// Notes that a request has reached a server, whatever comes of it.
-    pub fn note_arrival(&self, server: &str) {
+    pub fn note_arrival(&self, server: &str, attempt: &str, cause: Option<servers::Cause>) {
         let at = self.start.elapsed();
         let mut state = self.state.borrow_mut();
+        state.servers.note_arrival(server, attempt, cause, at);
         state.arrivals.entry(server.to_string()).or_default().push(at);
     }
 
+    /// Notes that a request has crashed its server.
+    pub fn note_crash(&self, cause: servers::Cause) {
+        let at = self.start.elapsed();
+        self.state.borrow_mut().servers.note_crash(cause, at);
+    }
+
+    /// Notes that an answer states that its server leaves.
+    pub fn note_leaving(&self, server: &str, attempt: &str) {
+        self.state.borrow_mut().servers.note_leaving(server, attempt);
+    }
+
+    /// Notes that a server has turned a request away and asked for a pause.
+    pub fn note_pause(&self, server: &str, attempt: &str, span: time::Duration) {
+        let at = self.start.elapsed();
+        self.state.borrow_mut().servers.note_pause(server, attempt, span, at);
+    }
+
+    /// Notes that an instance, or with `None` all of them, is not in touch for a while.
+    pub fn note_disturbance(&self, instance: Option<net::SocketAddr>, span: time::Duration) {
+        let at = self.start.elapsed();
+        self.state.borrow_mut().servers.note_disturbance(instance, at, span);
+    }
+
+    /// Returns the most crashes by one cause.
+    pub fn most_crashes(&self) -> usize {
+        self.state.borrow().servers.most_crashes()
+    }
+
     /// Notes that a server begins or, with `None`, ends to name a limit.
     pub fn note_limit(&self, server: &str, per_s: Option<f64>) {
         let now = self.start.elapsed();
@@ -181,7 +214,12 @@
 
     /// Notes what a caller gets.
     pub fn note_got(&self, attempt: &str, got: Got) {
-        if let Some(attempt) = self.state.borrow_mut().attempts.get_mut(attempt) {
+        let at = self.start.elapsed();
+        let mut state = self.state.borrow_mut();
+        if matches!(got, Got::Answer { .. }) {
+            state.servers.note_got(attempt, at);
+        }
+        if let Some(attempt) = state.attempts.get_mut(attempt) {
             attempt.got = Some(got);
         }
     }
@@ -238,6 +276,7 @@
         let state = self.state.borrow();
         let mut violations: Vec<_> =
             state.unknown_runs.iter().map(|run| format!("nobody sent {run:?}")).collect();
+        violations.extend(state.servers.violations());
         for limit in &state.limits {
             let most = most_in_a_window(limit, &state);
             if most as f64 > allowed(limit) {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod judge;
 pub mod proxy;
 pub mod run;
+pub mod servers;
 pub mod store;
 pub mod streams;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -24,16 +24,32 @@
     Silent,
     /// Each request is answered by a head without end.
     EndlessHead,
+    /// The server has ended: connections are reset, and new ones are refused.
+    Ended,
 }
 
 /// The mode of a proxy, and whether it was disturbed.
 #[derive(Debug, Clone)]
-pub struct Switch(rc::Rc<cell::Cell<Mode>>);
+pub struct Switch(rc::Rc<cell::Cell<Mode>>, rc::Rc<tokio::sync::Notify>);
 
 impl Switch {
-    /// Changes what is done to bytes.
+    /// Changes what is done to bytes; a server that has ended stays so.
     pub fn set(&self, mode: Mode) {
-        self.0.set(mode);
+        if self.0.get() != Mode::Ended {
+            self.0.set(mode);
+        }
+        if mode == Mode::Ended {
+            self.1.notify_waiters();
+        }
+    }
+
+    /// Waits until the server ends.
+    async fn ended(&self) {
+        let mut ended = std::pin::pin!(self.1.notified());
+        ended.as_mut().enable();
+        if self.0.get() != Mode::Ended {
+            ended.await;
+        }
     }
 }
 
@@ -48,10 +64,15 @@
 ) -> io::Result<(net::SocketAddr, Switch)> {
     let listener = tokio::net::TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
-    let switch = Switch(rc::Rc::new(cell::Cell::new(Mode::Clear)));
+    let switch = Switch(rc::Rc::new(cell::Cell::new(Mode::Clear)), rc::Rc::default());
     let mode = switch.clone();
     tokio::task::spawn_local(async move {
-        while let Ok((caller, _)) = listener.accept().await {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = mode.ended() => return,
+            };
+            let Ok((caller, _)) = accepted else { return };
             if mode.0.get() == Mode::Reset {
                 reset(&caller);
                 continue;
@@ -92,7 +113,11 @@
     let (from_server, to_server) = server.split();
     let requests = pump(from_caller, to_server, &switch, false);
     let answers = pump(from_server, to_caller, &switch, true);
-    if tokio::try_join!(requests, answers).is_err() {
+    let is_broken = tokio::select! {
+        passed = async { tokio::try_join!(requests, answers) } => passed.is_err(),
+        () = switch.ended() => true,
+    };
+    if is_broken {
         reset(&caller);
         reset(&server);
     }
@@ -116,6 +141,7 @@
             Mode::Delay(delay) => tokio::time::sleep(delay).await,
             Mode::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
             Mode::MuteAnswers if !is_answer => {}
+            Mode::Ended => return Err(io::ErrorKind::ConnectionReset.into()),
             Mode::MuteAnswers | Mode::Silent => std::future::pending().await,
         }
         to.write_all(&bytes[..length]).await?;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: a fleet, callers, servers, an operator, and faults drawn from a seed.
 
+use std::cell;
 use std::io;
 use std::net;
 use std::path;
@@ -34,14 +35,77 @@
 const SERVERS: usize = 4;
 
 const KINDS: [callers::Kind; 6] = [
-    callers::Kind { path: "/order/x", key: "key-a", workspace: "a", is_idempotent: false },
-    callers::Kind { path: "/query/x", key: "key-a", workspace: "a", is_idempotent: true },
-    callers::Kind { path: "/gone/x", key: "key-a", workspace: "a", is_idempotent: false },
-    callers::Kind { path: "/stream/x", key: "key-a", workspace: "a", is_idempotent: false },
-    callers::Kind { path: "/resume/x", key: "key-a", workspace: "a", is_idempotent: true },
-    callers::Kind { path: "/second/x", key: "key-b", workspace: "b", is_idempotent: false },
+    callers::Kind {
+        path: "/order/x",
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: false,
+        crashes: false,
+    },
+    callers::Kind {
+        path: "/query/x",
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: true,
+        crashes: false,
+    },
+    callers::Kind {
+        path: "/gone/x",
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: false,
+        crashes: false,
+    },
+    callers::Kind {
+        path: "/stream/x",
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: false,
+        crashes: false,
+    },
+    callers::Kind {
+        path: "/resume/x",
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: true,
+        crashes: false,
+    },
+    callers::Kind {
+        path: "/second/x",
+        key: "key-b",
+        workspace: "b",
+        is_idempotent: false,
+        crashes: false,
+    },
 ];
 
+/// Requests that crash servers: streams, no two of them alike, and the same query again and again.
+const CRASHING_KINDS: [callers::Kind; 2] = [
+    callers::Kind {
+        path: "/stream/x",
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: false,
+        crashes: true,
+    },
+    callers::Kind {
+        path: backend::CRASHING_PATH,
+        key: "key-a",
+        workspace: "a",
+        is_idempotent: true,
+        crashes: false,
+    },
+];
+
+/// The pause between two requests that crash servers.
+const CRASHING_PAUSE: time::Duration = time::Duration::from_millis(400);
+
+/// The time after which the entry of a server that has crashed is removed, and another one comes.
+const CRASHED_FOR: time::Duration = time::Duration::from_millis(1_500);
+
+/// The time by which a pause that a server asks for is longer than half of its trouble.
+const PAUSE_EXTRA: time::Duration = time::Duration::from_millis(1_000);
+
 /// The prefix of the paths whose streams may be resumed.
 const RESUMABLE_PATH: &str = "/resume/";
 
@@ -114,6 +178,10 @@
     has_second_key: bool,
     /// The servers that have left.
     left: Vec<String>,
+    /// The servers that have crashed.
+    crashed: rc::Rc<cell::RefCell<Vec<String>>>,
+    /// Callers whose requests crash servers.
+    crashing: Vec<tokio::task::JoinHandle<()>>,
     ip: [u8; 3],
     faults: Vec<String>,
     /// The machines whose instance took too much memory.
@@ -146,6 +214,8 @@
         has_gone_route: true,
         has_second_key: true,
         left: Vec::new(),
+        crashed: rc::Rc::default(),
+        crashing: Vec::new(),
         ip,
         faults: Vec::new(),
         excesses: Vec::new(),
@@ -158,17 +228,20 @@
         world.start_machine(index, true)?;
     }
     tokio::time::sleep(WARM_UP).await;
-    let callers: Vec<_> = (0..6).map(|index| world.caller(options.seed * 100 + index)).collect();
+    let callers: Vec<_> = (0..6)
+        .map(|index| world.caller(options.seed * 100 + index, &KINDS, callers::PAUSE))
+        .collect();
     let end = tokio::time::Instant::now() + time::Duration::from_secs(options.seconds);
     while tokio::time::Instant::now() < end {
         let pause = world.rng.random_range(200..900);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
         world.check_memory();
         world.restart_ended()?;
+        world.replace_crashed().await?;
         world.draw_fault().await?;
     }
     tokio::time::sleep(COOL_DOWN).await;
-    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    callers.iter().chain(&world.crashing).for_each(tokio::task::JoinHandle::abort);
     let (served, sent) = world.judge.counts();
     let faults = std::mem::take(&mut world.faults);
     let (completed, resumed) = world.judge.resumed();
@@ -176,6 +249,7 @@
     let mut violations = world.judge.violations();
     violations.append(&mut world.excesses);
     let most_of_a_limit = world.judge.most_of_a_limit();
+    let most_crashes = world.judge.most_crashes();
     drop(world);
     let count = faults.len();
     if violations.is_empty() {
@@ -186,21 +260,26 @@
         return Err(RunError::NothingServed(sent));
     }
     let summary = format!(
-        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed, {most_of_a_limit:.2} of a limit used at most"
+        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed, {most_of_a_limit:.2} of a limit used at most, {most_crashes} crashes by one cause"
     );
     Ok(Report { summary, violations, faults })
 }
 
 impl World {
-    fn caller(&self, seed: u64) -> tokio::task::JoinHandle<()> {
+    fn caller(
+        &self,
+        seed: u64,
+        kinds: &'static [callers::Kind],
+        pause: time::Duration,
+    ) -> tokio::task::JoinHandle<()> {
         let caller = callers::Caller {
             seed,
-            kinds: &KINDS,
+            kinds,
             directories: self.machines.iter().map(fleet::Machine::directory).collect(),
             judge: rc::Rc::clone(&self.judge),
             disturbances: rc::Rc::clone(&self.disturbances),
         };
-        tokio::task::spawn_local(caller.run())
+        tokio::task::spawn_local(caller.run(pause))
     }
 
     fn start_machine(&mut self, index: usize, is_first: bool) -> io::Result<()> {
@@ -219,6 +298,8 @@
     fn restart_ended(&mut self) -> io::Result<()> {
         for index in 0..self.machines.len() {
             if self.machines[index].has_ended() {
+                let instance = self.machines[index].callers();
+                self.judge.note_disturbance(Some(instance), time::Duration::ZERO);
                 self.start_machine(index, false)?;
             }
         }
@@ -276,21 +357,45 @@
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
+        let (crashed, id) = (rc::Rc::clone(&self.crashed), name.clone());
+        let (store, ended) = (rc::Rc::clone(&self.store), switch.clone());
+        let (waiting, beating) = (rc::Rc::clone(&trouble), beats.abort_handle());
+        tokio::task::spawn_local(async move {
+            waiting.crashed.notified().await;
+            ended.set(proxy::Mode::Ended);
+            beating.abort();
+            tokio::time::sleep(CRASHED_FOR).await;
+            store.put("keyed.servers", &id, b"");
+            crashed.borrow_mut().push(id);
+        });
         self.servers.push(Server { name, switch, trouble, beats });
         Ok(())
     }
 
+    /// Starts another server for each one that has crashed.
+    async fn replace_crashed(&mut self) -> io::Result<()> {
+        let crashed = std::mem::take(&mut *self.crashed.borrow_mut());
+        for name in crashed {
+            let known = self.servers.iter().position(|server| server.name == name);
+            if let Some(known) = known {
+                self.add_server().await?;
+                self.servers.remove(known);
+            }
+        }
+        Ok(())
+    }
+
     async fn draw_fault(&mut self) -> io::Result<()> {
         let machine = self.rng.random_range(0..self.machines.len());
         let server = self.rng.random_range(0..self.servers.len());
         let span = time::Duration::from_millis(self.rng.random_range(500..2_500));
-        let kind = self.rng.random_range(0..17);
+        let kind = self.rng.random_range(0..22);
         let at_ms = self.judge.elapsed().as_millis();
         let name = &self.servers[server].name;
         self.faults.push(format!("{at_ms} ms: kind {kind}, machine {machine}, {name}, {span:?}"));
         match kind {
             0 => {
-                self.disturb(machine, time::Duration::ZERO);
+                self.disturb_machine(machine, time::Duration::ZERO);
                 self.machines[machine].signal(Signal::KILL);
             }
             1 | 2 => self.machines[machine].signal(Signal::TERM),
@@ -313,6 +418,9 @@
             13 | 14 => self.name_limit(server),
             15 => self.make_endless(server, span),
             16 => self.disturb_server(server, proxy::Mode::EndlessHead, span),
+            17 | 20 | 21 => self.send_crashing(),
+            18 => self.leave(server).await?,
+            19 => self.ask_for_pauses(server, span),
             _ => self.change_configuration(),
         }
         Ok(())
@@ -323,15 +431,21 @@
         self.disturbances.note(self.machines[machine].callers(), until);
     }
 
+    /// Notes that an instance is killed or does not run for a while.
+    fn disturb_machine(&self, machine: usize, span: time::Duration) {
+        self.disturb(machine, span);
+        self.judge.note_disturbance(Some(self.machines[machine].callers()), span);
+    }
+
     fn kill_all(&self) {
         for machine in 0..self.machines.len() {
-            self.disturb(machine, time::Duration::ZERO);
+            self.disturb_machine(machine, time::Duration::ZERO);
             self.machines[machine].signal(Signal::KILL);
         }
     }
 
     fn pause(&self, machine: usize, span: time::Duration) {
-        self.disturb(machine, span);
+        self.disturb_machine(machine, span);
         self.judge.excuse_bounds(span);
         self.machines[machine].signal(Signal::STOP);
         let Some(id) = self.machines[machine].id() else { return };
@@ -355,6 +469,38 @@
         });
     }
 
+    /// Requests that crash servers begin, or end.
+    fn send_crashing(&mut self) {
+        let is_end = !self.crashing.is_empty();
+        self.crashing.drain(..).for_each(|caller| caller.abort());
+        if !is_end {
+            let seed = self.rng.random();
+            self.crashing.push(self.caller(seed, &CRASHING_KINDS, CRASHING_PAUSE));
+        }
+        // Streams that are lost with their server are cut.
+        for machine in 0..self.machines.len() {
+            self.disturb(machine, CRASHED_FOR);
+        }
+    }
+
+    /// A server states that it leaves, and goes on serving; another one comes.
+    async fn leave(&mut self, server: usize) -> io::Result<()> {
+        self.add_server().await?;
+        let leaving = self.servers.swap_remove(server);
+        leaving.trouble.is_leaving.set(true);
+        Ok(())
+    }
+
+    /// A server turns requests away for a while, and asks each instance for a pause.
+    fn ask_for_pauses(&self, server: usize, span: time::Duration) {
+        let trouble = rc::Rc::clone(&self.servers[server].trouble);
+        trouble.pause.set(Some(span / 2 + PAUSE_EXTRA));
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(span).await;
+            trouble.pause.set(None);
+        });
+    }
+
     /// A server in need names a limit, changes it or withdraws it.
     fn name_limit(&mut self, server: usize) {
         let Server { name, trouble, .. } = &self.servers[server];
@@ -388,6 +534,7 @@
         };
         self.store.set_mode(mode);
         self.judge.excuse_bounds(span);
+        self.judge.note_disturbance(None, span);
         let store = rc::Rc::clone(&self.store);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(span).await;
--- /dev/null
+++ b/soak/src/servers.rs
@@ -0,0 +1,198 @@
+//! What servers have seen and asked for, and the promises on that.
+
+use std::collections::BTreeMap;
+use std::net;
+use std::time;
+
+/// The time in which instances have learned what crashes servers.
+const CONTACT: time::Duration = time::Duration::from_secs(3);
+
+/// The requests that crash servers that may reach them after that.
+const CRASHING_ALLOWED: usize = 3;
+
+/// The time after which an instance that has passed on the answer of a leaving server sends it nothing.
+const DRAIN: time::Duration = time::Duration::from_secs(2);
+
+/// The time after a server has asked for a pause from which requests count.
+const PAUSE_NOTICE: time::Duration = time::Duration::from_millis(500);
+
+/// The requests that may reach a server in a pause.
+const PAUSE_ALLOWED: usize = 2;
+
+/// What makes a request crash servers.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// A part of its prompt.
+    Part(String),
+    /// The whole request, by its path.
+    Request(String),
+}
+
+impl Cause {
+    /// Returns the number of crashes after which instances must have learned it.
+    fn crashes_to_learn(&self) -> usize {
+        match self {
+            Self::Part(_) => 5,
+            Self::Request(_) => 3,
+        }
+    }
+}
+
+/// A request that has reached a server.
+#[derive(Debug, Clone)]
+struct Arrival {
+    at: time::Duration,
+    server: String,
+    attempt: String,
+    cause: Option<Cause>,
+}
+
+/// A pause that a server has asked for.
+#[derive(Debug, Clone)]
+struct Pause {
+    server: String,
+    attempt: String,
+    at: time::Duration,
+    span: time::Duration,
+}
+
+/// What servers have seen and asked for.
+#[derive(Debug, Default)]
+pub struct Servers {
+    arrivals: Vec<Arrival>,
+    crashes: BTreeMap<Cause, Vec<time::Duration>>,
+    pauses: Vec<Pause>,
+    /// The answers of leaving servers, by attempt.
+    leaving: BTreeMap<String, String>,
+    /// The instance that each attempt was sent to, when, and when its answer was received.
+    attempts: BTreeMap<String, (net::SocketAddr, time::Duration, Option<time::Duration>)>,
+    /// When instances were not in touch, or nothing was.
+    disturbances: Vec<(Option<net::SocketAddr>, time::Duration, time::Duration)>,
+}
+
+impl Servers {
+    /// Notes what a caller sends.
+    pub fn note_sent(&mut self, attempt: &str, to: net::SocketAddr, at: time::Duration) {
+        self.attempts.insert(attempt.to_string(), (to, at, None));
+    }
+
+    /// Notes that a caller has its answer.
+    pub fn note_got(&mut self, attempt: &str, at: time::Duration) {
+        if let Some((_, _, got)) = self.attempts.get_mut(attempt) {
+            *got = Some(at);
+        }
+    }
+
+    /// Notes that a request has reached a server.
+    pub fn note_arrival(
+        &mut self,
+        server: &str,
+        attempt: &str,
+        cause: Option<Cause>,
+        at: time::Duration,
+    ) {
+        let (server, attempt) = (server.to_string(), attempt.to_string());
+        self.arrivals.push(Arrival { at, server, attempt, cause });
+    }
+
+    /// Notes that a request has crashed a server.
+    pub fn note_crash(&mut self, cause: Cause, at: time::Duration) {
+        self.crashes.entry(cause).or_default().push(at);
+    }
+
+    /// Notes that a leaving server has answered.
+    pub fn note_leaving(&mut self, server: &str, attempt: &str) {
+        self.leaving.insert(attempt.to_string(), server.to_string());
+    }
+
+    /// Notes that a server has asked for a pause.
+    pub fn note_pause(
+        &mut self,
+        server: &str,
+        attempt: &str,
+        span: time::Duration,
+        at: time::Duration,
+    ) {
+        let (server, attempt) = (server.to_string(), attempt.to_string());
+        self.pauses.push(Pause { server, attempt, at, span });
+    }
+
+    /// Notes that an instance, or with `None` all of them, is not in touch for a while.
+    pub fn note_disturbance(
+        &mut self,
+        instance: Option<net::SocketAddr>,
+        at: time::Duration,
+        span: time::Duration,
+    ) {
+        self.disturbances.push((instance, at, at + span));
+    }
+
+    fn is_disturbed(
+        &self,
+        instance: net::SocketAddr,
+        since: time::Duration,
+        until: time::Duration,
+    ) -> bool {
+        self.disturbances.iter().any(|(disturbed, start, end)| {
+            disturbed.is_none_or(|it| it == instance) && *start <= until && *end >= since
+        })
+    }
+
+    fn instance_of(&self, attempt: &str) -> Option<net::SocketAddr> {
+        self.attempts.get(attempt).map(|(instance, _, _)| *instance)
+    }
+
+    /// Returns the most crashes by one cause.
+    pub fn most_crashes(&self) -> usize {
+        self.crashes.values().map(Vec::len).max().unwrap_or(0)
+    }
+
+    /// Returns the promises that were broken.
+    pub fn violations(&self) -> Vec<String> {
+        let mut violations = Vec::new();
+        for (cause, crashes) in &self.crashes {
+            let Some(learned) = crashes.get(cause.crashes_to_learn() - 1) else { continue };
+            let is_late = |arrival: &&Arrival| {
+                let since = arrival.at.saturating_sub(CONTACT);
+                arrival.cause.as_ref() == Some(cause)
+                    && arrival.at > *learned + CONTACT
+                    && self
+                        .instance_of(&arrival.attempt)
+                        .is_some_and(|instance| !self.is_disturbed(instance, since, arrival.at))
+            };
+            let late = self.arrivals.iter().filter(is_late).count();
+            if late > CRASHING_ALLOWED {
+                let crashes = crashes.len();
+                violations.push(format!("{late} requests with {cause:?} after {crashes} crashes"));
+            }
+        }
+        for pause in &self.pauses {
+            let Some(instance) = self.instance_of(&pause.attempt) else { continue };
+            let end = pause.at + pause.span;
+            let is_within = |arrival: &&Arrival| {
+                arrival.server == pause.server
+                    && arrival.at > pause.at + PAUSE_NOTICE
+                    && arrival.at < end
+                    && self.instance_of(&arrival.attempt) == Some(instance)
+            };
+            let count = self.arrivals.iter().filter(is_within).count();
+            if count > PAUSE_ALLOWED && !self.is_disturbed(instance, pause.at, end) {
+                violations.push(format!("{count} requests of {instance} in {pause:?}"));
+            }
+        }
+        violations.extend(self.arrivals.iter().filter_map(|arrival| self.check_leaving(arrival)));
+        violations
+    }
+
+    fn check_leaving(&self, arrival: &Arrival) -> Option<String> {
+        let (instance, sent, _) = self.attempts.get(&arrival.attempt)?;
+        let told = self.leaving.iter().filter(|(_, server)| **server == arrival.server);
+        let told = told.filter_map(|(attempt, _)| {
+            let (told, _, got) = self.attempts.get(attempt)?;
+            (told == instance).then_some((*got)?)
+        });
+        let told = told.min()?;
+        let is_late = *sent > told + DRAIN && !self.is_disturbed(*instance, told, arrival.at);
+        is_late.then(|| format!("{arrival:?} of {instance}, told at {told:?}"))
+    }
+}
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -7,6 +7,10 @@
 use soak::judge::Sent;
 use soak::streams;
 
+fn instance() -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
 fn sent(is_idempotent: bool) -> Sent {
     Sent {
         is_idempotent,
@@ -32,7 +36,7 @@
 
 fn violations(runs: &[Run], got: Got) -> String {
     let judge = Judge::default();
-    judge.note_sent("1", sent(false));
+    judge.note_sent("1", instance(), sent(false));
     for run in runs {
         judge.note_run(run.clone());
     }
@@ -73,7 +77,7 @@
 #[test]
 fn an_idempotent_attempt_may_run_twice() {
     let judge = Judge::default();
-    judge.note_sent("1", sent(true));
+    judge.note_sent("1", instance(), sent(true));
     judge.note_run(run());
     judge.note_run(run());
     judge.note_got("1", good());
@@ -82,7 +86,7 @@
 
 fn stream(body: String) -> Judge {
     let judge = Judge::default();
-    judge.note_sent("s", Sent { path: "/resume/x".to_string(), ..sent(true) });
+    judge.note_sent("s", instance(), Sent { path: "/resume/x".to_string(), ..sent(true) });
     judge.note_events("s", &body);
     judge.note_got("s", Got::Answer { status: 200, body });
     judge
@@ -100,3 +104,56 @@
     let mixed = short + &events("v2", streams::EVENTS..=streams::EVENTS);
     assert_eq!(stream(mixed).violations().len(), 2, "it is neither whole nor of one version");
 }
+
+fn crashing(judge: &Judge, count: usize) {
+    let cause = soak::servers::Cause::Request("/query/crash".to_string());
+    for index in 0..count {
+        let attempt = index.to_string();
+        judge.note_sent(&attempt, instance(), sent(true));
+        judge.note_arrival("s", &attempt, Some(cause.clone()));
+        judge.note_crash(cause.clone());
+    }
+}
+
+#[test]
+fn requests_that_go_on_to_crash_servers_are_violations() {
+    let seconds = std::time::Duration::from_secs;
+    let mut servers = soak::servers::Servers::default();
+    let cause = soak::servers::Cause::Part("dead".to_string());
+    for second in 0..20 {
+        let attempt = second.to_string();
+        servers.note_sent(&attempt, instance(), seconds(second));
+        servers.note_arrival("s", &attempt, Some(cause.clone()), seconds(second));
+        if second < 5 {
+            servers.note_crash(cause.clone(), seconds(second));
+        }
+    }
+    let violations = servers.violations();
+    assert!(violations[0].starts_with("12 requests"), "from 8 s on: {violations:?}");
+    servers.note_disturbance(None, seconds(8), seconds(12));
+    assert!(servers.violations().is_empty(), "nothing was in touch");
+    let judge = Judge::default();
+    crashing(&judge, 3);
+    assert_eq!((judge.most_crashes(), judge.violations().len()), (3, 0));
+}
+
+#[test]
+fn requests_to_servers_that_leave_or_pause_are_violations() {
+    let ms = std::time::Duration::from_millis;
+    let mut servers = soak::servers::Servers::default();
+    let mut send = |attempt: &str, at_ms| {
+        servers.note_sent(attempt, instance(), ms(at_ms));
+        servers.note_arrival("s", attempt, None, ms(at_ms));
+    };
+    send("told", 0);
+    ["a", "b", "c"].into_iter().for_each(|attempt| send(attempt, 1_000));
+    send("late", 3_000);
+    servers.note_got("told", ms(100));
+    assert!(servers.violations().is_empty());
+    servers.note_pause("s", "told", ms(2_000), ms(0));
+    assert!(servers.violations()[0].starts_with("3 requests"), "three in the pause");
+    servers.note_leaving("s", "told");
+    assert_eq!(servers.violations().len(), 2, "and one to a server that leaves");
+    servers.note_disturbance(Some(instance()), ms(500), ms(0));
+    assert!(servers.violations().is_empty(), "the instance was restarted");
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,3 +18,8 @@
 fn promises_hold_while_servers_name_limits_and_answer_without_end() {
     assert_promises_hold(101);
 }
+
+#[test]
+fn promises_hold_while_requests_crash_servers() {
+    assert_promises_hold(206);
+}
