Forget the crashes of a quarantine that an operator lifts at all instances

An operator saw (shown by a test): a quarantine that was lifted at one instance was back within a tick, since the others still held the crashes that had led to it and found their cause again.

The report that lifts it makes each instance forget those crashes, once. Tests beside it: a lifted quarantine is tried again and found again after three more crashes, also at one in 2.5 s; quarantines end with the software version; older builds; lost messages; refusals that cost nothing.

--- a/src/core/fleet/containment.rs
+++ b/src/core/fleet/containment.rs
@@ -267,12 +267,17 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        let id = new.id();
+        let (id, lifted) = (new.id(), new.is_lifted.then(|| new.clone()));
         if !self.containment.quarantines.insert(new, now) {
             return;
         }
-        self.log_quarantine(id, servers, first_crash_age_ms, now, effects);
         self.containment.is_unstored = true;
+        if let Some(lifted) = lifted {
+            // The crashes before would bring it back.
+            self.containment.evidence.forget(&lifted.pattern);
+            return self.log_quarantine_end(&lifted, now, effects);
+        }
+        self.log_quarantine(id, servers, first_crash_age_ms, now, effects);
         if self.is_coordinator || first_crash_age_ms.is_some() {
             self.send_quarantines(&self.known_peers(), now, effects);
         }
--- a/tests/fleet/crashing_parts.rs
+++ b/tests/fleet/crashing_parts.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use galenayard::core::fleet;
 use galenayard::core::fleet::call;
+use galenayard::core::fleet::refusal;
+use galenayard::core::fleet::servers;
 
 use super::FAST_DIGESTS;
 use super::ms;
@@ -164,3 +167,110 @@
         assert_sound_are_served(&world, ms(18_000), &format!("{instances} instances"));
     }
 }
+
+#[test]
+fn requests_in_quarantine_are_refused_at_once_before_anything_is_read_for_them() {
+    let mut world = World::new(6, FAST_DIGESTS, &super::world::servers());
+    send_sound(&mut world, 6, 8, ms(20_000));
+    world.run(ms(2_000));
+    send_crashing(&mut world, 6, CRASHING, 2.0, ms(16_000));
+    world.run(ms(24_000));
+    let is_late =
+        |record: &&Record| record.shared_parts.contains(&CRASHING) && record.arrived >= ms(10_000);
+    let late: Vec<_> = world.records.values().filter(is_late).collect();
+    assert!(late.len() >= 15, "{} requests", late.len());
+    for record in late {
+        let refusal = record.refused.expect("it is refused");
+        assert_eq!((refusal.reason, refusal.status()), (refusal::Reason::Quarantined, 503));
+        assert!(refusal.retry_after.is_some_and(|wait| wait > Duration::from_secs(3_000)));
+        assert_eq!(record.refused_at, Some(record.arrived));
+        assert_eq!((record.prefills, record.runs, record.ends), (0, 0, 1));
+    }
+}
+
+#[test]
+fn a_part_is_kept_from_servers_by_newer_instances_beside_older_ones() {
+    for older in [vec![0, 1, 2], vec![3, 4, 5], vec![1, 4]] {
+        let mut world = World::new(6, FAST_DIGESTS, &super::world::servers());
+        world.older = older.clone();
+        send_sound(&mut world, 6, 8, ms(26_000));
+        world.run(ms(2_000));
+        world.crashing_parts.push(CRASHING);
+        let newer: Vec<_> = (0..6).filter(|instance| !older.contains(instance)).collect();
+        for index in 0..40 {
+            let parts = vec![FIRST, CRASHING, 100 + index % 16];
+            let instance = newer[index as usize % newer.len()];
+            world.arrive_with_parts(ms(100 + index * 500), instance, parts);
+        }
+        world.run(ms(28_000));
+        assert_kept_from_servers(&world, CRASHING, &format!("{older:?} are older"));
+        assert_sound_are_served(&world, ms(18_000), &format!("{older:?} are older"));
+    }
+}
+
+#[test]
+fn instances_learn_of_a_quarantine_once_their_messages_pass_again() {
+    for muted in [vec![0], vec![0, 1, 2], vec![5]] {
+        let mut world = World::new(6, FAST_DIGESTS, &super::world::servers());
+        send_sound(&mut world, 6, 8, ms(26_000));
+        world.run(ms(2_000));
+        world.muted = muted.clone();
+        world.crashing_parts.push(CRASHING);
+        let others: Vec<_> = (0..6).filter(|instance| !muted.contains(instance)).collect();
+        for index in 0..12 {
+            let parts = vec![FIRST, CRASHING, 100 + index];
+            let instance = others[index as usize % others.len()];
+            world.arrive_with_parts(ms(100 + index * 500), instance, parts);
+        }
+        world.run(ms(8_000));
+        world.muted.clear();
+        world.run(CONTACT);
+        let crashes = world.crashes.len();
+        for index in 0..12 {
+            let parts = vec![FIRST, CRASHING, 200 + index];
+            world.arrive_with_parts(ms(index * 300), index as usize % 6, parts);
+        }
+        world.run(ms(8_000));
+        assert_eq!(world.crashes.len(), crashes, "{muted:?} could not hear the others");
+    }
+}
+
+#[test]
+fn a_quarantine_that_an_operator_lifts_is_tried_again_and_found_again() {
+    let mut world = World::new(6, FAST_DIGESTS, &super::world::servers());
+    send_sound(&mut world, 6, 8, ms(40_000));
+    world.run(ms(2_000));
+    send_crashing(&mut world, 6, CRASHING, 0.4, ms(34_000));
+    world.run(ms(14_000));
+    let crashes = world.crashes.len();
+    assert!((3..=5).contains(&crashes), "{crashes}");
+    let id = world.stored_quarantines[0].id();
+    world.apply_at(4, fleet::Event::QuarantineLifted(id));
+    world.run(ms(100));
+    assert!(world.stored_quarantines[0].is_lifted, "also in the store");
+    world.run(ms(22_000));
+    let again = world.crashes.len() - crashes;
+    assert!((3..=5).contains(&again), "{again} crashes more");
+}
+
+#[test]
+fn a_quarantine_ends_with_the_software_that_crashed() {
+    let mut world = World::new(6, FAST_DIGESTS, &super::world::servers());
+    send_sound(&mut world, 6, 8, ms(60_000));
+    world.run(ms(2_000));
+    send_crashing(&mut world, 6, CRASHING, 2.0, ms(8_000));
+    world.run(ms(12_000));
+    world.crashing_parts.clear();
+    for entry in world.running() {
+        let offset = entry.offset + 1_000;
+        let version = Some("v2".into());
+        let fixed = servers::Entry { offset, software_version: version, ..entry };
+        world.list(ms(0), servers::EntryChange::Put(fixed));
+    }
+    world.run(ms(32_000));
+    let parts = vec![FIRST, CRASHING];
+    world.arrive_with_parts(ms(0), 3, parts.clone());
+    world.run(ms(6_000));
+    let served = world.records.values().filter(|it| it.shared_parts == parts && it.finished);
+    assert_eq!(served.count(), 1);
+}
--- a/tests/fleet/world/crashes.rs
+++ b/tests/fleet/world/crashes.rs
@@ -42,6 +42,11 @@
             || self.crashing_parts.iter().any(|part| record.shared_parts.contains(part))
     }
 
+    /// Applies an event at an instance.
+    pub fn apply_at(&mut self, instance: usize, event: fleet::Event) {
+        self.apply(instance, event);
+    }
+
     /// Ends a server for a reason of its own.
     pub fn crash_server(&mut self, after: Duration, server: &str) {
         let server = Bytes::from(server.to_string());
