--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -98,7 +98,7 @@
 ];
 
 /// The pause between two requests that crash servers.
-const CRASHING_PAUSE: time::Duration = time::Duration::from_millis(400);
+const CRASHING_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// The time after which the entry of a server that has crashed is removed, and another one comes.
 const CRASHED_FOR: time::Duration = time::Duration::from_millis(1_500);
@@ -475,7 +475,9 @@
         self.crashing.drain(..).for_each(|caller| caller.abort());
         if !is_end {
             let seed = self.rng.random();
-            self.crashing.push(self.caller(seed, &CRASHING_KINDS, CRASHING_PAUSE));
+            let kind = self.rng.random_range(0..CRASHING_KINDS.len());
+            let kinds = &CRASHING_KINDS[kind..=kind];
+            self.crashing.push(self.caller(seed, kinds, CRASHING_PAUSE));
         }
         // Streams that are lost with their server are cut.
         for machine in 0..self.machines.len() {
