Check quarantines at each handover, and look for causes only after crashes

Found in the last reading: a prompt that waits for a decode server, or whose decode server has rejected it, was handed over without another look at the quarantines; the evidence was searched at each tick, however old; pauses were looked up for claims of other instances too. The tests of the virtual fleet pass before and after.

--- a/src/core/fleet/containment.rs
+++ b/src/core/fleet/containment.rs
@@ -55,6 +55,8 @@
     /// Crashes that this instance has observed, and the number of times that it has reported them.
     own_reports: Vec<(message::CrashReport, ids::Timestamp, u32)>,
     last_repeated: ids::Timestamp,
+    /// The time until which a survival may still clear a cause of the last crash.
+    undecided_until: ids::Timestamp,
     /// Whether the quarantines have changed since they were last written to the store.
     is_unstored: bool,
 }
@@ -161,11 +163,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(loss) = self.containment.losses.remove(life) else { return };
-        let survived: Vec<_> = loss.suspects.concat();
-        let mut survived: Vec<_> = survived
-            .into_iter()
-            .filter(|feature| self.containment.evidence.has_survived(*feature, now))
-            .collect();
+        let mut survived = loss.suspects.concat();
+        survived.retain(|feature| self.containment.evidence.has_survived(*feature, now));
         survived.sort_unstable();
         survived.dedup();
         let report = message::CrashReport {
@@ -204,6 +203,7 @@
         if !evidence.record_crash(life, crash, now) {
             return;
         }
+        self.containment.undecided_until = now + constants::CRASH_DECISION_PERIOD;
         // A survival before the crash does not clear of it, but shows that the feature is a common one.
         evidence.record_survival(&report.survived, ids::Timestamp::ZERO, now);
         effects.push(Effect::Log(decision::Decision::ServerCrashed {
@@ -278,7 +278,8 @@
             return self.log_quarantine_end(&lifted, now, effects);
         }
         self.log_quarantine(id, servers, first_crash_age_ms, now, effects);
-        if self.is_coordinator || first_crash_age_ms.is_some() {
+        let is_found_here = first_crash_age_ms.is_some();
+        if self.is_coordinator || is_found_here {
             self.send_quarantines(&self.known_peers(), now, effects);
         }
         self.refuse_quarantined(now, effects);
@@ -414,8 +415,9 @@
         for report in due {
             self.send_to_all(&message::Message::ServerCrashed(report), effects);
         }
-        // Survivals could still have cleared some causes when the last crash was reported.
-        self.find_cause(now, effects);
+        if now <= self.containment.undecided_until {
+            self.find_cause(now, effects);
+        }
         for ended in self.containment.quarantines.drop_ended(&self.servers, now) {
             self.containment.is_unstored = true;
             self.containment.evidence.forget(&ended.pattern);
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -201,10 +201,6 @@
         let Some(source) = self.servers.get(&at.server).map(|server| server.entry.address) else {
             return self.wait_again(request, now, effects);
         };
-        if let Some(refusal) = self.quarantine_refusal(request, now) {
-            self.release_kv_cache(request, source, handle, now, effects);
-            return self.refuse(request, refusal, now, effects);
-        }
         let reserved = at.decode_reservation.as_ref().map(|(decode, _)| decode);
         let reserved = reserved.and_then(|decode| self.servers.get(decode));
         let binding = self.requests.get(&request).map(|live| &live.claim.binding);
@@ -226,6 +222,10 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
+        if let Some(refusal) = self.quarantine_refusal(request, now) {
+            self.release_kv_cache(request, source, handle, now, effects);
+            return self.refuse(request, refusal, now, effects);
+        }
         let Some(live) = self.requests.get(&request) else { return };
         let is_reserved = reserved.is_some();
         let found = reserved.or_else(|| {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -181,8 +181,9 @@
         if !self.has_generator(claim, now) {
             return Some(self.jittered(time::Duration::ZERO));
         }
-        let is_local = matches!(waiter, Waiter::Local(_));
-        if let Some(pause) = self.pause_of_all(claim, now).filter(|_| is_local) {
+        if matches!(waiter, Waiter::Local(_))
+            && let Some(pause) = self.pause_of_all(claim, now)
+        {
             return Some(pause.max(constants::MIN_RETRY_AFTER));
         }
         let remaining = claim.begin_by.saturating_sub(now);
