Let only servers that run clear or convict a feature that was survived before

By reading: a request that many callers send, which all servers of its service were lost with one after the other, would have been its own accuser 2 s later, although no server ran that could have cleared it.

The 2 s count from the first survival of any request at the service since the crash. The unit test on features that were survived before is stricter: it asks for no cause while nothing runs, and for none by another service's survival.

--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -149,9 +149,12 @@
 /// The maximum number of requests in the report of a crash, to keep the datagram short.
 pub const MAX_SUSPECTS_PER_REPORT: usize = 16;
 
-/// The time after the report of a crash in which its cause may be found: longer than survivals take to
-/// clear a feature.
-pub const CRASH_DECISION_PERIOD: time::Duration = time::Duration::from_secs(4);
+/// The time after the report of a crash in which its cause may be found: servers return after some
+/// seconds, and survivals take some more to clear a feature.
+pub const CRASH_DECISION_PERIOD: time::Duration = time::Duration::from_secs(20);
+
+/// The interval at which causes are searched for without a new report.
+pub const CAUSE_SEARCH_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// The interval at which the report of a crash is repeated, as datagrams get lost.
 pub const CRASH_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(400);
--- a/src/core/fleet/containment.rs
+++ b/src/core/fleet/containment.rs
@@ -55,8 +55,9 @@
     /// Crashes that this instance has observed, and the number of times that it has reported them.
     own_reports: Vec<(message::CrashReport, ids::Timestamp, u32)>,
     last_repeated: ids::Timestamp,
-    /// The time until which a survival may still clear a cause of the last crash.
+    /// The time until which a cause of the last crashes may still be found.
     undecided_until: ids::Timestamp,
+    last_search: ids::Timestamp,
     /// Whether the quarantines have changed since they were last written to the store.
     is_unstored: bool,
 }
@@ -196,6 +197,7 @@
             service: report.service.clone(),
             software_version: report.software_version.clone(),
             suspects: report.suspects.clone(),
+            outlived: None,
         };
         let names = crash.suspects.concat().into_iter().map(crashes::Feature::name);
         let names = names.take(constants::MAX_SUSPECTS_PER_REPORT).collect();
@@ -230,6 +232,7 @@
             return;
         }
         let evidence = &mut self.containment.evidence;
+        evidence.record_service(&live.claim.service, at.sent, now);
         let cleared = evidence.record_survival(&live.features(), at.sent, now);
         if !cleared.is_empty() {
             let age_ms = waiting::millis(now.saturating_sub(at.sent));
@@ -415,7 +418,9 @@
         for report in due {
             self.send_to_all(&message::Message::ServerCrashed(report), effects);
         }
-        if now <= self.containment.undecided_until {
+        let is_search_due = now >= self.containment.last_search + constants::CAUSE_SEARCH_INTERVAL;
+        if is_search_due && now <= self.containment.undecided_until {
+            self.containment.last_search = now;
             self.find_cause(now, effects);
         }
         for ended in self.containment.quarantines.drop_ended(&self.servers, now) {
--- a/src/core/fleet/crashes.rs
+++ b/src/core/fleet/crashes.rs
@@ -29,8 +29,8 @@
 /// The same for a feature that servers have survived before.
 const MIN_EPISODES_OF_SURVIVED: usize = 3;
 
-/// The time in which servers that survive a feature after a crash have shown it, for a feature that
-/// they have survived before.
+/// The time after the first survival of any request since a crash in which servers have shown that they
+/// survive a feature, if they have survived it before.
 const SURVIVAL_DELAY: time::Duration = time::Duration::from_millis(2_000);
 
 /// The time for which it is remembered that servers have survived a feature.
@@ -106,6 +106,8 @@
     pub software_version: Option<servers::SoftwareVersion>,
     /// The requests that may have caused it.
     pub suspects: Vec<Suspect>,
+    /// When it was first observed that a server of the service has survived a later request.
+    pub outlived: Option<ids::Timestamp>,
 }
 
 impl Crash {
@@ -182,6 +184,20 @@
         is_new
     }
 
+    /// Records that a server of a service has survived some request that started at `started`.
+    pub fn record_service(
+        &mut self,
+        service: &catalog::ServiceId,
+        started: ids::Timestamp,
+        now: ids::Timestamp,
+    ) {
+        for crash in self.crashes.values_mut() {
+            if crash.service == *service && crash.at < started {
+                crash.outlived.get_or_insert(now);
+            }
+        }
+    }
+
     /// Records that a server has survived a request that started at `started`; returns the features
     /// that this clears of crashes.
     pub fn record_survival(
@@ -275,13 +291,14 @@
     /// Returns whether a feature is the cause of crashes that no survival clears it of.
     fn is_cause(&self, feature: Feature, crashes: &[Observed<'_>], now: ids::Timestamp) -> bool {
         let has_survived = self.has_survived(feature, now);
-        let (min_age, min_episodes) = if has_survived {
-            (SURVIVAL_DELAY, MIN_EPISODES_OF_SURVIVED)
-        } else {
-            (time::Duration::ZERO, MIN_EPISODES)
+        let min_episodes = if has_survived { MIN_EPISODES_OF_SURVIVED } else { MIN_EPISODES };
+        // While no server of the service runs, no request can clear a feature.
+        let is_decided = |crash: &Crash| {
+            let outlived = crash.outlived.map(|at| now.saturating_sub(at));
+            !has_survived || outlived.is_some_and(|elapsed| elapsed >= SURVIVAL_DELAY)
         };
-        let ages = crashes.iter().map(|(_, crash)| crash.at);
-        let mut times: Vec<_> = ages.filter(|at| now.saturating_sub(*at) >= min_age).collect();
+        let decided = crashes.iter().filter(|(_, crash)| is_decided(crash));
+        let mut times: Vec<_> = decided.map(|(_, crash)| crash.at).collect();
         times.sort_unstable();
         let mut episodes = 0;
         let mut last: Option<ids::Timestamp> = None;
--- a/src/core/fleet/crashes/tests.rs
+++ b/src/core/fleet/crashes/tests.rs
@@ -17,6 +17,7 @@
         service: "llm".into(),
         software_version: Some("v1".into()),
         suspects: suspects.collect(),
+        outlived: None,
     };
     let life = (ids::ServerId::from(server.to_string()), 1);
     evidence.record_crash(life, crash, ms(at_ms))
@@ -77,7 +78,12 @@
         crash(&mut evidence, server, at_ms, &[&[7]]);
     }
     assert_eq!(pattern(&evidence, &[], 10_800), None);
-    assert_eq!(pattern(&evidence, &[], 12_900), Some(vec![part(7)]));
+    assert_eq!(pattern(&evidence, &[], 19_000), None, "no server may have run since");
+    evidence.record_service(&"desk".into(), ms(14_000), ms(15_000));
+    assert_eq!(pattern(&evidence, &[], 19_000), None, "that is another service");
+    evidence.record_service(&"llm".into(), ms(14_000), ms(15_000));
+    assert_eq!(pattern(&evidence, &[], 16_900), None, "others were survived just now");
+    assert_eq!(pattern(&evidence, &[], 17_000), Some(vec![part(7)]));
 }
 
 #[test]
@@ -137,6 +143,7 @@
             service: "llm".into(),
             software_version: None,
             suspects: vec![same.clone()],
+            outlived: None,
         };
         evidence.record_crash((ids::ServerId::from(server), 1), crash, ms(at_ms));
     }
--- a/tests/fleet/crashing_requests.rs
+++ b/tests/fleet/crashing_requests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use galenayard::core::fleet::refusal;
+
 use super::FAST_DIGESTS;
 use super::ms;
 use super::world::Record;
@@ -133,3 +135,30 @@
         assert!(late.count() >= 10 && refused == 0, "{case}: {refused} refused");
     }
 }
+
+#[test]
+fn a_popular_request_is_not_refused_after_the_loss_of_all_its_servers() {
+    for instances in [1, 6, 24] {
+        let mut world = World::new(instances, FAST_DIGESTS, &super::world::servers());
+        send_sound(&mut world, instances, 400, ms(20_000));
+        world.run(ms(2_000));
+        for round in 0..2 {
+            for server in ["desk-0", "desk-1", "desk-2"] {
+                let running = world.running();
+                let name = running.iter().find(|entry| entry.id.starts_with(server.as_bytes()));
+                let name = name.map(|entry| String::from_utf8_lossy(&entry.id).into_owned());
+                let pause = ms(300 * u64::from(server.as_bytes()[5] - b'0'));
+                world.crash_server(pause, &name.unwrap_or_default());
+            }
+            world.run(ms(7_000 + round));
+        }
+        world.run(ms(8_000));
+        assert_eq!(world.crashes.len(), 6);
+        let is_refused = |record: &&Record| {
+            record.refused.is_some_and(|it| it.reason == refusal::Reason::Quarantined)
+        };
+        let refused = world.records.values().filter(is_refused).count();
+        assert_eq!(refused, 0, "{instances} instances");
+        assert_sound_are_served(&world, ms(16_000), &format!("{instances} instances"));
+    }
+}
