Simplify the framing of answers, the search for pauses and the payment of retries

Behaviour stays as it is. The framing of an answer had two functions, one of which only called the other; time and budget of a retry were checked by the same pair of calls at two places; each request looked at all servers of its service for pauses, although the first one without ends the search. Two constants need not be public.

--- a/src/core/fleet/crashes.rs
+++ b/src/core/fleet/crashes.rs
@@ -17,7 +17,7 @@
 pub const CRASH_DELAY: time::Duration = time::Duration::from_secs(1);
 
 /// The number of crashes from which on a feature counts as their cause.
-pub const MIN_CRASHES: usize = 3;
+const MIN_CRASHES: usize = 3;
 
 /// Crashes of servers within this time may have a common cause outside of the requests, such as the
 /// loss of a machine; they count as one episode.
--- a/src/core/fleet/notices.rs
+++ b/src/core/fleet/notices.rs
@@ -76,15 +76,20 @@
         claim: &claim::Claim,
         now: ids::Timestamp,
     ) -> Option<time::Duration> {
-        let generators = self
+        let mut generators = self
             .servers
             .of_service(&claim.service)
             .filter(|server| server.is_available(now))
             .filter(|server| server.entry.stage != Some(servers::Stage::Prefill))
             .filter(|server| claim.binding.allows(server))
             .filter(|server| !claim.tried.contains(&server.entry.id));
-        let pause = generators.map(|server| server.pause(now)).min()?;
-        (!pause.is_zero()).then_some(pause)
+        // Mostly the first server has asked for none, which ends the search.
+        let first = generators.next()?.pause(now);
+        generators
+            .try_fold(first, |shortest, server| {
+                (!shortest.is_zero()).then(|| shortest.min(server.pause(now)))
+            })
+            .filter(|pause| !pause.is_zero())
     }
 
     /// Notes that a server leaves; returns whether that is new.
@@ -111,10 +116,10 @@
         claim: &claim::Claim,
         now: ids::Timestamp,
     ) -> Vec<ids::ServerId> {
-        let is_new = |server: &&servers::Server| !claim.tried.contains(&server.entry.id);
-        let servers = self.servers.of_service(&claim.service).filter(is_new);
+        let servers = self.servers.of_service(&claim.service);
         let unwilling = servers.filter(|server| !server.is_willing(now));
-        let unwilling = unwilling.map(|server| server.entry.id.clone());
-        claim.tried.iter().cloned().chain(unwilling).collect()
+        let unwilling = unwilling.map(|server| &server.entry.id);
+        let unwilling = unwilling.filter(|server| !claim.tried.contains(server));
+        claim.tried.iter().chain(unwilling).cloned().collect()
     }
 }
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -393,7 +393,7 @@
             Step::Decode { .. } => 1,
             Step::Run | Step::Resume | Step::Prefill => self.max_repeats_of_retry(request),
         };
-        if self.can_retry(request, now) && self.pay_for_repeats(request, repeats, now) {
+        if self.pay_for_retry(request, repeats, now) {
             return self.retry_not_run(request, at, now, effects);
         }
         self.refuse_unserved(request, now, effects);
@@ -408,16 +408,22 @@
         effects: &mut Vec<Effect>,
     ) {
         let repeats = self.max_repeats_of_retry(request);
-        if self.can_retry(request, now) && self.pay_for_repeats(request, repeats, now) {
+        if self.pay_for_retry(request, repeats, now) {
             return self.retry_elsewhere(request, at, now, effects);
         }
         self.refuse_unserved(request, now, effects);
     }
 
-    fn can_retry(&self, request: call::RequestNumber, now: ids::Timestamp) -> bool {
-        self.requests.get(&request).is_some_and(|live| {
-            live.expires > now + MIN_RETRY_TIME && live.can_try_another_server()
-        })
+    /// Pays for the repeats of a retry; returns whether they are paid and there is time for it.
+    fn pay_for_retry(
+        &mut self,
+        request: call::RequestNumber,
+        repeats: u32,
+        now: ids::Timestamp,
+    ) -> bool {
+        let Some(live) = self.requests.get(&request) else { return false };
+        let has_time = live.expires > now + MIN_RETRY_TIME;
+        has_time && live.can_try_another_server() && self.pay_for_repeats(request, repeats, now)
     }
 
     fn max_repeats_of_retry(&self, request: call::RequestNumber) -> u32 {
--- a/src/core/fleet/quarantine.rs
+++ b/src/core/fleet/quarantine.rs
@@ -8,7 +8,7 @@
 use crate::core::ids;
 
 /// The time after which a pattern is tried again, also at unchanged servers.
-pub const MAX_AGE: time::Duration = time::Duration::from_secs(3_600);
+const MAX_AGE: time::Duration = time::Duration::from_secs(3_600);
 
 /// The time without a server of an affected software version after which a pattern is dropped: some
 /// servers may only be about to return.
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -134,9 +134,13 @@
         Err(reason) => return context.refuse_unreadable(&head, reason),
     };
     let target = head.uri.path_and_query().map_or("", |target| target.as_str());
-    let parts = [head.method.as_str(), &call.host, target].map(str::as_bytes);
-    let [method, host, target] = parts;
-    call.content = Some(call::content_digest(&[method, host, target, &body]));
+    let method = head.method.as_str();
+    call.content = Some(call::content_digest(&[
+        method.as_bytes(),
+        call.host.as_bytes(),
+        target.as_bytes(),
+        &body,
+    ]));
     let (request, mailbox) = context.open_mailbox();
     let guard = RequestGuard { context: rc::Rc::clone(&context), request, has_ended: false };
     let task = Task {
@@ -276,7 +280,7 @@
                 Ok(first) => first,
                 Err(fault) => return self.unreadable(dispatch, fault),
             };
-            if first.is_empty() && framing(&head) == decision::Framing::ConnectionClose {
+            if first.is_empty() && framing(&head.headers) == decision::Framing::ConnectionClose {
                 return lost;
             }
             let (server, relayed) = (dispatch.server.clone(), Relayed::Events);
@@ -441,8 +445,7 @@
 
     fn finish(mut self, response: http::Response<Bytes>) -> Response {
         let status = response.status().as_u16();
-        let is_end_marked =
-            response_framing(response.headers()) != decision::Framing::ConnectionClose;
+        let is_end_marked = framing(response.headers()) != decision::Framing::ConnectionClose;
         self.report_outcome(fleet::Outcome::Finished { status, is_end_marked });
         self.guard.has_ended = true;
         self.to_caller_response(response)
@@ -470,7 +473,7 @@
         let mut stream = Some(first);
         while let Some(current) = stream.take() {
             self.report_outcome(fleet::Outcome::Started);
-            let (server, framing) = (current.server.clone(), framing(&current.head));
+            let (server, framing) = (current.server.clone(), framing(&current.head.headers));
             let end = self.relay_events(current, &chunks).await;
             self.log_stream_end(&server, framing, end);
             match end {
@@ -554,7 +557,7 @@
     async fn relay_bytes(mut self, stream: Stream, chunks: tokio::sync::mpsc::Sender<body::Chunk>) {
         self.report_outcome(fleet::Outcome::Started);
         let status = stream.head.status.as_u16();
-        let (server, framing) = (stream.server.clone(), framing(&stream.head));
+        let (server, framing) = (stream.server.clone(), framing(&stream.head.headers));
         let end = self.relay_body(stream, &chunks).await;
         self.log_stream_end(&server, framing, end);
         match end {
@@ -577,7 +580,7 @@
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
     ) -> decision::StreamEnd {
         let Stream { server, head, mut body, first, connection: _connection, .. } = stream;
-        let max_bytes = match framing(&head) {
+        let max_bytes = match framing(&head.headers) {
             decision::Framing::Length => usize::MAX,
             decision::Framing::Chunked | decision::Framing::ConnectionClose => {
                 self.guard.context.memory.max_unframed_bytes()
@@ -691,15 +694,11 @@
 fn is_event_stream(head: &http::response::Parts) -> bool {
     let content_type = head.headers.get(http::header::CONTENT_TYPE);
     content_type.is_none_or(|it| it.as_bytes().starts_with(EVENT_STREAM_TYPE))
-        || framing(head) == decision::Framing::ConnectionClose
+        || framing(&head.headers) == decision::Framing::ConnectionClose
 }
 
 /// Returns how the server marks the end of a response.
-fn framing(head: &http::response::Parts) -> decision::Framing {
-    response_framing(&head.headers)
-}
-
-fn response_framing(headers: &http::HeaderMap) -> decision::Framing {
+fn framing(headers: &http::HeaderMap) -> decision::Framing {
     if headers.contains_key(http::header::TRANSFER_ENCODING) {
         decision::Framing::Chunked
     } else if headers.contains_key(http::header::CONTENT_LENGTH) {
