Let a caller that has just connected send its request when a stop closes connections

Cause: connections that are idle when an instance stops taking any are closed at once. One that was accepted in the same moment counts as idle although its caller is about to send, so that the request meets a closed connection. A connection without a request now has 250 ms to send its first one, which is answered and closes it.

Ruled out: requests that were read and dropped. The new test takes the only path by which a caller can have sent and read an empty answer, deterministically; it fails without the change (empty response).

--- a/src/router/callers.rs
+++ b/src/router/callers.rs
@@ -14,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
+use tokio::sync;
 
 use crate::core::fleet;
 use crate::core::fleet::decision;
@@ -43,6 +44,10 @@
 /// How often it checks for the configuration in that time.
 const CONFIGURATION_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
+/// How long a connection without a request may still send its first one once the instance takes no
+/// more connections. A caller that has just connected has its request on the way.
+const FIRST_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
 /// The delay after a connection could not be accepted: file descriptors may be free again by then.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -119,7 +124,10 @@
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle);
     let shared = rc::Rc::clone(&context);
+    let first_request = rc::Rc::new(sync::Notify::new());
+    let received = rc::Rc::clone(&first_request);
     let service = service::service_fn(move |request| {
+        received.notify_one();
         let context = rc::Rc::clone(&shared);
         async move { Ok::<_, convert::Infallible>(serve_request(context, request).await) }
     });
@@ -130,9 +138,15 @@
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut closing = context.closing.subscribe();
+    let may_close = async {
+        // The sender lives as long as the context.
+        let _ = closing.wait_for(|is_closing| *is_closing).await;
+        // A connection that stays silent is closed all the same.
+        let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, first_request.notified()).await;
+    };
     let served = tokio::select! {
         served = connection.as_mut() => served,
-        _ = closing.wait_for(|is_closing| *is_closing) => {
+        () = may_close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -64,3 +64,38 @@
         assert_eq!(cut.get(), 0, "connections closed without an answer");
     });
 }
+
+#[test]
+fn a_caller_that_connects_just_before_the_stop_gets_its_answer() {
+    run(async {
+        let (callers, context) = start(&[slow_server().await]).await;
+        let mut stream = tokio::net::TcpStream::connect(callers).await.expect("it listens");
+        while context.caller_connections.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        context.closing.send_replace(true);
+        // The request is on its way while the instance stops taking connections.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        stream.write_all(request("order").as_bytes()).await.expect("the connection is open");
+        let mut response = Vec::new();
+        stream.read_to_end(&mut response).await.expect("the response ends with the connection");
+        let response = String::from_utf8_lossy(&response);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    });
+}
+
+#[test]
+fn a_connection_that_stays_silent_does_not_hold_up_the_stop() {
+    run(async {
+        let (callers, context) = start(&[slow_server().await]).await;
+        let mut stream = tokio::net::TcpStream::connect(callers).await.expect("it listens");
+        while context.caller_connections.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        stop::drain(&context, GRACE).await;
+        assert_eq!(context.caller_connections.get(), 0, "open connections");
+        let mut response = Vec::new();
+        stream.read_to_end(&mut response).await.expect("the connection is closed");
+        assert!(response.is_empty());
+    });
+}
