Keep a server that drains unused whatever older copy of the store a peer reads

Cause: an instance that starts after the store was restored from a copy reads a server's entry from before it drained, at a position of the new era, and sends it to its peers as any change. Only an instance that reads the restore itself knew that what it had is newer.

Ruled out: comparing positions within the copy, as a peer that has not read the new era cannot know where the copy ends. Draining is final for one life of a server (its id and start), so it is remembered by life beyond the removal of its entry, as what servers state in answers is. A removal alone stays no proof: a live server's entry lapses too.

--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -214,6 +214,11 @@
 impl Directory {
     /// Applies a change; returns whether the view of the server changed.
     pub fn apply(&mut self, change: EntryChange, source: Source, now: ids::Timestamp) -> bool {
+        if let EntryChange::Put(entry) = &change
+            && entry.is_draining
+        {
+            self.remember_draining(entry, now);
+        }
         match change {
             EntryChange::Put(entry) if source == Source::Restored => self.restore(entry, now),
             EntryChange::Put(entry) => self.insert(entry, now),
--- a/src/core/fleet/servers/closures.rs
+++ b/src/core/fleet/servers/closures.rs
@@ -1,4 +1,4 @@
-//! The servers that have stated in answers that they leave, or that they want a pause.
+//! The servers that have stated that they leave, or in answers that they want a pause.
 
 use std::time;
 
@@ -60,6 +60,15 @@
         !closure.is_leaving
     }
 
+    /// Notes that an entry states that its server drains. An entry of the same life that does not is
+    /// from an older copy of the store, even if its position is higher.
+    pub(super) fn remember_draining(&mut self, entry: &servers::Entry, now: ids::Timestamp) {
+        // Without the start of its process, the next incarnation could not be told apart.
+        if entry.born_ms != 0 {
+            self.mark_leaving(&entry.id, entry.born_ms, now);
+        }
+    }
+
     /// Pauses a server for requests of this instance until a time, unless a longer pause holds.
     pub fn pause(
         &mut self,
--- a/src/core/fleet/servers/tests.rs
+++ b/src/core/fleet/servers/tests.rs
@@ -222,3 +222,36 @@
     directory.apply(restored(false, 6), Source::Restored, now);
     assert!(!directory.get(&id).expect("it is listed").is_usable(now));
 }
+
+#[test]
+fn an_older_copy_that_a_peer_reads_does_not_make_a_drained_server_usable_again() {
+    let now = time::Duration::ZERO;
+    let id = Bytes::from_static(b"one");
+    let in_copy = || {
+        let offset = ids::store_position(1, 3);
+        EntryChange::Put(entry(Bytes::from_static(b"one"), false, offset))
+    };
+    let draining = || EntryChange::Put(entry(Bytes::from_static(b"one"), true, 9));
+    let removed = EntryChange::Removed { id: Bytes::from_static(b"one"), offset: 10 };
+    let uses = |directory: &Directory| directory.get(&id).is_some_and(|it| it.is_usable(now));
+
+    // A peer that starts after the restore sends what it has read, as any other change.
+    for source in [Source::Steady, Source::AfterOutage] {
+        let mut drains = Directory::default();
+        drains.apply(put("one", Some("v1"), 8), Source::Steady, now);
+        drains.apply(draining(), Source::Steady, now);
+        drains.apply(in_copy(), source, now);
+        assert!(!uses(&drains), "it drains");
+
+        let mut has_left = Directory::default();
+        has_left.apply(draining(), Source::Steady, now);
+        has_left.apply(removed.clone(), Source::Steady, now);
+        has_left.apply(in_copy(), source, now);
+        assert!(!uses(&has_left), "it has left");
+
+        let offset = ids::store_position(1, 4);
+        let restarted = Entry { born_ms: 2, ..entry(id.clone(), false, offset) };
+        has_left.apply(EntryChange::Put(restarted), source, now);
+        assert!(uses(&has_left), "its next incarnation is ready");
+    }
+}
