Know a process that starts after its machine's time of day has jumped back

Cause: of two incarnations at an address the one with the later start in Unix time counted as the newer. Where the time of day jumps back before a process starts again, coordinators ignored its digests until its predecessor was forgotten, 20 s later, and all others ignored what coordinators observed of it: its load, its spending and its readiness were missing from the fleet's view.

Ruled out: trusting the later digest alone, as a delayed datagram of the ended process would bring it back. Digests name the age of their process, which no clock jump changes: the younger process is the newer one. Observations by coordinators go by the last sign of life. Listings of the store show none and are compared by their start as before; a listing never replaces a member that shows life. Ranks still use the start in Unix time, one fixed number for a process, so all agree.

Left: the age of the spending history and of stored quarantines goes by the time of day of writer and reader.

--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -107,6 +107,8 @@
     discovered: ids::Timestamp,
     /// When a change was last noticed that coordinators report to all instances.
     last_changed: ids::Timestamp,
+    /// The time since the start of the process, at its last digest.
+    uptime: time::Duration,
     sequence: u64,
     version: u64,
     servers_position: ids::StorePosition,
@@ -130,17 +132,17 @@
 }
 
 impl Peers {
-    /// Adds a member listed by the store or observed by a peer. A newer incarnation at an address
-    /// replaces the older one only once its digest or an observation of it arrives; an older
-    /// incarnation than a known one is ignored.
+    /// Adds a member listed by the store or named by a peer, which shows no sign of life of it. A newer
+    /// incarnation at an address replaces the older one only once its digest or an observation of
+    /// it arrives; an older incarnation than a known one is ignored.
     pub fn discover(&mut self, member: &Member, now: ids::Timestamp) {
-        let is_newer = |peer: &Peer| {
-            peer.member.peer_address == member.peer_address
-                && peer.member.started_unix_ms > member.started_unix_ms
-        };
-        if self.peers.values().any(is_newer) {
-            return;
+        let is_newer = |peer: &Peer| peer.member.started_unix_ms > member.started_unix_ms;
+        if !self.others_at(member).any(is_newer) {
+            self.insert(member, now);
         }
+    }
+
+    fn insert(&mut self, member: &Member, now: ids::Timestamp) {
         self.peers.entry(member.incarnation).or_insert_with(|| Peer {
             member: member.clone(),
             last_received: None,
@@ -148,6 +150,7 @@
             reported_lost: None,
             discovered: now,
             last_changed: now,
+            uptime: time::Duration::ZERO,
             sequence: 0,
             version: 0,
             servers_position: 0,
@@ -156,13 +159,28 @@
         });
     }
 
+    /// Returns the other incarnations at the address of a member.
+    fn others_at(&self, member: &Member) -> impl Iterator<Item = &Peer> {
+        let (incarnation, address) = (member.incarnation, member.peer_address);
+        let others = self.peers.values();
+        others.filter(move |peer| {
+            peer.member.incarnation != incarnation && peer.member.peer_address == address
+        })
+    }
+
     /// Applies a digest; returns `None` if it is outdated.
     pub fn receive_digest(
         &mut self,
         digest: &Digest,
         now: ids::Timestamp,
     ) -> Option<ReceivedDigest> {
-        self.discover(&digest.from, now);
+        let uptime = time::Duration::from_millis(digest.uptime_ms);
+        // The time of day may have jumped between two starts at an address, their ages cannot.
+        let is_younger = |peer: &Peer| peer.age(now).is_some_and(|age| age < uptime);
+        if self.others_at(&digest.from).any(is_younger) {
+            return None;
+        }
+        self.insert(&digest.from, now);
         let peer = self.peers.get_mut(&digest.from.incarnation)?;
         if peer.last_received.is_some() && digest.sequence <= peer.sequence {
             return None;
@@ -174,6 +192,7 @@
             peer.last_changed = now;
         }
         peer.last_received = Some(now);
+        peer.uptime = uptime;
         peer.sequence = digest.sequence;
         peer.version = digest.version;
         peer.member = digest.from.clone();
@@ -181,16 +200,20 @@
         peer.is_coordinator = digest.is_coordinator;
         peer.reads_store = digest.reads_store;
         if is_first {
-            self.replace_older(digest.from.incarnation, digest.from.peer_address);
+            self.replace_others(&digest.from);
         }
         Some(ReceivedDigest { is_first, is_returning })
     }
 
     /// Applies a coordinator's observation of a member.
     pub fn observe(&mut self, observation: &Observation, now: ids::Timestamp) {
-        self.discover(&observation.member, now);
-        let Some(peer) = self.peers.get_mut(&observation.member.incarnation) else { return };
         let at = now.saturating_sub(time::Duration::from_millis(observation.age_ms));
+        let is_later = |peer: &Peer| peer.last_activity().is_some_and(|activity| activity >= at);
+        if self.others_at(&observation.member).any(is_later) {
+            return;
+        }
+        self.insert(&observation.member, now);
+        let Some(peer) = self.peers.get_mut(&observation.member.incarnation) else { return };
         if peer.last_observed.is_some_and(|observed| observed >= at) {
             return;
         }
@@ -199,20 +222,19 @@
             peer.member = observation.member.clone();
         }
         if is_first {
-            let address = observation.member.peer_address;
-            self.replace_older(observation.member.incarnation, address);
+            self.replace_others(&observation.member);
         }
     }
 
-    /// Removes the incarnations at an address that started earlier than the given one.
-    fn replace_older(&mut self, incarnation: ids::Incarnation, address: net::SocketAddr) {
-        let Some(started) = self.peers.get(&incarnation).map(|it| it.member.started_unix_ms) else {
-            return;
-        };
-        self.peers.retain(|known, peer| {
-            *known == incarnation
-                || peer.member.peer_address != address
-                || peer.member.started_unix_ms > started
+    /// Removes the other incarnations at the address of a member with a sign of life, unless they were
+    /// only listed, as ones that started later.
+    fn replace_others(&mut self, member: &Member) {
+        self.peers.retain(|incarnation, peer| {
+            let is_listed_later = peer.last_activity().is_none()
+                && peer.member.started_unix_ms > member.started_unix_ms;
+            *incarnation == member.incarnation
+                || peer.member.peer_address != member.peer_address
+                || is_listed_later
         });
     }
 
@@ -438,6 +460,11 @@
         now.saturating_sub(last_observed) <= constants::OBSERVATION_VALIDITY && !is_lost
     }
 
+    /// Returns the time since the start of the process, as far as its digests tell.
+    fn age(&self, now: ids::Timestamp) -> Option<time::Duration> {
+        Some(self.uptime + now.saturating_sub(self.last_received?))
+    }
+
     fn last_activity(&self) -> Option<ids::Timestamp> {
         self.last_received.max(self.last_observed)
     }
@@ -447,3 +474,6 @@
         Observation { member: self.member.clone(), age_ms }
     }
 }
+
+#[cfg(test)]
+mod tests;
