Choose decode servers by the time that streams take there

Change: an engine's time for streams is learned relative to the usual one of its service, and counts in the choice of the decode server beside its free KV cache. Knowledge loses its weight with time, so that an engine that was slow is tried again.

On the large consortium engines are at 30 % outside of bursts.

--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -498,7 +498,7 @@
                     if evidence == servers::Evidence::Answered {
                         self.servers.record_answered(&server);
                         let elapsed = time::Duration::from_millis(elapsed_ms);
-                        self.servers.record_work(&server, elapsed);
+                        self.servers.record_work(&server, elapsed, now);
                     }
                 }
             }
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -135,6 +135,16 @@
 /// fill evenly.
 pub const FULL_KV_CACHE_PENALTY_MS: f64 = 200.0;
 
+/// The penalty of a decode server at which streams take twice the usual time: it gets streams once
+/// the KV cache of the others is half full.
+pub const SLOW_STREAM_PENALTY_MS: f64 = 100.0;
+
+/// The excess over the usual time of streams above which a decode server is not avoided more.
+pub const MAX_PACE_EXCESS: f64 = 2.0;
+
+/// The time after which the pace of a server without completed streams counts half.
+pub const PACE_HALF_LIFE: time::Duration = time::Duration::from_secs(20);
+
 /// The part of a request's expected output that counts as KV cache: requests of different age share
 /// an engine, and half of their output is there on average.
 pub const OUTPUT_KV_CACHE_SHARE: f64 = 0.7;
--- a/src/core/fleet/estimate.rs
+++ b/src/core/fleet/estimate.rs
@@ -25,6 +25,11 @@
         self.deviation_ms += SMOOTHING * (difference_ms.abs() - self.deviation_ms);
     }
 
+    /// Returns the mean duration.
+    pub fn mean_ms(&self) -> f64 {
+        self.mean_ms
+    }
+
     /// Returns a duration that most requests do not exceed: the mean plus the mean deviation.
     pub fn upper_ms(&self) -> f64 {
         self.mean_ms + self.deviation_ms
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -169,7 +169,7 @@
             Outcome::Prefilled { .. } => {
                 self.servers.record_prefill(&at.server, at.queued_prefill_tokens, elapsed);
             }
-            Outcome::Finished { .. } => self.servers.record_work(&at.server, elapsed),
+            Outcome::Finished { .. } => self.servers.record_work(&at.server, elapsed, now),
             _ => {}
         }
         let Some(evidence) = evidence(outcome) else { return };
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -241,12 +241,13 @@
 }
 
 /// Returns the decode server for a handover: the one with the lowest cost by its free KV cache,
-/// prefill backlog and penalties.
+/// prefill backlog, pace and penalties.
 pub fn best_decode_server(
     directory: &servers::Directory,
     engine: catalog::EngineShape,
     query: Query<'_>,
 ) -> Option<ids::ServerId> {
+    let usual_stream_ms = directory.usual_stream_ms(&query.claim.service);
     directory
         .of_service(&query.claim.service)
         .filter(|server| server.entry.stage == Some(servers::Stage::Decode))
@@ -257,7 +258,9 @@
                 let load = server.load();
                 let taken = f64::from(load.memory_tokens) / f64::from(engine.memory_tokens.max(1));
                 let prefill_ms = f64::from(load.tokens_to_prefill) / server.tokens_per_ms;
-                taken * constants::FULL_KV_CACHE_PENALTY_MS + prefill_ms + query.penalty_ms(server)
+                let pace_ms = server.pace_penalty_ms(usual_stream_ms, query.now);
+                let taken_ms = taken * constants::FULL_KV_CACHE_PENALTY_MS;
+                taken_ms + prefill_ms + pace_ms + query.penalty_ms(server)
             };
             let is_due = |server: &servers::Server| server.is_due_for_trickle(query.now);
             is_due(other).cmp(&is_due(one)).then(cost(one).total_cmp(&cost(other)))
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -13,6 +13,7 @@
 
 mod closures;
 mod limits;
+mod pace;
 
 pub mod entry;
 
@@ -83,6 +84,8 @@
     pub tokens_per_ms: f64,
     /// The time that a plain request takes, in milliseconds, learned from completed requests.
     pub work_ms: f64,
+    /// The time that streams take, learned from completed ones.
+    pace: Option<pace::Pace>,
     /// Whether an answer of it was received since this instance has started.
     has_answered: bool,
     /// The answers that show whether it names a rate limit.
@@ -116,6 +119,7 @@
             failure_updated: ids::Timestamp::ZERO,
             tokens_per_ms,
             work_ms: constants::INITIAL_PLAIN_WORK_MS,
+            pace: None,
             has_answered: false,
             limit: server_limits::Evidence::default(),
             limit_changed: ids::Timestamp::ZERO,
@@ -202,6 +206,8 @@
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
+    /// The time that streams take at the engines of a service.
+    stream_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
     /// The software versions of servers that were removed or replaced.
     former_versions: streams::RecentVersions,
     /// The position from which on all removals are remembered; `None` before the first complete
@@ -567,9 +573,17 @@
         self.prefill_times.get(service).map_or(assumed_ms, |it| it.upper_ms().max(assumed_ms))
     }
 
-    /// Updates the time that a plain request takes at a server.
-    pub fn record_work(&mut self, id: &ids::ServerId, elapsed: time::Duration) {
+    /// Updates the time that a request takes at a server.
+    pub fn record_work(
+        &mut self,
+        id: &ids::ServerId,
+        elapsed: time::Duration,
+        now: ids::Timestamp,
+    ) {
         let Some(server) = self.servers.get_mut(id) else { return };
+        if server.entry.stage.is_some() {
+            return self.record_stream(id, elapsed, now);
+        }
         let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
         server.work_ms += constants::SPEED_SMOOTHING * (elapsed_ms - server.work_ms);
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod coordination;
 mod crashing_parts;
 mod crashing_requests;
+mod engine_pace;
 mod listing;
 mod notices;
 mod retry_budget;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -117,6 +117,8 @@
     memory_tokens: u32,
     most_memory_tokens: u32,
     prefill_tokens_per_ms: f64,
+    /// The time that streams take, as a share of the usual one.
+    stream_share: f64,
     /// The prompts sent for a handover and not prefilled yet.
     prefilling: u32,
     most_prefilling: u32,
@@ -138,6 +140,7 @@
             memory_tokens: 0,
             most_memory_tokens: 0,
             prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            stream_share: 1.0,
             prefilling: 0,
             most_prefilling: 0,
             prompts: Vec::new(),
@@ -443,6 +446,17 @@
         backend.expect("the server exists").prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS * share;
     }
 
+    /// Changes the time that streams take at a server to a share of the usual one.
+    pub fn set_stream_share(&mut self, server: &str, share: f64) {
+        let backend = self.backends.get_mut(&Bytes::from(server.to_string()));
+        backend.expect("the server exists").stream_share = share;
+    }
+
+    /// Returns the number of streams that have begun and not ended.
+    pub fn streams_in_progress(&self) -> usize {
+        self.records.values().filter(|record| record.begun.is_some() && !record.finished).count()
+    }
+
     /// Returns the maximum number of prompts that a server had to prefill for handovers at once.
     pub fn most_prefilling(&self, server: &str) -> u32 {
         self.backends[&Bytes::from(server.to_string())].most_prefilling
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -154,7 +154,8 @@
         let survived = after + crashes::CRASH_DELAY;
         self.schedule(survived, Action::Progress { instance, request, sends, outcome: continued });
         let outcome = fleet::Outcome::Finished { status: 200, is_end_marked: true };
-        self.schedule(after + STREAM, Action::Progress { instance, request, sends, outcome });
+        let duration = STREAM.mul_f64(self.backends[&dispatch.server].stream_share);
+        self.schedule(after + duration, Action::Progress { instance, request, sends, outcome });
     }
 
     pub(super) fn free_memory(&mut self, instance: usize, request: u64) {
