Take a newer configuration from the instances that read the store, and from the store only if they fail

Cause: an instance that learns of a newer configuration from a coordinator's digest read the store at once, and asked a peer only 0.6 s later.

Change: whoever does not read the store itself asks a peer at once and reads the store after 0.8 s without success. The coordinators read as before, and ask a peer after 0.6 s. The choice is a decision of the core now (distribution.rs). After its first reading an instance waits 0.7 s, in which it learns who reads.

Ruled out: reading members, servers and quarantines from peers at a start.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -20,6 +20,7 @@
 pub mod coordination;
 pub mod crashes;
 pub mod decision;
+mod distribution;
 pub mod estimate;
 pub mod fairness;
 pub mod kept;
@@ -357,6 +358,8 @@
     servers_position: ids::StorePosition,
     seeds: Vec<net::SocketAddr>,
     is_coordinator: bool,
+    /// Since when it is known that a peer has a newer configuration.
+    outdated_since: Option<ids::Timestamp>,
     /// Other instances have counted the limits, so that this one does not know all spending.
     has_left_counting_to_peers: bool,
     /// The store has listed the other instances.
@@ -398,6 +401,7 @@
             servers_position: 0,
             seeds: options.seeds,
             is_coordinator: false,
+            outdated_since: None,
             has_left_counting_to_peers: false,
             has_discovered_members: false,
             reads_store: false,
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -3,8 +3,6 @@
 use std::net;
 use std::sync;
 
-use rand::RngExt as _;
-
 use crate::core::fleet::Fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
@@ -47,17 +45,6 @@
         self.requests.len()
     }
 
-    /// Returns a peer with a newer configuration than this instance, chosen at random so that not
-    /// all instances load it from the same one.
-    pub fn peer_with_newer_configuration(
-        &mut self,
-        now: ids::Timestamp,
-    ) -> Option<net::SocketAddr> {
-        let newer: Vec<_> = self.peers.with_version_above(self.version(), now).collect();
-        let index = self.rng.random_range(0..newer.len().max(1));
-        newer.get(index).copied()
-    }
-
     /// Returns the ids of all servers if some removals at `position` or later may be unknown.
     pub fn server_names_unless_removals_known(
         &self,
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -25,10 +25,6 @@
 /// An older read does not show which servers were removed since.
 const MAX_STORE_READ_AGE: time::Duration = time::Duration::from_millis(1_600);
 
-/// How long a newer configuration is expected from the store before a peer is asked: the store's
-/// link carries a large configuration to all instances at the same time, a peer's link does not.
-const STORE_HEAD_START: time::Duration = time::Duration::from_millis(600);
-
 /// The timeout of an exchange with a peer: allows for a large configuration over a slow link.
 const EXCHANGE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -154,18 +150,12 @@
 
 /// Requests newer configurations, changes of servers and the spending history from peers.
 pub async fn follow(context: rc::Rc<context::Context>) {
-    let mut outdated_since = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = context.now();
-        let newer = context.read(|fleet| fleet.peer_with_newer_configuration(now));
-        if newer.is_none() {
-            outdated_since = None;
-        }
-        let newer = newer.filter(|_| now >= *outdated_since.get_or_insert(now) + STORE_HEAD_START);
-        let peer = newer.or_else(|| {
-            context
-                .read(|fleet| fleet.peer_with_newer_servers(now).or(fleet.peer_with_history(now)))
+        let peer = context.read(|fleet| {
+            let peer = fleet.configuration_peer(now).or(fleet.peer_with_newer_servers(now));
+            peer.or(fleet.peer_with_history(now))
         });
         let Some(peer) = peer else { continue };
         match tokio::time::timeout(EXCHANGE_TIMEOUT, fetch(peer, sync_request(&context))).await {
