--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -4,6 +4,7 @@
 use std::rc;
 use std::time::Duration;
 
+use galenayard::router::context;
 use galenayard::router::stop;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -65,14 +66,20 @@
     });
 }
 
+/// Starts an instance before a slow server, and connects to it without a request.
+async fn connect_to_instance() -> (tokio::net::TcpStream, rc::Rc<context::Context>) {
+    let (callers, context) = start(&[slow_server().await]).await;
+    let stream = tokio::net::TcpStream::connect(callers).await.expect("it listens");
+    while context.caller_connections.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+    (stream, context)
+}
+
 #[test]
 fn a_caller_that_connects_just_before_the_stop_gets_its_answer() {
     run(async {
-        let (callers, context) = start(&[slow_server().await]).await;
-        let mut stream = tokio::net::TcpStream::connect(callers).await.expect("it listens");
-        while context.caller_connections.get() == 0 {
-            tokio::task::yield_now().await;
-        }
+        let (mut stream, context) = connect_to_instance().await;
         context.closing.send_replace(true);
         // The request is on its way while the instance stops taking connections.
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -87,11 +94,7 @@
 #[test]
 fn a_connection_that_stays_silent_does_not_hold_up_the_stop() {
     run(async {
-        let (callers, context) = start(&[slow_server().await]).await;
-        let mut stream = tokio::net::TcpStream::connect(callers).await.expect("it listens");
-        while context.caller_connections.get() == 0 {
-            tokio::task::yield_now().await;
-        }
+        let (mut stream, context) = connect_to_instance().await;
         stop::drain(&context, GRACE).await;
         assert_eq!(context.caller_connections.get(), 0, "open connections");
         let mut response = Vec::new();
