Draw among equal servers for each request

Cause: of equal servers the first one was chosen. An instance whose owner has just been lost knows no other instance's load, so that all 295 sent to the same plain server, which rejected what it could not queue; with a part of the retry budget below one call, what is rejected is refused.

Change: among plain servers and decode servers of equal cost the request decides, by a hash of the request and the server. Ruled out: two random choices for all (an owner sees all load, and the least loaded is better), a wider notion of equal (prefers other failure domains), and the same for prefill servers: learned speeds are never equal, so that a prefill server that was not tried stays idle at a low load as before; that needs an expected speed for untried ones.

--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -3,6 +3,8 @@
 //! Load patterns: a burst in which prompts arrive faster than the prefill servers can prefill them,
 //! so that decode servers prefill some themselves; a plain service with fewer slots than requests.
 
+use std::hash;
+use std::hash::Hasher as _;
 use std::iter;
 
 use crate::core::fleet::catalog;
@@ -76,6 +78,8 @@
     pub backlog_ms: f64,
     /// Whether it is chosen before others, whatever they offer.
     pub is_preferred: bool,
+    /// The rank among equal candidates; of those of the same rank the first one is chosen.
+    pub rank: u64,
 }
 
 /// A claim to be placed, with the conditions for it.
@@ -110,6 +114,16 @@
         self.admits(server) && self.claim.binding.allows(server)
     }
 
+    /// Returns the rank of a server among equal ones, drawn for each request. Instances that cannot
+    /// know of each other's requests would otherwise all choose the same server.
+    fn rank(&self, server: &servers::Server) -> u64 {
+        let mut hasher = rustc_hash::FxHasher::default();
+        let claim = self.claim;
+        hash::Hash::hash(&(&claim.domain, claim.begin_by, claim.prompt), &mut hasher);
+        hash::Hash::hash(&server.entry.id, &mut hasher);
+        hasher.finish()
+    }
+
     /// Returns the penalty of a server for failures, another failure domain and a cold start.
     fn penalty_ms(&self, server: &servers::Server) -> f64 {
         server.failure_penalty_ms(self.now) + self.place_penalty_ms(server)
@@ -151,6 +165,7 @@
         expected_ms,
         backlog_ms: 0.0,
         is_preferred: false,
+        rank: 0,
     })
 }
 
@@ -206,7 +221,7 @@
         let is_preferred = server.is_due_for_trickle(query.now);
         replace_if_better(
             &mut best,
-            Candidate { placement, expected_ms, backlog_ms, is_preferred },
+            Candidate { placement, expected_ms, backlog_ms, is_preferred, rank: 0 },
         );
     }
     best
@@ -234,7 +249,7 @@
         let is_preferred = server.is_due_for_trickle(query.now);
         replace_if_better(
             &mut best,
-            Candidate { placement, expected_ms, backlog_ms, is_preferred },
+            Candidate { placement, expected_ms, backlog_ms, is_preferred, rank: 0 },
         );
     }
     best.map(|best| Candidate {
@@ -242,6 +257,7 @@
         expected_ms: best.expected_ms,
         backlog_ms: best.backlog_ms,
         is_preferred: best.is_preferred,
+        rank: best.rank,
     })
 }
 
@@ -269,7 +285,8 @@
                 taken_ms + prefill_ms + pace_ms + lost_ms + query.place_penalty_ms(server)
             };
             let is_due = |server: &servers::Server| server.is_due_for_trickle(query.now);
-            is_due(other).cmp(&is_due(one)).then(cost(one).total_cmp(&cost(other)))
+            let by_cost = is_due(other).cmp(&is_due(one)).then(cost(one).total_cmp(&cost(other)));
+            by_cost.then_with(|| query.rank(one).cmp(&query.rank(other)))
         })
         .map(|server| server.entry.id.clone())
 }
@@ -295,9 +312,10 @@
         let expected_ms = server.work_ms + backlog_ms + contention_ms + query.penalty_ms(server);
         let placement = Placement::Plain(server.entry.id.clone());
         let is_preferred = server.is_due_for_trickle(query.now);
+        let rank = query.rank(server);
         replace_if_better(
             &mut best,
-            Candidate { placement, expected_ms, backlog_ms, is_preferred },
+            Candidate { placement, expected_ms, backlog_ms, is_preferred, rank },
         );
     }
     best
@@ -317,7 +335,10 @@
     let is_better = |best: &Candidate<T>| match (candidate.is_preferred, best.is_preferred) {
         (true, false) => true,
         (false, true) => false,
-        _ => candidate.expected_ms < best.expected_ms,
+        _ => {
+            let by_wait = candidate.expected_ms.total_cmp(&best.expected_ms);
+            by_wait.then(candidate.rank.cmp(&best.rank)).is_lt()
+        }
     };
     if best.as_ref().is_none_or(is_better) {
         *best = Some(candidate);
--- a/tests/fleet/crashing_parts.rs
+++ b/tests/fleet/crashing_parts.rs
@@ -84,7 +84,7 @@
 
 #[test]
 fn a_part_that_crashes_servers_is_kept_from_them_by_all_instances() {
-    for instances in [1, 6, 24, 79] {
+    for instances in [1, 6, 24, 79, 295] {
         for per_s in [0.5, 1.0, 3.0] {
             let mut world = World::new(instances, FAST_DIGESTS, &super::world::servers());
             send_sound(&mut world, instances, 8, ms(26_000));
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod distribution;
 mod engine_pace;
 mod failing_engines;
+mod large;
 mod listing;
 mod notices;
 mod retry_budget;
--- a/tests/fleet/notices.rs
+++ b/tests/fleet/notices.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn a_server_that_leaves_gets_no_requests_that_arrive_later() {
-    for instances in [1, 6, 60] {
+    for instances in [1, 6, 60, 295] {
         for (server, host, per_s) in
             [("desk-1", "query", 60), ("llm-0", "stream", 6), ("llm-4", "stream", 6)]
         {
--- a/tests/fleet/server_limits.rs
+++ b/tests/fleet/server_limits.rs
@@ -81,7 +81,7 @@
 
 #[test]
 fn servers_that_all_name_a_limit_get_it_while_callers_wait_and_no_more() {
-    for instances in [1, 6, 60] {
+    for instances in [1, 6, 60, 295] {
         let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
         send_load(&mut world, "query", instances, 120, ms(14_000));
         world.run(ms(2_000));
