--- a/src/core/fleet/estimate.rs
+++ b/src/core/fleet/estimate.rs
@@ -5,6 +5,11 @@
 /// The weight of a new observation: ten observations replace most of the older ones.
 const SMOOTHING: f64 = 0.1;
 
+/// Returns the weight of what was seen `age` ago, which is halved in each half-life.
+pub fn decayed_weight(age: time::Duration, half_life: time::Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
+
 /// The mean of a duration and its mean deviation, both as exponential moving averages.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Estimate {
--- a/src/core/fleet/fairness.rs
+++ b/src/core/fleet/fairness.rs
@@ -9,6 +9,7 @@
 use crate::core::fleet::Fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::claim;
+use crate::core::fleet::estimate;
 use crate::core::fleet::quota;
 use crate::core::fleet::waiting;
 use crate::core::ids;
@@ -42,8 +43,7 @@
 }
 
 fn decayed(uses: f64, at: ids::Timestamp, now: ids::Timestamp) -> f64 {
-    let elapsed_s = now.saturating_sub(at).as_secs_f64();
-    uses * 0.5_f64.powf(elapsed_s / USE_HALF_LIFE.as_secs_f64())
+    uses * estimate::decayed_weight(now.saturating_sub(at), USE_HALF_LIFE)
 }
 
 impl Fleet {
--- a/src/core/fleet/servers/failures.rs
+++ b/src/core/fleet/servers/failures.rs
@@ -5,6 +5,7 @@
 //! further requests.
 
 use crate::core::fleet::constants;
+use crate::core::fleet::estimate;
 use crate::core::ids;
 
 /// The recent requests at a server, with weights that are halved in each half-life.
@@ -32,7 +33,6 @@
     }
 
     fn weight(self, now: ids::Timestamp) -> f64 {
-        let age_s = now.saturating_sub(self.updated).as_secs_f64();
-        0.5_f64.powf(age_s / constants::FAILURE_HALF_LIFE.as_secs_f64())
+        estimate::decayed_weight(now.saturating_sub(self.updated), constants::FAILURE_HALF_LIFE)
     }
 }
--- a/src/core/fleet/servers/pace.rs
+++ b/src/core/fleet/servers/pace.rs
@@ -23,8 +23,7 @@
     /// Returns the weight of what is known, which it loses with time. Otherwise, an engine that was
     /// slow would never be tried again.
     fn weight(self, now: ids::Timestamp) -> f64 {
-        let age_s = now.saturating_sub(self.updated).as_secs_f64();
-        0.5_f64.powf(age_s / constants::PACE_HALF_LIFE.as_secs_f64())
+        estimate::decayed_weight(now.saturating_sub(self.updated), constants::PACE_HALF_LIFE)
     }
 }
 
