--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -358,6 +358,8 @@
     servers_position: ids::StorePosition,
     seeds: Vec<net::SocketAddr>,
     is_coordinator: bool,
+    /// When this coordinator last told all peers the level of the protocol that it speaks.
+    protocol_level_sent: Option<ids::Timestamp>,
     /// Since when it is known that a peer has a newer configuration.
     outdated_since: Option<ids::Timestamp>,
     /// Other instances have counted the limits, so that this one does not know all spending.
@@ -401,6 +403,7 @@
             servers_position: 0,
             seeds: options.seeds,
             is_coordinator: false,
+            protocol_level_sent: None,
             outdated_since: None,
             has_left_counting_to_peers: false,
             has_discovered_members: false,
@@ -585,6 +588,7 @@
         let step = now.saturating_sub(self.last_tick);
         self.last_tick = now;
         self.update_coordinator_role(now, effects);
+        self.repeat_protocol_level(now, effects);
         self.assume_spending(step, now);
         for server in self.servers.delete_expired(now) {
             effects.push(Effect::Log(decision::Decision::server_gone(&server)));
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -294,6 +294,9 @@
             message::Message::Quarantines(reports) => {
                 self.receive_quarantines(&reports, now, effects);
             }
+            message::Message::ProtocolLevel { from, level } => {
+                self.peers.record_protocol_level(from, level);
+            }
             message::Message::Progress { ticket, progress } => {
                 self.receive_progress(ticket, progress, now, effects);
             }
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -39,6 +39,10 @@
 /// digest.
 const MIN_CHANGE_DIGEST_INTERVAL: time::Duration = time::Duration::from_millis(40);
 
+/// The interval at which a coordinator repeats the level of the protocol that it speaks, as datagrams
+/// get lost.
+const PROTOCOL_LEVEL_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
 /// In a small fleet, every `DIGESTS_PER_DISCOVERY`th digest names `MEMBERS_PER_DISCOVERY` members.
 const DIGESTS_PER_DISCOVERY: u64 = 4;
 const MEMBERS_PER_DISCOVERY: usize = 2;
@@ -101,6 +105,24 @@
             ranked_higher,
         }));
         effects.push(Effect::AnnounceChange);
+        self.protocol_level_sent = None;
+    }
+
+    /// Tells all peers the level of the protocol that this coordinator speaks, in intervals.
+    pub(super) fn repeat_protocol_level(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let is_due = |sent: ids::Timestamp| now >= sent + PROTOCOL_LEVEL_INTERVAL;
+        if self.is_coordinator && self.protocol_level_sent.is_none_or(is_due) {
+            self.protocol_level_sent = Some(now);
+            self.send_protocol_level(&self.known_peers(), effects);
+        }
+    }
+
+    fn send_protocol_level(&self, to: &[net::SocketAddr], effects: &mut Vec<Effect>) {
+        let (from, level) = (self.own.incarnation, message::PROTOCOL_LEVEL);
+        for to in to {
+            let message = message::Message::ProtocolLevel { from, level };
+            effects.push(Effect::SendMessage { to: *to, message });
+        }
     }
 
     /// Returns whether this instance has had the means to learn of the other ones.
@@ -275,6 +297,7 @@
             self.send_members(digest.from.peer_address, now, effects);
             if self.is_coordinator {
                 self.send_quarantines(&[digest.from.peer_address], now, effects);
+                self.send_protocol_level(&[digest.from.peer_address], effects);
             }
         }
         self.observe_members(&digest.observations, digest.is_coordinator, now);
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -15,6 +15,10 @@
 use crate::core::fleet::streams;
 use crate::core::ids;
 
+/// The level of the protocol that this build speaks: it reads all variants of `Message`. Builds
+/// before levels count as level 0.
+pub const PROTOCOL_LEVEL: u16 = 1;
+
 /// A request for a reservation, sent to the owner of a service.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ReservationRequest {
@@ -264,6 +268,13 @@
         /// The start of its process, in milliseconds of its own clock.
         born_ms: u64,
     },
+    /// The level of the protocol that the sender speaks. Older builds ignore it.
+    ProtocolLevel {
+        /// The incarnation of the sender.
+        from: ids::Incarnation,
+        /// The level.
+        level: u16,
+    },
     /// A request with a reservation has progressed or ended.
     Progress {
         /// The ticket of the grant.
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -114,6 +114,8 @@
     servers_position: ids::StorePosition,
     is_coordinator: bool,
     reads_store: bool,
+    /// The level of the protocol that it has stated; 0 before.
+    protocol_level: u16,
 }
 
 /// The effect of a received digest.
@@ -156,6 +158,7 @@
             servers_position: 0,
             is_coordinator: false,
             reads_store: false,
+            protocol_level: 0,
         });
     }
 
@@ -290,6 +293,18 @@
         self.peers.contains_key(&incarnation)
     }
 
+    /// Records the level of the protocol that a peer states.
+    pub fn record_protocol_level(&mut self, incarnation: ids::Incarnation, level: u16) {
+        if let Some(peer) = self.peers.get_mut(&incarnation) {
+            peer.protocol_level = level;
+        }
+    }
+
+    /// Returns whether a peer reads the messages of a level of the protocol.
+    pub fn speaks(&self, incarnation: ids::Incarnation, level: u16) -> bool {
+        self.peers.get(&incarnation).is_some_and(|peer| peer.protocol_level >= level)
+    }
+
     /// Returns the peers that coordinate, by rank.
     pub fn coordinators(&self, now: ids::Timestamp) -> Vec<&Member> {
         let mut coordinators: Vec<_> = self
--- a/src/core/fleet/peers/tests.rs
+++ b/src/core/fleet/peers/tests.rs
@@ -87,3 +87,16 @@
     peers.discover(&member(1, 9_000_000), at(10_700));
     assert_eq!(peers.known().map(|member| member.incarnation).collect::<Vec<_>>(), [2]);
 }
+
+#[test]
+fn a_peer_speaks_only_the_level_that_its_present_process_has_stated() {
+    let mut peers = Peers::default();
+    let (first, second) = (member(1, 9_000_000), member(2, 9_002_000));
+    peers.receive_digest(&digest(first, 5, 1_500), at(10_000));
+    assert!(peers.speaks(1, 0) && !peers.speaks(1, 1));
+    peers.record_protocol_level(1, 1);
+    assert!(peers.speaks(1, 1) && !peers.speaks(1, 2));
+    // An older build may have taken its place.
+    peers.receive_digest(&digest(second, 1, 20), at(12_000));
+    assert!(!peers.speaks(2, 1));
+}
