Hold back calls to the store while it fails, and let few instances list the members

Counted with a log line for each call on a scratch copy: a start of all 133 instances makes 937 calls in two seconds, 133 of them list the members and grow by a page for each 50; each instance repeats up to five calls four times a second while the store is away. Ruled out: reading configuration and servers from seeds only (a seed with 10 Mbit/s takes seconds to send them to 133 instances). Change: a circuit breaker for each instance lets one call probe a store that fails; instances that learn from peers that it answers again probe once a second. Members are listed by instances with many cores first; those that a coordinator tells do not list them. Calls are counted by topic and outcome.

--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -297,6 +297,13 @@
 /// The time for which the withdrawal of a limit is repeated.
 pub const LIMIT_WITHDRAWAL_REPORT_PERIOD: time::Duration = time::Duration::from_secs(5);
 
+/// The time after a start at which an instance with half a core lists the members in the store, if no
+/// coordinator has told it of them; one with a tenth of a core waits nine times as long.
+pub const MEMBER_LISTING_DELAY: time::Duration = time::Duration::from_millis(30);
+
+/// The maximum of that time; coordinators that start at the same time are known by then.
+pub const MAX_MEMBER_LISTING_DELAY: time::Duration = time::Duration::from_millis(400);
+
 /// The maximum number of reports on limits in one message, to keep the datagram short.
 pub const MAX_LIMIT_REPORTS_PER_MESSAGE: usize = 32;
 
--- a/src/core/fleet/peers.rs
+++ b/src/core/fleet/peers.rs
@@ -395,6 +395,13 @@
             .map(|peer| peer.member.peer_address)
     }
 
+    /// Returns the newest configuration version of a recently active peer; 0 if none has any.
+    pub fn newest_version(&self, now: ids::Timestamp) -> u64 {
+        let active = self.peers.values();
+        let active = active.filter(|peer| peer.is_active_within(constants::PEER_TIMEOUT, now));
+        active.map(|peer| peer.version).max().unwrap_or(0)
+    }
+
     /// Returns the coordinator or reader of the store with the newest list of servers, and the
     /// position of that list.
     pub fn newest_servers(
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -91,6 +91,26 @@
         !self.peers.has_store_reader(now) && ranked_higher < constants::FALLBACK_STORE_READERS
     }
 
+    /// Returns whether this instance should list the announced members in the store. Coordinators
+    /// tell the others, and instances with more cores are more likely to coordinate: they list the
+    /// members first after a start, so that most others need not.
+    pub fn should_list_members(&self, now: ids::Timestamp) -> bool {
+        if self.is_coordinator {
+            return true;
+        }
+        let per_core = constants::MEMBER_LISTING_DELAY.div_f64(self.own.capacity_cores.max(0.01));
+        let delay = per_core.saturating_sub(constants::MEMBER_LISTING_DELAY);
+        let is_told = !self.peers.coordinators(now).is_empty();
+        !is_told
+            && now >= delay.min(constants::MAX_MEMBER_LISTING_DELAY)
+            && self.should_read_store(now)
+    }
+
+    /// Returns the newest configuration version that a live peer has; 0 if none has any.
+    pub fn newest_peer_version(&self, now: ids::Timestamp) -> u64 {
+        self.peers.newest_version(now)
+    }
+
     /// Returns whether this instance reaches neither the store nor any of its known peers.
     pub(super) fn is_isolated(&self, now: ids::Timestamp) -> bool {
         let has_peers = self.peers.known().next().is_some();
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,6 +5,7 @@
 
 use metrics_exporter_prometheus as exporter;
 
+pub mod breaker;
 pub mod configuration;
 pub mod entries;
 pub mod headers;
--- a/src/platform/origins.rs
+++ b/src/platform/origins.rs
@@ -1,6 +1,5 @@
 //! Keeps the origins of streams in a topic of the store, from which expired records disappear.
 
-use std::net;
 use std::rc;
 use std::time;
 
@@ -16,14 +15,13 @@
 const ORIGINS_TOPIC: &str = "stream-origins";
 
 /// Starts the tasks that write and read origins.
-pub fn start(address: net::SocketAddr, context: &rc::Rc<context::Context>) {
-    tokio::task::spawn_local(write(address, rc::Rc::clone(context)));
-    tokio::task::spawn_local(answer_lookups(address, rc::Rc::clone(context)));
+pub fn start<F: Fn() -> store::Store>(new_store: F, context: &rc::Rc<context::Context>) {
+    tokio::task::spawn_local(write(new_store(), rc::Rc::clone(context)));
+    tokio::task::spawn_local(answer_lookups(new_store(), rc::Rc::clone(context)));
 }
 
 /// Writes new origins while this instance is the coordinator that writes to the store.
-async fn write(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut store = store::Store::new(address);
+async fn write(mut store: store::Store, context: rc::Rc<context::Context>) {
     loop {
         tokio::time::sleep(constants::ORIGIN_WRITE_INTERVAL).await;
         let now = context.now();
@@ -50,8 +48,8 @@
 }
 
 /// Reads the origins that were added since the last lookup, whenever a lookup needs them.
-async fn answer_lookups(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut reader = Reader { store: store::Store::new(address), next: 0, era: None };
+async fn answer_lookups(store: store::Store, context: rc::Rc<context::Context>) {
+    let mut reader = Reader { store, next: 0, era: None };
     loop {
         context.origin_lookup.notified().await;
         match reader.read().await {
--- a/src/platform/origins/tests.rs
+++ b/src/platform/origins/tests.rs
@@ -1,5 +1,6 @@
 //! Tests that origins are read from a store whose records expire.
 
+use std::net;
 use std::time;
 
 use bytes::BufMut as _;
@@ -8,6 +9,7 @@
 use tokio::io::AsyncWriteExt as _;
 
 use super::*;
+use crate::platform::breaker;
 
 fn origin(stream: u64) -> streams::Origin {
     streams::Origin { stream, service: "llm".into(), software_version: "v1".into() }
@@ -65,7 +67,11 @@
             records(&[]),
         ])
         .await;
-        let mut reader = Reader { store: store::Store::new(address), next: 0, era: None };
+        let mut reader = Reader {
+            store: store::Store::new(address, breaker::Breaker::new()),
+            next: 0,
+            era: None,
+        };
         let reading = tokio::time::timeout(time::Duration::from_secs(30), reader.read());
         let read = reading.await.expect("the store answers").expect("the origins are read");
         assert_eq!(read, [origin(1), origin(2), origin(3)]);
--- a/src/platform/quarantines.rs
+++ b/src/platform/quarantines.rs
@@ -1,7 +1,6 @@
 //! Keeps the quarantines of requests that crash servers in a topic of the store, for instances that
 //! start after all others were lost.
 
-use std::net;
 use std::rc;
 use std::time;
 
@@ -31,12 +30,11 @@
 }
 
 /// Starts the task that reads the quarantines and writes those that are new.
-pub fn start(address: net::SocketAddr, context: &rc::Rc<context::Context>) {
-    tokio::task::spawn_local(maintain(address, rc::Rc::clone(context)));
+pub fn start(store: store::Store, context: &rc::Rc<context::Context>) {
+    tokio::task::spawn_local(maintain(store, rc::Rc::clone(context)));
 }
 
-async fn maintain(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut store = store::Store::new(address);
+async fn maintain(mut store: store::Store, context: rc::Rc<context::Context>) {
     let mut has_failed = false;
     // What is written replaces what is stored, so it has to be known first.
     loop {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -165,6 +165,13 @@
 }
 
 impl Node {
+    /// Returns whether the instance learns from other ones, its seeds, when the store answers again.
+    pub fn has_other_seeds(&self) -> bool {
+        let seeds = self.seed_nodes.iter().filter_map(|seed| seed.parse::<net::SocketAddr>().ok());
+        let addresses: Vec<_> = seeds.map(|seed| seed.ip()).collect();
+        !addresses.is_empty() && !addresses.contains(&net::IpAddr::from(self.ip))
+    }
+
     /// Returns the options of an instance with these settings.
     ///
     /// # Errors
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! A client for the platform's store, whose topics hold records with keys.
 
 use std::net;
+use std::rc;
 use std::time;
 
 use base64::Engine as _;
@@ -12,6 +13,7 @@
 use hyper::http;
 
 use crate::core::ids;
+use crate::platform::breaker;
 use crate::router::upstream;
 
 /// The timeout of a call, in addition to the requested wait: twice the response time of a slow
@@ -24,6 +26,9 @@
 /// The maximum size of a response: a page of records as text, and some more.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
+/// Statuses with which the store turns a caller away.
+const UNAVAILABLE_STATUSES: [u16; 2] = [429, 503];
+
 /// A failed call to the store.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -108,12 +113,14 @@
     connection: Option<upstream::Connection>,
     /// The highest era of a response so far.
     era: u64,
+    breaker: rc::Rc<breaker::Breaker>,
 }
 
 impl Store {
-    /// Creates a client, which connects at its first call.
-    pub fn new(address: net::SocketAddr) -> Self {
-        Self { address, connection: None, era: 0 }
+    /// Creates a client, which connects at its first call. The clients of an instance share the
+    /// breaker.
+    pub fn new(address: net::SocketAddr, breaker: rc::Rc<breaker::Breaker>) -> Self {
+        Self { address, connection: None, era: 0, breaker }
     }
 
     /// Reads the newest record of each key.
@@ -207,12 +214,41 @@
         Ok(())
     }
 
+    /// Makes a call once the breaker admits it, and counts it.
     async fn call(
         &mut self,
         method: http::Method,
         path: &str,
         body: Bytes,
         timeout: time::Duration,
+    ) -> Result<Bytes, StoreError> {
+        self.breaker.admitted().await;
+        let is_read = method == http::Method::GET;
+        let result = self.exchange(method, path, body, timeout).await;
+        let has_answered = match &result {
+            Ok(_) | Err(StoreError::Deleted { .. } | StoreError::OutdatedEra(..)) => true,
+            Err(StoreError::Refused(status)) => !UNAVAILABLE_STATUSES.contains(status),
+            Err(_) => false,
+        };
+        // A write may fail alone: its partition is busy, or its answer is lost.
+        if has_answered || is_read {
+            self.breaker.record(has_answered);
+        }
+        let call = path.split('?').next().unwrap_or_default().to_string();
+        let topic = path.split("Topic=").nth(1).and_then(|it| it.split('&').next());
+        let topic = topic.unwrap_or_default().to_string();
+        let outcome = if has_answered { "answered" } else { "failed" };
+        let labels = [("call", call), ("topic", topic), ("outcome", outcome.to_string())];
+        metrics::counter!("store_calls_total", &labels).increment(1);
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        method: http::Method,
+        path: &str,
+        body: Bytes,
+        timeout: time::Duration,
     ) -> Result<Bytes, StoreError> {
         let request = http::Request::builder()
             .method(method)
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -9,6 +9,7 @@
 use super::ERA;
 use super::Store;
 use super::parse;
+use crate::platform::breaker;
 
 fn records(parts: &[&[u8]]) -> Bytes {
     let mut body = BytesMut::new();
@@ -41,7 +42,7 @@
 
 #[test]
 fn the_era_of_the_store_only_rises() {
-    let mut store = Store::new(([127, 0, 0, 1], 1).into());
+    let mut store = Store::new(([127, 0, 0, 1], 1).into(), breaker::Breaker::new());
     let mut check = |value: &'static str| {
         let mut headers = http::HeaderMap::new();
         headers.insert(ERA, http::HeaderValue::from_static(value));
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -1,6 +1,5 @@
 //! Follows the store's topics and applies their changes to the fleet state.
 
-use std::net;
 use std::rc;
 use std::sync;
 use std::time;
@@ -13,6 +12,7 @@
 use crate::core::fleet::quota;
 use crate::core::fleet::servers;
 use crate::core::ids;
+use crate::platform::breaker;
 use crate::platform::configuration;
 use crate::platform::entries;
 use crate::platform::origins;
@@ -62,12 +62,36 @@
 /// Starts the tasks that follow the store's topics.
 pub fn start(node: &settings::Node, context: rc::Rc<context::Context>) {
     let address = node.platform.address;
-    tokio::task::spawn_local(follow_configuration(address, rc::Rc::clone(&context)));
-    tokio::task::spawn_local(follow_servers(address, rc::Rc::clone(&context)));
-    tokio::task::spawn_local(maintain_spending_history(address, rc::Rc::clone(&context)));
-    origins::start(address, &context);
-    quarantines::start(address, &context);
-    tokio::task::spawn_local(follow_members(address, context));
+    let breaker = breaker::Breaker::new();
+    let new_store = || store::Store::new(address, rc::Rc::clone(&breaker));
+    tokio::task::spawn_local(follow_configuration(new_store(), rc::Rc::clone(&context)));
+    tokio::task::spawn_local(follow_servers(new_store(), rc::Rc::clone(&context)));
+    tokio::task::spawn_local(maintain_spending_history(new_store(), rc::Rc::clone(&context)));
+    origins::start(new_store, &context);
+    quarantines::start(new_store(), &context);
+    tokio::task::spawn_local(follow_members(new_store(), rc::Rc::clone(&context)));
+    tokio::task::spawn_local(watch_for_recovery(breaker, node.has_other_seeds(), context));
+}
+
+/// Probes a store that failed as soon as a peer has a newer configuration, which shows that the store
+/// answers again. Seeds and coordinators probe more often, as the others learn it from them.
+async fn watch_for_recovery(
+    breaker: rc::Rc<breaker::Breaker>,
+    has_other_seeds: bool,
+    context: rc::Rc<context::Context>,
+) {
+    let mut probed_for = 0;
+    loop {
+        tokio::time::sleep(READER_CHECK_INTERVAL).await;
+        let now = context.now();
+        let is_coordinator = context.read(|fleet| fleet.is_coordinator());
+        breaker.set_has_informants(has_other_seeds && !is_coordinator);
+        let newest = context.read(|fleet| fleet.newest_peer_version(now));
+        if newest > probed_for && newest > context.read(|fleet| fleet.version()) {
+            probed_for = newest;
+            breaker.probe_now();
+        }
+    }
 }
 
 /// Reads a topic: first the newest record of every key, then all later records.
@@ -94,8 +118,8 @@
 }
 
 impl TopicReader {
-    fn new(address: net::SocketAddr, topic: &'static str) -> Self {
-        Self { store: store::Store::new(address), topic, next: None, era: None, is_failing: false }
+    fn new(store: store::Store, topic: &'static str) -> Self {
+        Self { store, topic, next: None, era: None, is_failing: false }
     }
 
     /// Reads the next records; returns `None` after a failure.
@@ -142,8 +166,8 @@
     }
 }
 
-async fn follow_configuration(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut reader = TopicReader::new(address, OPERATOR_TOPIC);
+async fn follow_configuration(store: store::Store, context: rc::Rc<context::Context>) {
+    let mut reader = TopicReader::new(store, OPERATOR_TOPIC);
     loop {
         wait_until(&context, fleet::Fleet::should_read_configuration).await;
         let Some(batch) = reader.read(CONFIGURATION_WAIT).await else {
@@ -174,8 +198,8 @@
     }
 }
 
-async fn follow_servers(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut reader = TopicReader::new(address, SERVERS_TOPIC);
+async fn follow_servers(store: store::Store, context: rc::Rc<context::Context>) {
+    let mut reader = TopicReader::new(store, SERVERS_TOPIC);
     loop {
         if wait_until_reader(&context).await {
             context.store_read_at.set(None);
@@ -255,13 +279,13 @@
     context.apply(fleet::Event::ServersChanged { changes, complete, source, sender_position });
 }
 
-async fn follow_members(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut reader = TopicReader::new(address, MEMBERS_TOPIC);
+async fn follow_members(store: store::Store, context: rc::Rc<context::Context>) {
+    let mut reader = TopicReader::new(store, MEMBERS_TOPIC);
     let own = context.read(|fleet| fleet.store_record());
     announce(&mut reader.store, &own).await;
     let mut announced = collections::Map::default();
     loop {
-        wait_until_reader(&context).await;
+        wait_until(&context, |fleet, now| fleet.should_list_members(now)).await;
         if let Some(batch) = reader.read(time::Duration::ZERO).await {
             if batch.is_restored {
                 // The copy may lack the announcement.
@@ -351,8 +375,7 @@
 
 /// Reads the spending history; then, while this instance is the limit coordinator, writes the
 /// fleet's spending to the store.
-async fn maintain_spending_history(address: net::SocketAddr, context: rc::Rc<context::Context>) {
-    let mut store = store::Store::new(address);
+async fn maintain_spending_history(mut store: store::Store, context: rc::Rc<context::Context>) {
     read_spending_history(&mut store, &context).await;
     let mut last = Vec::new();
     loop {
