Record the outcome of each probe of the store, and list members while no coordinator reads it

Cause: found in review. Change: a probe's outcome is always recorded; only a coordinator that reads the store spares others the listing.

--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -100,8 +100,9 @@
         }
         let per_core = constants::MEMBER_LISTING_DELAY.div_f64(self.own.capacity_cores.max(0.01));
         let delay = per_core.saturating_sub(constants::MEMBER_LISTING_DELAY);
-        let is_told = !self.peers.coordinators(now).is_empty();
-        !is_told
+        // Coordinators that cannot read the store know of no other ones.
+        let has_member_source = self.peers.has_store_reader(now);
+        !has_member_source
             && now >= delay.min(constants::MAX_MEMBER_LISTING_DELAY)
             && self.should_read_store(now)
     }
--- a/src/platform/breaker.rs
+++ b/src/platform/breaker.rs
@@ -39,6 +39,8 @@
 pub enum Admission {
     /// It may.
     Call,
+    /// It may, and its outcome decides whether others may follow.
+    Probe,
     /// It may not before this time has passed.
     Wait(time::Duration),
 }
@@ -63,16 +65,17 @@
         })
     }
 
-    /// Sets whether peers tell this instance when the store answers again; it then probes less often.
-    pub fn set_has_informants(&self, has_informants: bool) {
-        self.probe_interval.set(if has_informants { MAX_PROBE_INTERVAL } else { PROBE_INTERVAL });
+    /// Sets whether peers notify this instance when the store answers again; it then probes less often.
+    pub fn set_notified_by_peers(&self, is_notified: bool) {
+        self.probe_interval.set(if is_notified { MAX_PROBE_INTERVAL } else { PROBE_INTERVAL });
     }
 
-    /// Waits until a call may be made.
-    pub async fn admitted(&self) {
+    /// Waits until a call may be made; returns whether it is a probe, whose outcome must be recorded.
+    pub async fn admitted(&self) -> bool {
         loop {
             match self.admit(self.clock.now()) {
-                Admission::Call => return,
+                Admission::Call => return false,
+                Admission::Probe => return true,
                 Admission::Wait(wait) => {
                     let _ = tokio::time::timeout(wait, self.changed.notified()).await;
                 }
@@ -101,7 +104,7 @@
             State::Open { .. } => {
                 // This call is the probe; others wait for its outcome.
                 self.state.set(State::Open { probe_at: now + PROBE_TIMEOUT });
-                Admission::Call
+                Admission::Probe
             }
             State::Closed => Admission::Call,
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -222,7 +222,7 @@
         body: Bytes,
         timeout: time::Duration,
     ) -> Result<Bytes, StoreError> {
-        self.breaker.admitted().await;
+        let is_probe = self.breaker.admitted().await;
         let is_read = method == http::Method::GET;
         let result = self.exchange(method, path, body, timeout).await;
         let has_answered = match &result {
@@ -230,8 +230,9 @@
             Err(StoreError::Refused(status)) => !UNAVAILABLE_STATUSES.contains(status),
             Err(_) => false,
         };
-        // A write may fail alone: its partition is busy, or its answer is lost.
-        if has_answered || is_read {
+        // A write may fail alone: its partition is busy, or its answer is lost. As a probe it has to
+        // show something, as all other calls wait for it.
+        if has_answered || is_read || is_probe {
             self.breaker.record(has_answered);
         }
         let call = path.split('?').next().unwrap_or_default().to_string();
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -85,7 +85,7 @@
         tokio::time::sleep(READER_CHECK_INTERVAL).await;
         let now = context.now();
         let is_coordinator = context.read(|fleet| fleet.is_coordinator());
-        breaker.set_has_informants(has_other_seeds && !is_coordinator);
+        breaker.set_notified_by_peers(has_other_seeds && !is_coordinator);
         let newest = context.read(|fleet| fleet.newest_peer_version(now));
         if newest > probed_for && newest > context.read(|fleet| fleet.version()) {
             probed_for = newest;
