Evacuate failure domains by a record in the operator's topic

A server entry that drains has to be written for each server, and servers that start meanwhile are missed.

Change: instances read `evacuate/DOMAIN` with the configuration and hold the newest record of each domain. An instance that reads a change tells all peers; coordinators repeat what they know each second, tell each new peer, and a configuration from a peer brings it along. Servers of an evacuated domain are not available to any choice; grants, decode reservations, releases of KV caches and listings of prompts check it before they send. Requests of a service without a server elsewhere are refused at once (`evacuated`, 503). After the lifting the usable share of KV cache and slots grows from 0.2 to 1 in 5 s. An instance reads the topic itself once no coordinator that speaks level 1 has been active for 1 s; an owner of an older build is told the evacuated servers as tried ones.

A listing lifts only evacuations of its own era, and an evacuation whose lifting a restored copy lacks is recognised by its offset, so what is known outlasts a restore of the store.

Ruled out: evacuated servers in `tried` for every owner (up to hundreds of ids in each reservation request), and state at the owners only (an instance that places by itself would not obey).

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -22,6 +22,7 @@
 pub mod decision;
 mod distribution;
 pub mod estimate;
+pub mod evacuation;
 pub mod fairness;
 pub mod kept;
 pub mod ledger;
@@ -219,6 +220,15 @@
     QuarantinesRead(Vec<quarantine::Report>),
     /// An operator lifts a quarantine.
     QuarantineLifted(quarantine::QuarantineId),
+    /// Evacuations of failure domains were read from the store.
+    EvacuationsRead {
+        /// The changes, in the order of the store.
+        changes: Vec<evacuation::Change>,
+        /// The position after a listing of the newest record of each key, if the changes are one.
+        complete: Option<ids::StorePosition>,
+        /// The state of the store from which the changes were read.
+        source: servers::Source,
+    },
     /// All origins of streams in the store were read.
     StreamOriginsRead(Vec<streams::Origin>),
     /// The settings were reloaded.
@@ -337,6 +347,7 @@
     kept: kept::KeptPrompts,
     origins: streams::Origins,
     containment: containment::Containment,
+    evacuation: evacuation::Operation,
     /// Whether engines may hold prompts that this instance does not know of.
     has_unlisted_prompts: bool,
     /// Whether the fleet was running before this instance started.
@@ -385,6 +396,7 @@
             kept: kept::KeptPrompts::default(),
             origins: streams::Origins::default(),
             containment: containment::Containment::default(),
+            evacuation: evacuation::Operation::default(),
             has_unlisted_prompts: !options.is_first_start,
             has_joined: !options.is_first_start,
             lists_prompts_until: None,
@@ -465,6 +477,9 @@
                 self.receive_quarantines(&reports, now, &mut effects);
             }
             Event::QuarantineLifted(id) => self.lift_quarantine(id, now, &mut effects),
+            Event::EvacuationsRead { changes, complete, source } => {
+                self.read_evacuations(&changes, complete, source, now, &mut effects);
+            }
             Event::StreamOriginsRead(origins) => {
                 self.apply_stored_origins(origins, now, &mut effects);
             }
@@ -604,6 +619,7 @@
         self.end_lookups(now, effects);
         self.report_limits(now, effects);
         self.maintain_containment(now, effects);
+        self.maintain_evacuations(now, effects);
         self.return_to_owners(now, effects);
         self.refuse_held(now, effects);
         self.refuse_unservable(now, effects);
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -83,7 +83,11 @@
             priority: claim.priority,
             objective_remaining_ms: waiting::millis(claim.objective_at.saturating_sub(now)),
             begin_remaining_ms: waiting::millis(claim.begin_by.saturating_sub(now)),
-            tried: self.unwilling_servers(claim, now),
+            tried: [
+                self.unwilling_servers(claim, now),
+                self.servers_unknown_to_be_evacuated(&claim.service, awaiting.owner),
+            ]
+            .concat(),
             domain: claim.domain.clone(),
             prompt: claim.prompt,
         };
@@ -274,6 +278,9 @@
             message::Message::Queued { ticket } => self.confirm_queued(ticket, now),
             message::Message::Decline { ticket, retry_after_ms } => {
                 let Some(request) = self.pending_request(ticket) else { return };
+                if self.refuse_if_evacuated(request, now, effects) {
+                    return;
+                }
                 let wait = time::Duration::from_millis(retry_after_ms);
                 let reason = refusal::Reason::NoCapacity;
                 self.refuse(request, refusal::Refusal::retry_after(reason, wait), now, effects);
@@ -294,6 +301,9 @@
             message::Message::Quarantines(reports) => {
                 self.receive_quarantines(&reports, now, effects);
             }
+            message::Message::Evacuations(reports) => {
+                self.receive_evacuations(from, &reports, now, effects);
+            }
             message::Message::ProtocolLevel { from, level } => {
                 self.peers.record_protocol_level(from, level);
             }
@@ -332,6 +342,10 @@
         let Some(request) = self.pending_request(ticket) else { return };
         let live::Phase::AwaitingGrant(awaiting) = &self.requests[&request].phase else { return };
         let awaiting = awaiting.clone();
+        if self.evacuated_server(&placement).is_some() {
+            self.log_evacuated_grant(request, &placement, &awaiting, effects);
+            return self.place_without_owner(request, &awaiting, now, effects);
+        }
         let is_willing = |server| self.servers.get(server).is_some_and(|it| it.is_willing(now));
         let is_known = placement.servers().all(is_willing);
         let generator = placement.servers().last().and_then(|server| self.servers.get(server));
--- a/src/core/fleet/constants.rs
+++ b/src/core/fleet/constants.rs
@@ -184,6 +184,10 @@
 /// The interval at which changed quarantines are written to the store.
 pub const QUARANTINE_WRITE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// The maximum number of evacuated servers that a reservation request names to an owner of an older
+/// build, to keep the datagram short.
+pub const MAX_EVACUATED_PER_REQUEST: usize = 64;
+
 /// The maximum number of quarantines in one message, to keep the datagram short.
 pub const MAX_QUARANTINES_PER_MESSAGE: usize = 8;
 
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -297,6 +297,7 @@
             self.send_members(digest.from.peer_address, now, effects);
             if self.is_coordinator {
                 self.send_quarantines(&[digest.from.peer_address], now, effects);
+                self.send_evacuations(&[digest.from.peer_address], now, effects);
                 self.send_protocol_level(&[digest.from.peer_address], effects);
             }
         }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Where an instance learned of the limit of a server, or that it leaves.
+/// Where an instance learned of the limit of a server, that it leaves, or of an evacuation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Source {
@@ -95,6 +95,10 @@
     Answer,
     /// From another instance.
     Peer,
+    /// From the store.
+    Store,
+    /// From a store that was restored from a copy.
+    RestoredStore,
 }
 
 /// A decision about a request, or a change of the view of the fleet.
@@ -430,6 +434,77 @@
         /// The number of quarantines in force.
         quarantines: usize,
     },
+    /// An evacuation of a failure domain has come into force or was lifted.
+    DomainEvacuated {
+        /// The failure domain.
+        domain: String,
+        /// Whether the domain is evacuated from now on.
+        is_in_force: bool,
+        /// The position of the record in the store.
+        position: ids::StorePosition,
+        /// Where this instance learned of it.
+        source: Source,
+        /// The time since an instance first read the record.
+        age_ms: u64,
+        /// The same, if this instance was running then.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        delay_ms: Option<u64>,
+        /// The number of servers of the domain.
+        servers: usize,
+        /// All evacuated domains.
+        evacuated_domains: Vec<String>,
+    },
+    /// The number of requests that are left in an evacuated domain has changed.
+    DomainDraining {
+        /// The failure domain.
+        domain: String,
+        /// The number of its servers.
+        servers: usize,
+        /// The requests there, as far as this coordinator knows.
+        requests: u32,
+        /// The time since this instance learned of the evacuation.
+        elapsed_ms: u64,
+    },
+    /// No request is left in an evacuated domain.
+    DomainDrained {
+        /// The failure domain.
+        domain: String,
+        /// The number of its servers.
+        servers: usize,
+        /// The time since this instance learned of the evacuation.
+        elapsed_ms: u64,
+    },
+    /// A domain whose evacuation was lifted gets its usual share of requests of this instance again.
+    DomainReturned {
+        /// The failure domain.
+        domain: String,
+        /// The time since the lifting.
+        elapsed_ms: u64,
+        /// The share before the evacuation.
+        usual_share: f64,
+        /// The share now.
+        share: f64,
+    },
+    /// A service has lost its last server by evacuations, or has one again.
+    ServiceEvacuated {
+        /// The service.
+        service: String,
+        /// Whether all its servers are in evacuated domains.
+        is_evacuated: bool,
+        /// The number of services for which this holds.
+        services: usize,
+    },
+    /// A grant is not used, as a server of it is in an evacuated domain.
+    GrantEvacuated {
+        /// The caller's id of the request.
+        request: String,
+        /// The incarnation of the owner.
+        owner: ids::Incarnation,
+        /// The id of the server.
+        server: String,
+        /// The failure domain.
+        domain: String,
+    },
     /// A caller has disconnected before the end of its request.
     #[serde(rename = "caller_left")]
     CallerDisconnected {
--- a/src/core/fleet/distribution.rs
+++ b/src/core/fleet/distribution.rs
@@ -21,10 +21,13 @@
 const PEERS_HEAD_START: time::Duration = time::Duration::from_millis(800);
 
 impl Fleet {
-    /// Returns whether this instance is to read the configuration in the store.
+    /// Returns whether this instance is to read the configuration and the evacuations in the store.
     pub fn should_read_configuration(&mut self, now: ids::Timestamp) -> bool {
         let outdated = self.outdated_time(now);
-        self.should_read_store(now) || outdated.is_some_and(|time| time >= PEERS_HEAD_START)
+        let lacks_reports = self.lacks_evacuation_reports(now);
+        self.should_read_store(now)
+            || lacks_reports
+            || outdated.is_some_and(|time| time >= PEERS_HEAD_START)
     }
 
     /// Returns the peer to ask for a newer configuration, if there is one and it is time to. It is
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -4,6 +4,7 @@
 use crate::core::fleet::call;
 use crate::core::fleet::catalog;
 use crate::core::fleet::crashes;
+use crate::core::fleet::evacuation;
 use crate::core::fleet::ledger;
 use crate::core::fleet::peers;
 use crate::core::fleet::placement;
@@ -268,6 +269,8 @@
         /// The start of its process, in milliseconds of its own clock.
         born_ms: u64,
     },
+    /// The newest known record on the evacuation of each domain. Older builds ignore it.
+    Evacuations(Vec<evacuation::Report>),
     /// The level of the protocol that the sender speaks. Older builds ignore it.
     ProtocolLevel {
         /// The incarnation of the sender.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -630,7 +630,9 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(server) = self.prefill_server(request) else { return };
-        if self.servers.get(&server).is_some_and(|server| !server.pause(now).is_zero()) {
+        let is_kept_from =
+            |server: &servers::Server| server.is_evacuated() || !server.pause(now).is_zero();
+        if self.servers.get(&server).is_some_and(is_kept_from) {
             // The handle expires by itself.
             return;
         }
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -238,7 +238,7 @@
         let is_prefill = server.entry.stage == Some(servers::Stage::Prefill);
         if !is_prefill
             || !server.can_hand_over(query.now)
-            || load.prefilling >= constants::MAX_PREFILLS_PER_PREFILL_SERVER
+            || load.prefilling >= max_prefills(server, query)
         {
             continue;
         }
@@ -302,7 +302,7 @@
             continue;
         }
         let requests = f64::from(server.load().requests);
-        let slots = f64::from(server.entry.slots.max(1));
+        let slots = f64::from(server.entry.slots.max(1)) * server.usable_share(query.now);
         if requests >= slots * constants::PLAIN_REQUESTS_PER_SLOT {
             continue;
         }
@@ -321,10 +321,17 @@
     best
 }
 
+/// Returns the number of prompts that a prefill server may have at a time.
+fn max_prefills(server: &servers::Server, query: Query<'_>) -> u32 {
+    let max = f64::from(constants::MAX_PREFILLS_PER_PREFILL_SERVER);
+    (max * server.usable_share(query.now)).ceil() as u32
+}
+
 fn has_capacity(server: &servers::Server, engine: catalog::EngineShape, query: Query<'_>) -> bool {
     let load = server.load();
-    let slots = f64::from(engine.slots.min(server.entry.slots.max(1)));
-    let memory = f64::from(engine.memory_tokens) * query.memory_share;
+    let usable_share = server.usable_share(query.now);
+    let slots = f64::from(engine.slots.min(server.entry.slots.max(1))) * usable_share;
+    let memory = f64::from(engine.memory_tokens) * query.memory_share * usable_share;
     let fits =
         f64::from(load.memory_tokens) + f64::from(query.claim.tokens.memory_tokens()) <= memory;
     let has_slot = f64::from(load.requests) + 1.0 <= slots * constants::ENGINE_SLOT_SHARE;
--- a/src/core/fleet/refusal.rs
+++ b/src/core/fleet/refusal.rs
@@ -24,6 +24,8 @@
     Leaving,
     /// No server can answer in the remaining time.
     NoCapacity,
+    /// All servers of the service are in evacuated failure domains.
+    Evacuated,
     /// The stream cannot be resumed: its software version is unknown or no longer served.
     NotResumable,
     /// Servers rejected the request or could not be reached, and no retry is allowed.
@@ -101,6 +103,7 @@
             Reason::Unconfigured
             | Reason::Leaving
             | Reason::NoCapacity
+            | Reason::Evacuated
             | Reason::NotResumable
             | Reason::NoRetry
             | Reason::Quarantined => 503,
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -7,6 +7,7 @@
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
 use crate::core::fleet::estimate;
+use crate::core::fleet::evacuation;
 use crate::core::fleet::server_limits;
 use crate::core::fleet::streams;
 use crate::core::ids;
@@ -15,6 +16,7 @@
 mod failures;
 mod limits;
 mod pace;
+mod standing;
 
 pub mod entry;
 
@@ -98,6 +100,8 @@
     handover_paused_until: ids::Timestamp,
     /// What the server has asked for in its answers.
     closure: closures::Closure,
+    /// What the evacuations of failure domains mean for the server.
+    standing: evacuation::Standing,
     expired: Option<Expiry>,
     listed: ids::Timestamp,
     /// Whether the server was asked for the prompts that it holds.
@@ -127,6 +131,7 @@
             ejected_until: ids::Timestamp::ZERO,
             handover_paused_until: ids::Timestamp::ZERO,
             closure: closures::Closure::default(),
+            standing: evacuation::Standing::default(),
             expired: None,
             listed: now,
             has_listed_prompts: false,
@@ -150,8 +155,14 @@
         self.is_available(now) && now >= self.ejected_until
     }
 
-    /// Returns whether the server is listed, not draining and not leaving. It may be ejected for some time.
+    /// Returns whether the server is listed, not draining, not leaving and not evacuated. It may be
+    /// ejected for some time.
     pub fn is_available(&self, now: ids::Timestamp) -> bool {
+        self.is_open(now) && !self.is_evacuated()
+    }
+
+    /// Returns whether the server is listed, not draining and not leaving.
+    fn is_open(&self, now: ids::Timestamp) -> bool {
         let is_listed = self.expired.is_none_or(|expiry| !expiry.is_final(now));
         !self.entry.is_draining && !self.closure.is_leaving && is_listed
     }
@@ -205,6 +216,7 @@
     servers: collections::Map<ids::ServerId, Server>,
     removed: collections::Map<ids::ServerId, ids::StorePosition>,
     closures: closures::Closures,
+    evacuations: evacuation::Evacuations,
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
@@ -227,11 +239,14 @@
         {
             self.remember_draining(entry, now);
         }
-        match change {
+        let id = change.id().clone();
+        let is_changed = match change {
             EntryChange::Put(entry) if source == Source::Restored => self.restore(entry, now),
             EntryChange::Put(entry) => self.insert(entry, now),
             EntryChange::Removed { id, offset } => self.remove(&id, offset, source, now),
-        }
+        };
+        self.refresh_standing(&id);
+        is_changed
     }
 
     /// Applies an entry of a restored store. What is known of the server is newer, until the server
@@ -451,6 +466,7 @@
         let is_new = |server: &&mut Server| {
             server.entry.stage == Some(Stage::Decode)
                 && !server.has_listed_prompts
+                && !server.is_evacuated()
                 && server.is_willing(now)
         };
         let unlisted = self.servers.values_mut().filter(is_new);
--- a/src/core/fleet/servers/entry.rs
+++ b/src/core/fleet/servers/entry.rs
@@ -75,6 +75,14 @@
 }
 
 impl EntryChange {
+    /// Returns the id of the server.
+    pub fn id(&self) -> &ids::ServerId {
+        match self {
+            Self::Put(entry) => &entry.id,
+            Self::Removed { id, .. } => id,
+        }
+    }
+
     /// Returns the position of the change.
     pub fn offset(&self) -> ids::StorePosition {
         match self {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -46,7 +46,9 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        if self.refuse_if_quarantined(request, now, effects) {
+        if self.refuse_if_quarantined(request, now, effects)
+            || self.refuse_if_evacuated(request, now, effects)
+        {
             return;
         }
         let Some(live) = self.requests.get(&request) else { return };
@@ -84,6 +86,9 @@
     ) -> bool {
         let Some(live) = self.requests.get(&request) else { return false };
         let (claim, max_wait) = (live.claim.clone(), live.expires.saturating_sub(now) / 3);
+        if self.refuse_if_evacuated(request, now, effects) {
+            return true;
+        }
         let Some(wait) = self.retry_wait(Waiter::Local(request), &claim, now) else { return false };
         let reason = if self.has_generator(&claim, now) {
             refusal::Reason::NoCapacity
@@ -553,6 +558,7 @@
         };
         self.servers.add_load(server, load);
         self.count_limited_send(request, server, now);
+        self.count_domain(server, now);
         effects.push(Effect::Send { request, dispatch });
         effects.push(Effect::PublishLoad);
     }
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -42,6 +42,16 @@
     (era.min(max_era) << STORE_OFFSET_BITS) | offset.min(max_offset)
 }
 
+/// Returns the era of the store in a position.
+pub fn store_era(position: StorePosition) -> u64 {
+    position >> STORE_OFFSET_BITS
+}
+
+/// Returns the offset in a position.
+pub fn store_offset(position: StorePosition) -> Offset {
+    position & ((1 << STORE_OFFSET_BITS) - 1)
+}
+
 /// A number that matches an append with its answer.
 pub type AppendToken = u64;
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -6,7 +6,9 @@
 use hyper::http;
 use proptest::prelude::*;
 
+use crate::core::fleet;
 use crate::core::fleet::call;
+use crate::core::fleet::evacuation;
 use crate::core::fleet::notices;
 use crate::core::fleet::server_limits;
 use crate::core::fleet::servers;
@@ -92,6 +94,51 @@
     assert_eq!(entries::listing(Bytes::from("i-1"), None, 4), Some(removed));
 }
 
+fn operators_record(
+    key: &'static [u8],
+    value: Option<&'static str>,
+    position: u64,
+) -> store::Record {
+    store::Record { key: Bytes::from_static(key), value: value.map(Bytes::from), position }
+}
+
+#[test]
+fn evacuations_are_read_beside_the_configuration_and_keys_without_a_domain_are_ignored() {
+    let records = [
+        operators_record(b"config", Some(CONFIGURATION), 3),
+        operators_record(b"evacuate/colombo", Some("{}"), 4),
+        operators_record(b"evacuate/a/b", Some("anything"), 5),
+        operators_record(b"evacuate/colombo", None, 6),
+        operators_record(b"evacuate/", Some("{}"), 7),
+        operators_record(b"evacuate/\xff", Some("{}"), 8),
+        operators_record(b"evacuated", Some("{}"), 9),
+    ];
+    let change = |domain: &str, position, is_in_force| {
+        let domain = domain.to_string();
+        evacuation::Change { domain, position, is_in_force }
+    };
+    let expected =
+        vec![change("colombo", 4, true), change("a/b", 5, true), change("colombo", 6, false)];
+    let Some(fleet::Event::EvacuationsRead { changes, complete, source }) =
+        watch::evacuations(&records, Some(10), true)
+    else {
+        panic!("there are evacuations");
+    };
+    assert_eq!((changes, complete), (expected, Some(10)));
+    assert_eq!(source, servers::Source::Restored);
+}
+
+#[test]
+fn a_complete_listing_without_evacuations_is_told_and_a_later_read_without_any_is_not() {
+    let records = [operators_record(b"config", Some(CONFIGURATION), 3)];
+    let event = watch::evacuations(&records, Some(4), false);
+    // It lifts the evacuations that are not listed any more.
+    assert!(
+        matches!(event, Some(fleet::Event::EvacuationsRead { changes, .. }) if changes.is_empty())
+    );
+    assert!(watch::evacuations(&records, None, false).is_none());
+}
+
 fn read_call(prefix: Option<&str>) -> call::Call {
     let request = http::Request::builder().uri("/a/").header("host", "ficu.example");
     let request = request.header("attempt-id", "9c41").header("token-count", "1460,80");
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -9,6 +9,7 @@
 use crate::core::fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
+use crate::core::fleet::evacuation;
 use crate::core::fleet::peers;
 use crate::core::fleet::quota;
 use crate::core::fleet::servers;
@@ -22,9 +23,11 @@
 use crate::router::clock;
 use crate::router::context;
 
-/// The operator's topic and the key of the configuration in it.
+/// The operator's topic, the key of the configuration in it, and the prefix of the keys that evacuate
+/// failure domains.
 const OPERATOR_TOPIC: &str = "keyed.op";
 const CONFIGURATION_KEY: &[u8] = b"config";
+const EVACUATION_PREFIX: &[u8] = b"evacuate/";
 /// The topic with the entries of backend servers.
 const SERVERS_TOPIC: &str = "keyed.servers";
 /// The topic in which instances are announced.
@@ -151,6 +154,11 @@
             continue;
         };
         let is_first = batch.is_complete;
+        // An instance that has a configuration sends requests, so evacuations come first.
+        let complete = batch.is_complete.then_some(batch.next);
+        if let Some(event) = evacuations(&batch.records, complete, batch.is_restored) {
+            context.apply(event);
+        }
         for record in batch.records {
             if record.key != CONFIGURATION_KEY {
                 continue;
@@ -174,6 +182,39 @@
     }
 }
 
+/// Returns the event with the evacuations in records of the operator's topic, unless there is nothing
+/// new. `complete` is the position after a listing of the newest record of each key.
+pub(crate) fn evacuations(
+    records: &[store::Record],
+    complete: Option<ids::StorePosition>,
+    is_restored: bool,
+) -> Option<fleet::Event> {
+    let changes: Vec<_> = records.iter().filter_map(evacuation_change).collect();
+    if changes.is_empty() && complete.is_none() {
+        return None;
+    }
+    let source = if is_restored { servers::Source::Restored } else { servers::Source::Steady };
+    Some(fleet::Event::EvacuationsRead { changes, complete, source })
+}
+
+/// Reads a record that evacuates a failure domain, with any value, or lifts that, without one.
+fn evacuation_change(record: &store::Record) -> Option<evacuation::Change> {
+    let domain = record.key.strip_prefix(EVACUATION_PREFIX)?;
+    let position = record.position;
+    match std::str::from_utf8(domain) {
+        Ok(domain) if !domain.is_empty() => Some(evacuation::Change {
+            domain: domain.to_string(),
+            position,
+            is_in_force: record.value.is_some(),
+        }),
+        _ => {
+            let key = String::from_utf8_lossy(&record.key);
+            log::warn!("ignoring the evacuation {key:?} at {position}: it names no domain");
+            None
+        }
+    }
+}
+
 async fn follow_servers(address: net::SocketAddr, context: rc::Rc<context::Context>) {
     let mut reader = TopicReader::new(address, SERVERS_TOPIC);
     loop {
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -12,13 +12,18 @@
     [("route", route.to_string()), ("workspace", workspace.unwrap_or_default().to_string())]
 }
 
+fn set_evacuated_requests(domain: &str, requests: u32) {
+    let labels = [("domain", domain.to_string())];
+    metrics::gauge!("evacuated_requests", &labels).set(f64::from(requests));
+}
+
 /// Updates the metrics that depend on a decision.
 pub fn record_decision(decision: &decision::Decision) {
     match decision {
         decision::Decision::AnswerTooLong { part, .. } => {
             metrics::counter!("answers_too_long_total", "part" => part.name()).increment(1);
         }
-        decision::Decision::GrantDeclined { .. } => {
+        decision::Decision::GrantDeclined { .. } | decision::Decision::GrantEvacuated { .. } => {
             metrics::counter!("grants_declined_total").increment(1);
         }
         decision::Decision::Refused { reason, workspace, limits, .. } => {
@@ -98,6 +103,33 @@
         | decision::Decision::QuarantineEnded { quarantines, .. } => {
             metrics::gauge!("quarantines").set(*quarantines as f64);
         }
+        decision::Decision::DomainEvacuated {
+            domain,
+            is_in_force,
+            delay_ms,
+            evacuated_domains,
+            ..
+        } => {
+            metrics::gauge!("evacuated_domains").set(evacuated_domains.len() as f64);
+            if let Some(delay_ms) = delay_ms {
+                metrics::histogram!("evacuation_delay_ms").record(*delay_ms as f64);
+            }
+            if !is_in_force {
+                set_evacuated_requests(domain, 0);
+            }
+        }
+        decision::Decision::DomainDraining { domain, requests, .. } => {
+            set_evacuated_requests(domain, *requests);
+        }
+        decision::Decision::DomainDrained { domain, .. } => set_evacuated_requests(domain, 0),
+        decision::Decision::DomainReturned { elapsed_ms, .. } => {
+            metrics::histogram!("domain_return_ms").record(*elapsed_ms as f64);
+        }
+        decision::Decision::ServiceEvacuated { service, is_evacuated, .. } => {
+            let labels = [("service", service.clone())];
+            let value = f64::from(u8::from(*is_evacuated));
+            metrics::gauge!("service_evacuated", &labels).set(value);
+        }
         decision::Decision::ServerPaused { .. } => {
             metrics::counter!("server_pauses_total").increment(1);
         }
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -12,6 +12,8 @@
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
+use crate::core::fleet::evacuation;
+use crate::core::fleet::message;
 use crate::core::fleet::quota;
 use crate::core::fleet::servers;
 use crate::core::ids;
@@ -69,6 +71,9 @@
     /// requesting one does not.
     #[serde(rename = "past")]
     history: Option<Vec<quota::Spending>>,
+    /// What is known of evacuations; sent in the extension.
+    #[serde(skip)]
+    evacuations: Vec<evacuation::Report>,
 }
 
 /// What follows a response, encoded by name. Builds that do not know it ignore what follows a
@@ -78,6 +83,8 @@
 struct SyncExtension {
     /// The software versions of the servers in the response.
     software_versions: Vec<(ids::ServerId, servers::SoftwareVersion)>,
+    /// What is known of evacuations.
+    evacuations: Vec<evacuation::Report>,
 }
 
 /// Responds to requests of peers.
@@ -109,7 +116,10 @@
         let version = entry.software_version.clone()?;
         Some((entry.id.clone(), version))
     });
-    let extension = SyncExtension { software_versions: versioned.collect() };
+    let extension = SyncExtension {
+        software_versions: versioned.collect(),
+        evacuations: response.evacuations.clone(),
+    };
     let mut bytes = rmp_serde::to_vec(response)?;
     bytes.extend(rmp_serde::to_vec_named(&extension)?);
     Ok(bytes)
@@ -122,6 +132,7 @@
         return Ok(response);
     }
     let extension: SyncExtension = rmp_serde::from_slice(bytes)?;
+    response.evacuations = extension.evacuations;
     let mut versions: collections::Map<_, _> = extension.software_versions.into_iter().collect();
     for entry in &mut response.entries {
         entry.software_version = versions.remove(&entry.id);
@@ -144,6 +155,7 @@
             names: fleet.server_names_unless_removals_known(request.servers_position),
             servers_position: fleet.servers_position(),
             history: sends_history.then(|| fleet.spending(now)),
+            evacuations: fleet.evacuation_reports(now),
         }
     })
 }
@@ -159,7 +171,7 @@
         });
         let Some(peer) = peer else { continue };
         match tokio::time::timeout(EXCHANGE_TIMEOUT, fetch(peer, sync_request(&context))).await {
-            Ok(Ok(response)) => apply_response(&context, response),
+            Ok(Ok(response)) => apply_response(&context, peer, response),
             Ok(Err(failure)) => log::warn!("cannot get changes from peer {peer}: {failure}"),
             Err(_) => log::warn!("peer {peer} did not send changes in time"),
         }
@@ -184,7 +196,10 @@
     decode(&bytes).map_err(io::Error::other)
 }
 
-fn apply_response(context: &context::Context, response: SyncResponse) {
+fn apply_response(context: &context::Context, peer: net::SocketAddr, response: SyncResponse) {
+    // An instance that has a configuration sends requests, so evacuations come first.
+    let message = message::Message::Evacuations(response.evacuations);
+    context.apply(fleet::Event::Received { from: peer, message });
     if let Some(content) = response.content {
         let catalog = catalog::Catalog::new(content);
         context.apply(fleet::Event::Configured(sync::Arc::new(catalog)));
--- a/src/router/mirror/tests.rs
+++ b/src/router/mirror/tests.rs
@@ -26,6 +26,12 @@
         names: None,
         servers_position: 8,
         history: None,
+        evacuations: vec![evacuation::Report {
+            domain: "a".to_string(),
+            position: 9,
+            is_in_force: true,
+            age_ms: 40,
+        }],
     }
 }
 
@@ -35,11 +41,18 @@
     assert_eq!(decoded.entries, response().entries);
 }
 
+#[test]
+fn evacuations_reach_a_peer_that_gets_its_configuration_from_this_instance() {
+    let decoded = decode(&encode(&response()).expect("it is encoded")).expect("it is decoded");
+    assert_eq!(decoded.evacuations, response().evacuations);
+}
+
 #[test]
 fn a_response_without_an_extension_and_one_with_it_are_read_by_builds_of_both_kinds() {
     let old = rmp_serde::to_vec(&response()).expect("it is encoded");
     let from_old = decode(&old).expect("the response of an older build is decoded");
     assert!(from_old.entries.iter().all(|entry| entry.software_version.is_none()));
+    assert!(from_old.evacuations.is_empty());
     let new = encode(&response()).expect("it is encoded");
     assert!(new.starts_with(&old));
     let by_old: SyncResponse = rmp_serde::from_slice(&new).expect("an older build decodes it");
