Test evacuations under load in the virtual fleet

Calls beside requests (listings of prompts, releases of KV caches) are recorded with their instance.

The tests cover load with handovers, held and kept prompts, a lost coordinator, all coordinators lost, a store that rejects the coordinators, lost datagrams, instances that start, the loss of all instances, older builds, a service with no server left, the return with its ramp, and the log lines.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod crashing_requests;
 mod distribution;
 mod engine_pace;
+mod evacuation;
 mod failing_engines;
 mod large;
 mod listing;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -2,6 +2,7 @@
 
 mod backends;
 mod crashes;
+mod evacuations;
 mod fixtures;
 mod views;
 
@@ -236,6 +237,10 @@
     pub notified: Map<(Bytes, usize), Duration>,
     /// When instances received answers with a notice.
     pub notices: Vec<(Duration, Bytes, usize)>,
+    /// The evacuations in the store.
+    pub evacuations: evacuations::Store,
+    /// The calls to servers beside requests of callers: when, from which instance, to which address.
+    pub side_calls: Vec<(Duration, usize, net::SocketAddr)>,
 }
 
 /// The limit of the workspace that sends requests to the host `limited`.
@@ -264,6 +269,16 @@
 impl World {
     /// Starts instances and servers, and runs them until the instances know each other.
     pub fn new(instances: usize, digests_every: Duration, entries: &[servers::Entry]) -> Self {
+        Self::with_older(instances, digests_every, entries, Vec::new())
+    }
+
+    /// Starts instances, of which some are of an older build, and servers.
+    pub fn with_older(
+        instances: usize,
+        digests_every: Duration,
+        entries: &[servers::Entry],
+        older: Vec<usize>,
+    ) -> Self {
         let addresses: Vec<_> = (0..instances).map(|index| address(1_000 + index as u16)).collect();
         let mut world = Self {
             now: Duration::ZERO,
@@ -282,7 +297,7 @@
             stored_quarantines: Vec::new(),
             calls: Vec::new(),
             records: Map::default(),
-            older: Vec::new(),
+            older,
             muted: Vec::new(),
             crashing_parts: Vec::new(),
             crashing_contents: Vec::new(),
@@ -292,6 +307,8 @@
             cut_off: Vec::new(),
             notified: Map::default(),
             notices: Vec::new(),
+            evacuations: evacuations::Store::default(),
+            side_calls: Vec::new(),
         };
         for index in 0..instances {
             world.instances.push(Some(new_fleet(index, world.addresses[index])));
@@ -403,6 +420,7 @@
             let announced =
                 (0..count).map(|other| if other < index { new(other) } else { old[other].clone() });
             self.apply(index, fleet::Event::MembersDiscovered(announced.collect()));
+            self.read_evacuations_at_start(index);
             self.apply(index, fleet::Event::Configured(sync::Arc::new(configuration())));
             let changes = entries.iter().cloned().map(servers::EntryChange::Put).collect();
             self.apply(index, listed(changes));
@@ -501,6 +519,16 @@
                         );
                     let is_muted =
                         |index: Option<usize>| index.is_some_and(|it| self.muted.contains(&it));
+                    let is_older = |index: Option<usize>| {
+                        index.is_some_and(|index| self.older.contains(&index))
+                    };
+                    // Older builds neither send nor read these.
+                    let is_new = matches!(
+                        message,
+                        message::Message::Evacuations(_) | message::Message::ProtocolLevel { .. }
+                    );
+                    let is_unknown =
+                        is_unknown || is_new && (is_older(Some(*index)) || is_older(from_index));
                     is_unknown || is_muted(Some(*index)) || is_muted(from_index)
                 };
                 if let Some(index) = index.filter(|index| !is_lost(index)) {
@@ -512,6 +540,7 @@
             }
             Action::Tick { instance } => {
                 self.apply(instance, fleet::Event::Ticked);
+                self.read_evacuations(instance);
                 self.store_origins(instance);
                 self.store_quarantines(instance);
                 self.schedule(TICK, Action::Tick { instance });
@@ -633,7 +662,11 @@
                 self.note_coordinators();
                 self.send_digests(instance);
             }
-            fleet::Effect::ListPrompts { server, .. } => {
+            fleet::Effect::ReleaseKvCache { address, .. } => {
+                self.side_calls.push((self.now, instance, address));
+            }
+            fleet::Effect::ListPrompts { server, address } => {
+                self.side_calls.push((self.now, instance, address));
                 let prompts = self.backends[&server].prompts.clone();
                 let event = fleet::Event::PromptsListed { server, prompts };
                 self.schedule(LATENCY * 2, Action::Apply { instance, event });
@@ -651,10 +684,7 @@
                 let event = fleet::Event::StreamOriginsRead(self.stored_origins.clone());
                 self.schedule(LATENCY * 2, Action::Apply { instance, event });
             }
-            fleet::Effect::Admit { .. }
-            | fleet::Effect::ReleaseKvCache { .. }
-            | fleet::Effect::PublishLoad
-            | fleet::Effect::Log(_) => {}
+            fleet::Effect::Admit { .. } | fleet::Effect::PublishLoad | fleet::Effect::Log(_) => {}
         }
     }
 
