Evacuate zones in the soak

Servers stand in two zones, the operator evacuates one of them for 9 s now and then, and the judge counts requests that reach its servers 5 s after the record. A time without the store or a paused instance within these 5 s postpones the bound; a restart does not. Evacuations are drawn by a generator of their own, so that the faults of a seed stay as they were.

--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -148,6 +148,17 @@
         self.state.borrow_mut().servers.note_crash(cause, at);
     }
 
+    /// Notes the zone of a server.
+    pub fn note_zone(&self, server: &str, zone: &str) {
+        self.state.borrow_mut().servers.note_zone(server, zone);
+    }
+
+    /// Notes that a zone is evacuated, or that this is lifted.
+    pub fn note_evacuation(&self, zone: &str, is_in_force: bool) {
+        let at = self.start.elapsed();
+        self.state.borrow_mut().servers.note_evacuation(zone, is_in_force, at);
+    }
+
     /// Notes that an answer states that its server leaves.
     pub fn note_leaving(&self, server: &str, attempt: &str) {
         self.state.borrow_mut().servers.note_leaving(server, attempt);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run: a fleet, callers, servers, an operator, and faults drawn from a seed.
 
 use std::cell;
+use std::collections::BTreeMap;
 use std::io;
 use std::net;
 use std::path;
@@ -106,6 +107,15 @@
 /// The time by which a pause that a server asks for is longer than half of its trouble.
 const PAUSE_EXTRA: time::Duration = time::Duration::from_millis(1_000);
 
+/// The zones of servers.
+const ZONES: [&str; 2] = ["z", "y"];
+
+/// The time for which a zone is evacuated, beyond the time in which that must be in force.
+const EVACUATED_FOR: time::Duration = time::Duration::from_millis(9_000);
+
+/// How often a zone is evacuated with a fault, unless one is.
+const EVACUATION_SHARE: f64 = 0.1;
+
 /// The prefix of the paths whose streams may be resumed.
 const RESUMABLE_PATH: &str = "/resume/";
 
@@ -165,6 +175,10 @@
 
 struct World {
     rng: rand_chacha::ChaCha8Rng,
+    /// Draws evacuations, so that the faults of a seed stay the same.
+    evacuation_rng: rand_chacha::ChaCha8Rng,
+    /// Whether the zones are evacuated, of those that ever were.
+    evacuations: rc::Rc<cell::RefCell<BTreeMap<&'static str, bool>>>,
     judge: rc::Rc<judge::Judge>,
     store: rc::Rc<store::Store>,
     store_address: net::SocketAddr,
@@ -202,6 +216,8 @@
     let machines: Vec<_> = (0..options.instances).map(machine).collect();
     let mut world = World {
         rng: rand_chacha::ChaCha8Rng::seed_from_u64(options.seed),
+        evacuation_rng: rand_chacha::ChaCha8Rng::seed_from_u64(!options.seed),
+        evacuations: rc::Rc::default(),
         judge: rc::Rc::default(),
         store: store::Store::start(store_address).await?,
         store_address,
@@ -239,6 +255,7 @@
         world.restart_ended()?;
         world.replace_crashed().await?;
         world.draw_fault().await?;
+        world.draw_evacuation();
     }
     tokio::time::sleep(COOL_DOWN).await;
     callers.iter().chain(&world.crashing).for_each(tokio::task::JoinHandle::abort);
@@ -347,13 +364,15 @@
         let any = net::SocketAddr::from(([a, b, c, 3], 0));
         let version = streams::VERSIONS[self.next_server % streams::VERSIONS.len()];
         let (judge, trouble) = (rc::Rc::clone(&self.judge), rc::Rc::<backend::Trouble>::default());
+        let zone = ZONES[self.next_server / 2 % ZONES.len()];
+        self.judge.note_zone(&name, zone);
         let address = backend::start(&name, version, any, judge, rc::Rc::clone(&trouble)).await?;
         let (proxied, switch) = proxy::start(any, address).await?;
         let store = rc::Rc::clone(&self.store);
         let id = name.clone();
         let beats = tokio::task::spawn_local(async move {
             loop {
-                store.put("keyed.servers", &id, entry(proxied, version, "ready").as_bytes());
+                store.put("keyed.servers", &id, entry(proxied, zone, version, "ready").as_bytes());
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
@@ -485,6 +504,28 @@
         }
     }
 
+    /// The operator evacuates a zone for a while.
+    fn draw_evacuation(&mut self) {
+        let is_any = self.evacuations.borrow().values().any(|is_in_force| *is_in_force);
+        let zone = ZONES[self.evacuation_rng.random_range(0..ZONES.len())];
+        if !self.evacuation_rng.random_bool(EVACUATION_SHARE) || is_any {
+            return;
+        }
+        self.faults.push(format!("{} ms: zone {zone} evacuated", self.judge.elapsed().as_millis()));
+        let (store, judge) = (rc::Rc::clone(&self.store), rc::Rc::clone(&self.judge));
+        let evacuations = rc::Rc::clone(&self.evacuations);
+        let set = move |is_in_force| {
+            evacuations.borrow_mut().insert(zone, is_in_force);
+            judge.note_evacuation(zone, is_in_force);
+            store.put("keyed.op", &format!("evacuate/{zone}"), evacuation(is_in_force));
+        };
+        set(true);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(EVACUATED_FOR).await;
+            set(false);
+        });
+    }
+
     /// A server states that it leaves, and goes on serving; another one comes.
     async fn leave(&mut self, server: usize) -> io::Result<()> {
         self.add_server().await?;
@@ -549,8 +590,12 @@
         let lost_records = self.rng.random_range(1..40);
         self.store.restore(lost_records);
         self.write_configuration();
+        for (zone, is_in_force) in self.evacuations.borrow().iter() {
+            let key = format!("evacuate/{zone}");
+            self.store.put("keyed.op", &key, evacuation(*is_in_force));
+        }
         let (left, store) = (self.left.clone(), rc::Rc::clone(&self.store));
-        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
+        let gone = entry(self.no_server(), ZONES[0], streams::VERSIONS[0], "draining");
         tokio::task::spawn_local(async move {
             tokio::time::sleep(HEARTBEAT).await;
             for name in left {
@@ -570,7 +615,7 @@
         self.add_server().await?;
         let Server { name, beats, .. } = self.servers.remove(server);
         beats.abort();
-        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
+        let gone = entry(self.no_server(), ZONES[0], streams::VERSIONS[0], "draining");
         self.store.put("keyed.servers", &name, gone.as_bytes());
         self.judge.note_left(&name);
         self.left.push(name);
@@ -589,9 +634,14 @@
     }
 }
 
-fn entry(address: net::SocketAddr, version: &str, state: &str) -> String {
+/// Returns the value of a record that evacuates a zone, or lifts that.
+fn evacuation(is_in_force: bool) -> &'static [u8] {
+    if is_in_force { b"{}" } else { b"" }
+}
+
+fn entry(address: net::SocketAddr, zone: &str, version: &str, state: &str) -> String {
     serde_json::json!({
-        "Service": "desk", "Address": address, "Zone": "z", "Version": version, "Slots": 6,
+        "Service": "desk", "Address": address, "Zone": zone, "Version": version, "Slots": 6,
         "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1,
     })
     .to_string()
--- a/soak/src/servers.rs
+++ b/soak/src/servers.rs
@@ -16,6 +16,9 @@
 /// The time after a server has asked for a pause from which requests count.
 const PAUSE_NOTICE: time::Duration = time::Duration::from_millis(500);
 
+/// The time after which no request must reach the servers of an evacuated zone.
+const EVACUATED_WITHIN: time::Duration = time::Duration::from_millis(5_000);
+
 /// The requests that may reach a server in a pause.
 const PAUSE_ALLOWED: usize = 2;
 
@@ -56,12 +59,23 @@
     span: time::Duration,
 }
 
+/// A time in which a zone is evacuated.
+#[derive(Debug, Clone)]
+struct Evacuation {
+    zone: String,
+    since: time::Duration,
+    until: Option<time::Duration>,
+}
+
 /// What servers have seen and asked for.
 #[derive(Debug, Default)]
 pub struct Servers {
     arrivals: Vec<Arrival>,
     crashes: BTreeMap<Cause, Vec<time::Duration>>,
     pauses: Vec<Pause>,
+    /// The zones of servers.
+    zones: BTreeMap<String, String>,
+    evacuations: Vec<Evacuation>,
     /// The answers of leaving servers, by attempt.
     leaving: BTreeMap<String, String>,
     /// The instance that each attempt was sent to, when, and when its answer was received.
@@ -117,6 +131,21 @@
         self.pauses.push(Pause { server, attempt, at, span });
     }
 
+    /// Notes the zone of a server.
+    pub fn note_zone(&mut self, server: &str, zone: &str) {
+        self.zones.insert(server.to_string(), zone.to_string());
+    }
+
+    /// Notes that a zone is evacuated, or that this is lifted.
+    pub fn note_evacuation(&mut self, zone: &str, is_in_force: bool, at: time::Duration) {
+        if is_in_force {
+            let zone = zone.to_string();
+            self.evacuations.push(Evacuation { zone, since: at, until: None });
+        } else if let Some(last) = self.evacuations.iter_mut().rfind(|it| it.zone == zone) {
+            last.until.get_or_insert(at);
+        }
+    }
+
     /// Notes that an instance, or with `None` all of them, is not in touch for a while.
     pub fn note_disturbance(
         &mut self,
@@ -181,9 +210,33 @@
             }
         }
         violations.extend(self.arrivals.iter().filter_map(|arrival| self.check_leaving(arrival)));
+        for evacuation in &self.evacuations {
+            let from = self.in_force_at(evacuation.since);
+            let is_late = |arrival: &&Arrival| {
+                self.zones.get(&arrival.server) == Some(&evacuation.zone)
+                    && arrival.at > from
+                    && evacuation.until.is_none_or(|until| arrival.at < until)
+            };
+            let count = self.arrivals.iter().filter(is_late).count();
+            if count > 0 {
+                violations.push(format!("{count} requests after {from:?} in {evacuation:?}"));
+            }
+        }
         violations
     }
 
+    /// Returns when an evacuation must be in force at all instances. What keeps them from the store
+    /// until then postpones it; an instance that ends and starts again does not.
+    fn in_force_at(&self, since: time::Duration) -> time::Duration {
+        let mut from = since + EVACUATED_WITHIN;
+        for (_, start, end) in self.disturbances.iter().filter(|(_, start, end)| start < end) {
+            if *start <= from && *end >= since {
+                from = from.max(*end + EVACUATED_WITHIN);
+            }
+        }
+        from
+    }
+
     fn check_leaving(&self, arrival: &Arrival) -> Option<String> {
         let (instance, sent, _) = self.attempts.get(&arrival.attempt)?;
         let told = self.leaving.iter().filter(|(_, server)| **server == arrival.server);
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -157,3 +157,25 @@
     servers.note_disturbance(Some(instance()), ms(500), ms(0));
     assert!(servers.violations().is_empty(), "the instance was restarted");
 }
+
+#[test]
+fn requests_to_an_evacuated_zone_after_the_bound_are_violations() {
+    let ms = std::time::Duration::from_millis;
+    let mut servers = soak::servers::Servers::default();
+    servers.note_zone("s", "z");
+    servers.note_zone("other", "y");
+    for (attempt, server, at_ms) in
+        [("a", "s", 3_000), ("b", "other", 7_000), ("c", "s", 7_000), ("d", "s", 9_500)]
+    {
+        servers.note_sent(attempt, instance(), ms(at_ms));
+        servers.note_arrival(server, attempt, None, ms(at_ms));
+    }
+    assert!(servers.violations().is_empty(), "no zone is evacuated");
+    servers.note_evacuation("z", true, ms(1_000));
+    servers.note_evacuation("z", false, ms(9_000));
+    assert!(servers.violations()[0].starts_with("1 requests"), "after 6 s: {servers:?}");
+    servers.note_disturbance(Some(instance()), ms(4_000), ms(0));
+    assert_eq!(servers.violations().len(), 1, "a restart is no excuse");
+    servers.note_disturbance(None, ms(2_000), ms(500));
+    assert!(servers.violations().is_empty(), "the store was away until 2.5 s");
+}
