Send slow plain requests to a second server

Operators accept some extra work on the servers if it cuts the slowest answers. A request of an idempotent route to a plain service, or a resumable stream of one before its first event, that is without an answer after a quantile of the recent times is sent to a second server in another failure domain. The first whole answer is delivered, and the other connection is closed.

The second leg is a request of its own within the reducer, with a number derived from the first one, so that reservations, limits, digests and reports of its end work unchanged, also with older owners. A second phase in the request was ruled out: each place that handles a grant or a limit would handle two. A search for slow requests on ticks was ruled out, as ticks are 50 ms apart and usual delays shorter; the dispatch carries the delay, and the task of the request reports that it has passed.

The exchange with a server moves out of router/requests.rs into router/exchange.rs without a change of what it does; router/hedged.rs runs two of them.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -46,7 +46,9 @@
         args::Command::Help(text) => output.text(text),
         args::Command::Version => output.version(),
         args::Command::Serve { settings } => serve::serve(&settings),
-        args::Command::Node { metrics_port } => serve::node(metrics_port),
+        args::Command::Node { metrics_port, hedge_percent } => {
+            serve::node(metrics_port, hedge_percent)
+        }
         args::Command::ConfigCheck { file, environment } => {
             config::check(&file, environment, output)
         }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -12,6 +12,9 @@
 use crate::document::hex;
 use crate::settings;
 
+/// The largest share of requests that may be hedged, in percent: half of the usual retry budget.
+const MAX_HEDGE_PERCENT: f64 = 10.0;
+
 /// An instance's side for operators, and the file with the operator key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Remote {
@@ -42,7 +45,7 @@
 }
 
 /// What the command line asks for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Command {
     /// Print a help text.
     Help(&'static str),
@@ -57,6 +60,8 @@
     Node {
         /// The port on which metrics are shown.
         metrics_port: Option<u16>,
+        /// The share of requests that may be hedged, in percent.
+        hedge_percent: f64,
     },
     /// Check a document.
     ConfigCheck {
@@ -208,7 +213,10 @@
             "serve" => Ok(Command::Serve { settings: self.path("--settings")? }),
             "node" => {
                 let port = |text: &str| text.parse().map_err(|_| "not a port");
-                Ok(Command::Node { metrics_port: self.optional("--metrics-port", port)? })
+                let metrics_port = self.optional("--metrics-port", port)?;
+                let hedge_percent = self.optional("--hedge-percent", parse_hedge_percent)?;
+                let hedge_percent = hedge_percent.unwrap_or_default();
+                Ok(Command::Node { metrics_port, hedge_percent })
             }
             "config check" => {
                 let environment = self.optional("--environment", parse_environment)?;
@@ -391,6 +399,11 @@
     document::Environment::parse(text).ok_or("not trial or production")
 }
 
+fn parse_hedge_percent(text: &str) -> Parsed<f64> {
+    let percent = text.parse().ok().filter(|percent| (0.0..=MAX_HEDGE_PERCENT).contains(percent));
+    percent.ok_or("not a number from 0 to 10")
+}
+
 fn parse_level(text: &str) -> Parsed<settings::LogLevel> {
     settings::LogLevel::parse(text).ok_or("not error, warn, info, debug or trace")
 }
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -84,12 +84,14 @@
     Topic {
         name: "node",
         text: "\
-Usage: galenayard node [--metrics-port PORT]
+Usage: galenayard node [--metrics-port PORT] [--hedge-percent P]
 
 Runs an instance on the users' platform until SIGTERM. The platform tells where its settings file is;
 see README.md.
 
   --metrics-port PORT  Where metrics are shown; nowhere if not named
+  --hedge-percent P    The share of requests that may be sent to a second server while the first
+                       one is slow, in percent, 0 to 10; 0 if not named
 ",
     },
     Topic {
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -26,8 +26,8 @@
 }
 
 /// Runs an instance on the users' platform until it is told to stop.
-pub fn node(metrics_port: Option<u16>) -> Result<exit::Exit, exit::Failure> {
-    platform::serve(metrics_port)?;
+pub fn node(metrics_port: Option<u16>, hedge_percent: f64) -> Result<exit::Exit, exit::Failure> {
+    platform::serve(metrics_port, hedge_percent / 100.0)?;
     Ok(exit::Exit::Done)
 }
 
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -23,6 +23,7 @@
 mod distribution;
 pub mod estimate;
 pub mod fairness;
+pub mod hedging;
 pub mod kept;
 pub mod ledger;
 pub mod message;
@@ -84,6 +85,8 @@
     /// The time after which an unresponsive server is abandoned; `None` if the step must not be
     /// repeated at another server.
     pub response_timeout: Option<time::Duration>,
+    /// The time without an answer after which a hedge is due; `None` if there must be none.
+    pub hedge_after: Option<time::Duration>,
 }
 
 /// The progress or the end of a request at a server.
@@ -173,7 +176,7 @@
     },
     /// The head of a server's answer was received.
     AnswerReceived {
-        /// The number of the request.
+        /// The number of the request, or of its second leg.
         request: call::RequestNumber,
         /// What the answer states about the rate limit of its server.
         limit: server_limits::Statement,
@@ -182,9 +185,14 @@
         /// Whether the answer is certainly one to this request.
         is_authentic: bool,
     },
+    /// The time has passed after which a request at a server is to be hedged.
+    HedgeDue {
+        /// The number of the request.
+        request: call::RequestNumber,
+    },
     /// A request at a server has progressed or ended.
     RequestProgressed {
-        /// The number of the request.
+        /// The number of the request, or of its second leg.
         request: call::RequestNumber,
         /// The progress or the end.
         outcome: Outcome,
@@ -256,6 +264,14 @@
         /// The server and the work.
         dispatch: Dispatch,
     },
+    /// Send a request to a second server, beside the first one. Its events bear the number of the
+    /// second leg.
+    SendSecond {
+        /// The number of the request.
+        request: call::RequestNumber,
+        /// The server and the work.
+        dispatch: Dispatch,
+    },
     /// End a request with an answer of this instance.
     Refuse {
         /// The number of the request.
@@ -322,6 +338,8 @@
     pub quota_window: time::Duration,
     /// The fleet's bounds on retries.
     pub retries: budget::RetryBounds,
+    /// The share of requests that may be hedged; 0 for none.
+    pub hedge_share: f64,
     /// The addresses of peers that are known from the settings.
     pub seeds: Vec<net::SocketAddr>,
     /// The seed of the random choices that spread load.
@@ -346,6 +364,7 @@
     quotas: quota::Quotas,
     pending_history: Option<(Vec<quota::Spending>, ids::Timestamp)>,
     budget: budget::RetryBudget,
+    hedging: hedging::Hedging,
     requests: collections::Map<call::RequestNumber, live::LiveRequest>,
     waiting: Vec<call::RequestNumber>,
     claims: collections::Map<ledger::Ticket, broker::RemoteClaim>,
@@ -391,6 +410,7 @@
             peers: peers::Peers::default(),
             quotas: quota::Quotas::new(options.quota_window, options.is_first_start),
             pending_history: None,
+            hedging: hedging::Hedging::new(options.hedge_share, &options.retries),
             budget: budget::RetryBudget::new(options.retries, !options.is_first_start),
             requests: collections::Map::default(),
             waiting: Vec::new(),
@@ -445,12 +465,14 @@
             }
             Event::Arrived { request, call } => self.arrive(request, call, now, &mut effects),
             Event::AnswerReceived { request, limit, notice, is_authentic } => {
+                let request = self.leg_number(request);
                 self.receive_notice(request, notice, now, &mut effects);
                 self.receive_statement(request, limit, is_authentic, now, &mut effects);
             }
             Event::RequestProgressed { request, outcome } => {
-                self.progress(request, outcome, now, &mut effects);
+                self.progress_leg(request, outcome, now, &mut effects);
             }
+            Event::HedgeDue { request } => self.hedge(request, now, &mut effects),
             Event::CallerDisconnected { request } => self.disconnect(request, now, &mut effects),
             Event::RequestExpired { request } => self.expire_request(request, now, &mut effects),
             Event::PromptsListed { server, prompts } => {
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -16,6 +16,7 @@
 use crate::core::fleet::constants;
 use crate::core::fleet::crashes;
 use crate::core::fleet::decision;
+use crate::core::fleet::hedging;
 use crate::core::fleet::live;
 use crate::core::fleet::refusal;
 use crate::core::fleet::waiting;
@@ -60,6 +61,7 @@
         let Some(live) = self.requests.get_mut(&request) else { return };
         live.phase = live::Phase::Waiting;
         self.budget.record_request(&live.claim.service, now);
+        self.hedging.record_request(&live.claim.service);
         if !self.start_resumption(request, now, effects) {
             self.place_or_queue(request, now, effects);
         }
@@ -137,6 +139,7 @@
             held: None,
             may_have_run: false,
             has_failed_answer: false,
+            hedge: None,
             route,
         })
     }
@@ -161,6 +164,9 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
+        if hedging::is_second_leg(request) {
+            return self.drop_second_leg(request, Self::obstacle_of(&refusal), effects);
+        }
         let Some(live) = self.end_request(request, now, effects) else { return };
         if live.may_have_run && refusal.retry_after.is_some() && live.has_failed_answer {
             effects.push(Effect::DeliverFailure { request });
@@ -182,6 +188,9 @@
     ) -> Option<live::LiveRequest> {
         self.release_held_prompt(request, now, effects);
         let live = self.requests.remove(&request)?;
+        if live.hedge.as_ref().is_some_and(|hedge| hedge.is_open) {
+            self.close_second_leg(request, hedging::HedgeEnd::Abandoned, now, effects);
+        }
         self.report_end(request, &live, effects);
         self.waiting.retain(|waiting| *waiting != request);
         if let live::Phase::AtServer(at) = &live.phase {
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -12,6 +12,7 @@
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::decision;
+use crate::core::fleet::hedging;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
 use crate::core::fleet::message;
@@ -160,6 +161,9 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
+        if hedging::is_second_leg(request) {
+            return self.drop_second_leg(request, hedging::Obstacle::OwnerUnresponsive, effects);
+        }
         let Some(live) = self.requests.get_mut(&request) else { return };
         live.phase = live::Phase::Waiting;
         let ticket =
@@ -185,7 +189,8 @@
     ) {
         let Some(live) = self.requests.get(&request) else { return };
         let Some(to) = live.grant.map(|grant| grant.owner_address) else { return };
-        self.send_progress(to, self.ticket(request, live.attempt), progress, effects);
+        let ticket = self.ticket(live.ticket_number(request), live.attempt);
+        self.send_progress(to, ticket, progress, effects);
     }
 
     /// Reports to an owner that a request that has ended needs no reservation any more.
@@ -200,7 +205,7 @@
             _ => live.grant.map(|grant| grant.owner_address),
         };
         if let Some(to) = to {
-            let ticket = self.ticket(request, live.attempt);
+            let ticket = self.ticket(live.ticket_number(request), live.attempt);
             self.send_progress(to, ticket, ended(None, time::Duration::ZERO), effects);
         }
     }
@@ -271,7 +276,7 @@
                 self.add_granted_servers(entries, now, effects);
                 self.receive_grant(from, ticket, placement, expected_ms, now, effects);
             }
-            message::Message::Queued { ticket } => self.confirm_queued(ticket, now),
+            message::Message::Queued { ticket } => self.confirm_queued(ticket, now, effects),
             message::Message::Decline { ticket, retry_after_ms } => {
                 let Some(request) = self.pending_request(ticket) else { return };
                 let wait = time::Duration::from_millis(retry_after_ms);
@@ -311,8 +316,16 @@
         (is_awaiting && is_own).then_some(ticket.request)
     }
 
-    fn confirm_queued(&mut self, ticket: ledger::Ticket, now: ids::Timestamp) {
+    fn confirm_queued(
+        &mut self,
+        ticket: ledger::Ticket,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(request) = self.pending_request(ticket) else { return };
+        if hedging::is_second_leg(request) {
+            return self.drop_second_leg(request, hedging::Obstacle::ShortOfRoom, effects);
+        }
         if let Some(live) = self.requests.get_mut(&request)
             && let live::Phase::AwaitingGrant(awaiting) = &mut live.phase
         {
--- a/src/core/fleet/coordination.rs
+++ b/src/core/fleet/coordination.rs
@@ -274,7 +274,7 @@
 
     fn usage(&self, now: ids::Timestamp) -> peers::Usage {
         let work = self.requests.iter().filter_map(|(request, live)| {
-            let ticket = self.ticket(*request, live.attempt);
+            let ticket = self.ticket(live.ticket_number(*request), live.attempt);
             Some((ticket, live.reservations()?))
         });
         peers::Usage { work: work.collect(), spending: self.quotas.recent_reports(now) }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use crate::core::fleet;
+use crate::core::fleet::hedging;
 use crate::core::fleet::quarantine;
 use crate::core::fleet::refusal;
 use crate::core::fleet::resumption;
@@ -275,6 +276,51 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         limits: Option<refusal::LimitView>,
     },
+    /// A request that is still without an answer is sent to a second server.
+    HedgeSent {
+        /// The caller's id of the request.
+        request: String,
+        /// The service.
+        service: String,
+        /// The id of the server that has not answered yet.
+        first_server: String,
+        /// The id of the second server.
+        server: String,
+        /// The time since the request was sent to the first server.
+        elapsed_ms: u64,
+        /// The time after which the hedge was due.
+        delay_ms: u64,
+        /// The quantile of recent times that this is.
+        quantile: f64,
+        /// The number of these times.
+        sample: usize,
+        /// The time since the newest of them.
+        age_ms: u64,
+        /// The hedges that this instance may still send for the service.
+        hedges_left: f64,
+    },
+    /// A request that may be hedged is not.
+    HedgeNotSent {
+        /// The caller's id of the request.
+        request: String,
+        /// The service.
+        service: String,
+        /// The reason.
+        obstacle: hedging::Obstacle,
+    },
+    /// One of the two sends of a request was answered, has failed, or both were cancelled.
+    HedgeEnded {
+        /// The caller's id of the request.
+        request: String,
+        /// The service.
+        service: String,
+        /// The id of the second server.
+        server: String,
+        /// How it has ended.
+        end: hedging::HedgeEnd,
+        /// The time for which both servers had the request.
+        extra_work_ms: u64,
+    },
     /// The first event of a stream has arrived.
     Started {
         /// The caller's id of the request.
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::crashes;
+use crate::core::fleet::hedging;
 use crate::core::fleet::ledger;
 use crate::core::fleet::servers;
 use crate::core::ids;
@@ -119,6 +120,19 @@
     pub since: ids::Timestamp,
 }
 
+/// The second leg of a request: another send, made while the first one is without an answer. Its
+/// state is that of a request of its own, until the first leg has ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Hedge {
+    /// What the decision to send it rests on.
+    pub basis: hedging::times::Basis,
+    /// Whether it waits for a reservation or is at a server, beside the first leg.
+    pub is_open: bool,
+    /// Whether the first leg has ended, so that the request is at the server of the second one. Its
+    /// reservation bears that leg's number.
+    pub is_promoted: bool,
+}
+
 /// The phase of a request.
 #[derive(Debug, Clone)]
 pub enum Phase {
@@ -177,6 +191,8 @@
     pub may_have_run: bool,
     /// Whether a server's failed answer is stored for it.
     pub has_failed_answer: bool,
+    /// Its second leg, if it got one.
+    pub hedge: Option<Box<Hedge>>,
 }
 
 impl LiveRequest {
@@ -232,6 +248,16 @@
         (self.claim.tried.len() as u32) < constants::MAX_TRIED_SERVERS
     }
 
+    /// Returns whether its first leg has ended and it is at the server of the second one.
+    pub fn is_promoted(&self) -> bool {
+        self.hedge.as_ref().is_some_and(|hedge| hedge.is_promoted)
+    }
+
+    /// Returns the number that its ticket bears; `number` is that under which its state is kept.
+    pub fn ticket_number(&self, number: call::RequestNumber) -> call::RequestNumber {
+        if self.is_promoted() { hedging::second_leg(number) } else { number }
+    }
+
     /// Returns the name of its workspace, if there is one.
     pub fn workspace_name(&self) -> Option<String> {
         self.workspace.as_ref().map(|workspace| workspace.name.to_string())
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -22,7 +22,7 @@
 use crate::core::ids;
 
 /// The minimum time before the deadline in which a retry can still be answered.
-const MIN_RETRY_TIME: time::Duration = time::Duration::from_millis(40);
+pub(super) const MIN_RETRY_TIME: time::Duration = time::Duration::from_millis(40);
 
 impl Step {
     /// Returns the name of the step in log lines.
@@ -44,29 +44,14 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(live) = self.requests.get_mut(&request) else { return };
+        let Some(live) = self.requests.get(&request) else { return };
         let live::Phase::AtServer(at) = live.phase.clone() else { return };
         match outcome {
             Outcome::Started => return self.record_started(request, &at, now, effects),
             Outcome::Continued => return self.record_survival(request, &at, now, effects),
             _ => {}
         }
-        live.phase = live::Phase::Ending;
-        live.count_arrival(&at, &outcome);
-        effects.push(Effect::Log(decision::Decision::Ended {
-            request: fleet::text(&live.call.id),
-            route: live.route.name.clone(),
-            workspace: live.workspace_name(),
-            server: fleet::text(&at.server),
-            outcome: describe(&outcome),
-            elapsed_ms: waiting::millis(now.saturating_sub(at.sent)),
-            since_arrival_ms: waiting::millis(now.saturating_sub(live.arrived)),
-        }));
-        self.release_load(&at);
-        effects.push(Effect::PublishLoad);
-        self.update_server_estimates(&at, &outcome, now, effects);
-        self.note_end(request, &at, &outcome, now, effects);
-        self.report_outcome(request, &at, &outcome, now, effects);
+        self.end_at_server(request, &at, &outcome, now, effects);
         match outcome {
             Outcome::Started | Outcome::Continued => {}
             Outcome::Prefilled { handle } => self.hand_over(request, &at, handle, now, effects),
@@ -86,6 +71,34 @@
         self.place_waiting(now, effects);
     }
 
+    /// Ends the stay of a request, or of one of its legs, at a server.
+    pub(super) fn end_at_server(
+        &mut self,
+        request: call::RequestNumber,
+        at: &live::AtServer,
+        outcome: &Outcome,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(live) = self.requests.get_mut(&request) else { return };
+        live.phase = live::Phase::Ending;
+        live.count_arrival(at, outcome);
+        effects.push(Effect::Log(decision::Decision::Ended {
+            request: fleet::text(&live.call.id),
+            route: live.route.name.clone(),
+            workspace: live.workspace_name(),
+            server: fleet::text(&at.server),
+            outcome: describe(outcome),
+            elapsed_ms: waiting::millis(now.saturating_sub(at.sent)),
+            since_arrival_ms: waiting::millis(now.saturating_sub(live.arrived)),
+        }));
+        self.release_load(at);
+        effects.push(Effect::PublishLoad);
+        self.update_server_estimates(at, outcome, now, effects);
+        self.note_end(request, at, outcome, now, effects);
+        self.report_outcome(request, at, outcome, now, effects);
+    }
+
     fn record_started(
         &mut self,
         request: call::RequestNumber,
@@ -154,6 +167,9 @@
         self.report_progress(request, broker::ended(evidence, elapsed), effects);
         if let Some(live) = self.requests.get_mut(&request) {
             live.grant = None;
+            if let Some(hedge) = &mut live.hedge {
+                hedge.is_promoted = false;
+            }
         }
     }
 
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -18,6 +18,7 @@
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::decision;
+use crate::core::fleet::hedging;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
 use crate::core::fleet::placement;
@@ -519,6 +520,13 @@
             started: None,
             is_repeat: repeats > 0,
         });
+        let hedge_after = match self.hedging.delay(live, &step, now) {
+            Ok(delay) => delay,
+            Err(obstacle) => {
+                hedging::log_obstacle(live, obstacle, effects);
+                None
+            }
+        };
         effects.push(Effect::Log(decision::Decision::Sent {
             request: fleet::text(&live.call.id),
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.content.version),
@@ -550,10 +558,16 @@
             step,
             workspace: live.workspace.as_ref().map(|workspace| sync::Arc::clone(&workspace.name)),
             remaining: live.expires.saturating_sub(now),
+            hedge_after,
         };
         self.servers.add_load(server, load);
         self.count_limited_send(request, server, now);
-        effects.push(Effect::Send { request, dispatch });
+        if hedging::is_second_leg(request) {
+            self.note_second_sent(request, server, now, effects);
+            effects.push(Effect::SendSecond { request: hedging::first_leg(request), dispatch });
+        } else {
+            effects.push(Effect::Send { request, dispatch });
+        }
         effects.push(Effect::PublishLoad);
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -35,12 +35,13 @@
     }
 }
 
-/// Runs an instance on the platform until it has shut down after SIGTERM.
+/// Runs an instance on the platform until it has shut down after SIGTERM. `hedge_share` is the share
+/// of requests that may be hedged.
 ///
 /// # Errors
 ///
 /// Fails if the settings are invalid or a socket cannot be bound.
-pub fn serve(metrics_port: Option<u16>) -> Result<(), router::RouterError> {
+pub fn serve(metrics_port: Option<u16>, hedge_share: f64) -> Result<(), router::RouterError> {
     let path = std::env::var_os(SETTINGS_VARIABLE).map(path::PathBuf::from);
     let path = path.ok_or_else(|| router::RouterError::Settings {
         path: path::PathBuf::from(SETTINGS_VARIABLE),
@@ -57,16 +58,17 @@
         .build()
         .map_err(router::RouterError::Runtime)?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, run(node, &path, metrics_port, Prometheus(recorder)))
+    local.block_on(&runtime, run(node, &path, (metrics_port, hedge_share), Prometheus(recorder)))
 }
 
 async fn run(
     node: settings::Node,
     path: &path::Path,
-    metrics_port: Option<u16>,
+    (metrics_port, hedge_share): (Option<u16>, f64),
     recorder: Prometheus,
 ) -> Result<(), router::RouterError> {
-    let options = node.router_options(path, metrics_port)?;
+    let mut options = node.router_options(path, metrics_port)?;
+    options.fleet.hedge_share = hedge_share;
     let grace = options.grace;
     let name = &node.node_name;
     log::info!("instance {name} starts, listening on {}", options.callers);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -208,6 +208,7 @@
                 is_first_start: self.bootstrap,
                 quota_window: self.bounds.quota_window(),
                 retries: self.bounds.retries(),
+                hedge_share: 0.0,
                 seeds,
             },
             callers: listen.frontend,
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -42,6 +42,8 @@
     },
     /// Send the request to a server.
     Send(fleet::Dispatch),
+    /// Send the request to a second server, beside the first one.
+    SendSecond(fleet::Dispatch),
     /// End the request without a response from a server.
     Refuse(refusal::Refusal),
     /// Deliver the last failed response, which the task has stored.
@@ -166,6 +168,9 @@
             fleet::Effect::Send { request, dispatch } => {
                 self.command(request, Command::Send(dispatch));
             }
+            fleet::Effect::SendSecond { request, dispatch } => {
+                self.command(request, Command::SendSecond(dispatch));
+            }
             fleet::Effect::Refuse { request, refusal } => {
                 self.command(request, Command::Refuse(refusal));
             }
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -40,6 +40,23 @@
             metrics::counter!("sent_total", "step" => *step).increment(1);
             metrics::histogram!("wait_ms", "step" => *step).record(*waited_ms as f64);
         }
+        decision::Decision::HedgeSent { service, .. } => {
+            let labels = [("service", service.clone())];
+            metrics::counter!("hedges_sent_total", &labels).increment(1);
+        }
+        decision::Decision::HedgeNotSent { service, obstacle, .. } => {
+            let labels = [("service", service.clone()), ("obstacle", obstacle.name().to_string())];
+            metrics::counter!("hedges_not_sent_total", &labels).increment(1);
+        }
+        decision::Decision::HedgeEnded { service, end, extra_work_ms, .. } => {
+            let labels = [("service", service.clone()), ("end", end.name().to_string())];
+            metrics::counter!("hedges_ended_total", &labels).increment(1);
+            let labels = [("service", service.clone())];
+            if end.is_cancellation() {
+                metrics::counter!("hedge_legs_cancelled_total", &labels).increment(1);
+            }
+            metrics::counter!("hedge_extra_work_ms_total", &labels).increment(*extra_work_ms);
+        }
         decision::Decision::Started { since_arrival_ms, route, workspace, .. } => {
             let labels = labels(route, workspace.as_deref());
             metrics::histogram!("first_event_ms", &labels).record(*since_arrival_ms as f64);
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -12,14 +12,15 @@
 use crate::core::fleet::call;
 use crate::core::fleet::crashes;
 use crate::core::fleet::decision;
+use crate::core::fleet::hedging;
 use crate::core::fleet::refusal;
 use crate::core::ids;
 use crate::router::body;
 use crate::router::context;
-use crate::router::dialect;
+use crate::router::exchange;
+use crate::router::hedged;
 use crate::router::memory;
 use crate::router::relay;
-use crate::router::upstream;
 
 /// Chunks of a stream buffered for a slow caller before backpressure reaches the server.
 const STREAM_BUFFER_CHUNKS: usize = 32;
@@ -31,12 +32,6 @@
 /// already relayed are sent first.
 const FLUSH_PAUSE: time::Duration = time::Duration::from_millis(5);
 
-/// Statuses that tell a caller that the request has not run: it may send it again.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-
-/// The media type of a stream of events.
-const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
-
 /// The HTTP response to a caller.
 pub type Response = http::Response<body::Body>;
 
@@ -57,58 +52,6 @@
     }
 }
 
-/// The result of one attempt at a server.
-enum Attempt {
-    /// An outcome without a response for the caller.
-    Outcome(fleet::Outcome),
-    /// A complete response.
-    Complete(http::Response<Bytes>),
-    /// A complete response with a status of a failure; another server may be tried.
-    Failure(http::Response<Bytes>),
-    /// A stream of events whose first event has been received, or an answer that is too long to be
-    /// kept.
-    Stream(Box<Stream>),
-}
-
-/// What is relayed of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Relayed {
-    /// Whole events.
-    Events,
-    /// All bytes as they come.
-    Bytes,
-}
-
-/// The start of an answer.
-enum Start {
-    /// It is whole.
-    Whole(Bytes),
-    /// It goes on.
-    Partial(Bytes),
-}
-
-/// Why an answer could not be read.
-enum ReadFault {
-    /// Its connection was lost, or it ended early.
-    Lost,
-    /// A part of it is longer than this instance takes.
-    TooLong(decision::AnswerPart, usize),
-    /// All answers together take too much memory, which is no fault of this server.
-    NoMemory,
-}
-
-/// A server's answer that is relayed as it comes.
-struct Stream {
-    server: ids::ServerId,
-    relayed: Relayed,
-    head: http::response::Parts,
-    body: Incoming,
-    /// All bytes read so far; empty if the body ended without any.
-    first: Bytes,
-    /// Closes the connection when dropped, so it is held until the stream ends.
-    connection: upstream::Connection,
-}
-
 /// A caller's request from arrival to the end of its response.
 struct Task {
     guard: RequestGuard,
@@ -118,6 +61,9 @@
     call: call::Call,
     expires: ids::Timestamp,
     is_stream: bool,
+    /// The number under which outcomes at the server are reported: that of the request, or of its
+    /// second leg.
+    leg: call::RequestNumber,
     /// The last failed response, delivered if no other attempt succeeds.
     failed_response: Option<http::Response<Bytes>>,
     events: relay::EventBuffer,
@@ -151,6 +97,7 @@
         call: call.clone(),
         expires: ids::Timestamp::MAX,
         is_stream: false,
+        leg: request,
         failed_response: None,
         events: relay::EventBuffer::default(),
     };
@@ -168,17 +115,23 @@
                 context::Command::Admit { .. } => {}
                 context::Command::Refuse(refusal) => return self.refuse(refusal),
                 context::Command::Deliver => return self.deliver_failure(),
-                context::Command::Send(dispatch) => match self.attempt(&dispatch).await {
-                    None => self.report_expired(),
-                    Some(Attempt::Outcome(outcome)) => self.report_outcome(outcome),
-                    Some(Attempt::Failure(response)) => {
-                        let status = response.status().as_u16();
-                        self.failed_response = Some(response);
-                        self.report_outcome(fleet::Outcome::Failed { status });
+                context::Command::Send(dispatch) | context::Command::SendSecond(dispatch) => {
+                    match self.attempt(&dispatch).await {
+                        None => self.report_expired(),
+                        Some(exchange::Attempt::Outcome(outcome)) => self.report_outcome(outcome),
+                        Some(exchange::Attempt::Failure(response)) => {
+                            let status = response.status().as_u16();
+                            self.failed_response = Some(response);
+                            self.report_outcome(fleet::Outcome::Failed { status });
+                        }
+                        Some(exchange::Attempt::Complete(response)) => {
+                            return self.finish(response);
+                        }
+                        Some(exchange::Attempt::Stream(stream)) => {
+                            return self.begin_stream(*stream);
+                        }
                     }
-                    Some(Attempt::Complete(response)) => return self.finish(response),
-                    Some(Attempt::Stream(stream)) => return self.begin_stream(*stream),
-                },
+                }
             }
         }
     }
@@ -199,6 +152,11 @@
                 self.is_stream = is_stream;
                 continue;
             }
+            // After the failure of the first leg, the second one may still have to be sent.
+            self.leg = match command {
+                Some(context::Command::SendSecond(_)) => hedging::second_leg(self.guard.request),
+                _ => self.guard.request,
+            };
             return command;
         }
     }
@@ -212,214 +170,32 @@
     }
 
     fn report_outcome(&self, outcome: fleet::Outcome) {
-        let request = self.guard.request;
+        let request = self.leg;
         self.guard.context.apply(fleet::Event::RequestProgressed { request, outcome });
     }
 
-    /// Sends the request to a server; returns `None` if the request's deadline passes first.
-    async fn attempt(&mut self, dispatch: &fleet::Dispatch) -> Option<Attempt> {
-        let remaining = self.remaining();
-        let response_timeout =
-            dispatch.response_timeout.filter(|response_timeout| *response_timeout < remaining);
-        match tokio::time::timeout(
-            response_timeout.unwrap_or(remaining),
-            self.exchange(dispatch, remaining),
-        )
-        .await
-        {
-            Ok(response) => Some(response),
-            Err(_) => response_timeout.map(|_| Attempt::Outcome(fleet::Outcome::Unresponsive)),
-        }
-    }
-
-    async fn exchange(&self, dispatch: &fleet::Dispatch, remaining: time::Duration) -> Attempt {
-        let dialect = &self.guard.context.dialect;
-        let mut connection = match upstream::Connection::open(dispatch.address).await {
-            Ok(connection) => connection,
-            Err(failure) => {
-                log::debug!("server at {}: {failure}", dispatch.address);
-                return Attempt::Outcome(fleet::Outcome::Unsent);
-            }
+    /// Sends the request to a server, and to a second one if that is due; returns `None` if the
+    /// request's deadline passes first.
+    async fn attempt(&mut self, dispatch: &fleet::Dispatch) -> Option<exchange::Attempt> {
+        let exchange = exchange::Exchange {
+            context: &self.guard.context,
+            number: self.leg,
+            head: &self.head,
+            body: &self.body,
+            call: &self.call,
+            is_stream: self.is_stream,
+            after_event: self.events.last_id(),
+            expires: self.expires,
         };
-        let after_event = self.events.last_id();
-        let request =
-            dialect.write_request(&self.head, self.body.clone(), dispatch, remaining, after_event);
-        let lost = Attempt::Outcome(fleet::Outcome::ConnectionLost);
-        let response = match connection.send(request).await {
-            Ok(response) => response,
-            Err(upstream::UpstreamError::ResponseTooLong(bytes)) => {
-                let fault = ReadFault::TooLong(decision::AnswerPart::Head, bytes);
-                return self.unreadable(dispatch, fault);
-            }
-            Err(failure) => {
-                log::debug!("server at {}: {failure}", dispatch.address);
-                return lost;
-            }
-        };
-        let (head, mut body) = response.into_parts();
-        let response_head = dialect.read_response_head(&head, &self.call);
-        self.report_limit(dispatch, &head, response_head);
-        if response_head.is_foreign {
-            return lost;
-        }
-        if response_head.is_misdirected {
-            return Attempt::Outcome(fleet::Outcome::Misdirected);
-        }
-        if response_head.is_rejection {
-            return Attempt::Outcome(fleet::Outcome::Rejected);
-        }
-        let is_prefill = dispatch.step == fleet::Step::Prefill;
-        let is_success = head.status.is_success();
-        if !is_prefill
-            && (!response_head.matches_request || (is_success && !response_head.is_signed))
-        {
-            return lost;
-        }
-        if self.is_stream && is_success && !is_prefill && is_event_stream(&head) {
-            let first = match self.read_first_event(&mut body).await {
-                Ok(first) => first,
-                Err(fault) => return self.unreadable(dispatch, fault),
-            };
-            if first.is_empty() && framing(&head.headers) == decision::Framing::ConnectionClose {
-                return lost;
-            }
-            let (server, relayed) = (dispatch.server.clone(), Relayed::Events);
-            let stream = Stream { server, relayed, head, body, first, connection };
-            return Attempt::Stream(Box::new(stream));
-        }
-        if is_prefill {
-            let max_bytes = memory::MAX_INTERNAL_ANSWER_BYTES;
-            let body = match upstream::read_whole(body, max_bytes).await {
-                Ok(body) => body,
-                Err(upstream::UpstreamError::ResponseTooLong(bytes)) => {
-                    let fault = ReadFault::TooLong(decision::AnswerPart::Body, bytes);
-                    return self.unreadable(dispatch, fault);
-                }
-                Err(_) => return lost,
-            };
-            return Attempt::Outcome(match dialect.read_prefill_response(&body) {
-                Some(handle) if is_success => fleet::Outcome::Prefilled { handle },
-                _ => fleet::Outcome::ConnectionLost,
-            });
-        }
-        let is_failure =
-            head.status.is_server_error() || NOT_RUN_STATUSES.contains(&head.status.as_u16());
-        let body_start = match self.read_start(&mut body).await {
-            Ok(body_start) => body_start,
-            Err(fault) => return self.unreadable(dispatch, fault),
-        };
-        match body_start {
-            Start::Whole(body) => {
-                let response = http::Response::from_parts(head, body);
-                if is_failure { Attempt::Failure(response) } else { Attempt::Complete(response) }
-            }
-            // A failure is kept while other servers are tried, and a stream cannot go on inside it.
-            Start::Partial(first) if is_failure || self.is_stream => {
-                let max_bytes = self.guard.context.memory.max_buffered_bytes();
-                let fault = if first.len() > max_bytes {
-                    ReadFault::TooLong(decision::AnswerPart::Body, max_bytes)
-                } else {
-                    ReadFault::NoMemory
-                };
-                self.unreadable(dispatch, fault)
-            }
-            Start::Partial(first) => {
-                let (server, relayed) = (dispatch.server.clone(), Relayed::Bytes);
-                let stream = Stream { server, relayed, head, body, first, connection };
-                Attempt::Stream(Box::new(stream))
-            }
-        }
-    }
-
-    /// Returns the outcome of an answer that could not be read.
-    fn unreadable(&self, dispatch: &fleet::Dispatch, fault: ReadFault) -> Attempt {
-        Attempt::Outcome(match fault {
-            ReadFault::Lost => fleet::Outcome::ConnectionLost,
-            ReadFault::NoMemory => {
-                let held_bytes = self.guard.context.memory.held_bytes();
-                log::warn!("dropping an answer, as all answers take {held_bytes} bytes");
-                fleet::Outcome::ConnectionLost
-            }
-            ReadFault::TooLong(part, limit_bytes) => {
-                self.log_too_long(&dispatch.server, part, limit_bytes);
-                fleet::Outcome::Endless
-            }
-        })
+        let Some(after) = dispatch.hedge_after else { return exchange.attempt(dispatch).await };
+        let (mailbox, failed) = (&mut self.mailbox, &mut self.failed_response);
+        let (leg, result) = hedged::attempt(exchange, dispatch, after, mailbox, failed).await;
+        self.leg = leg;
+        result
     }
 
     fn log_too_long(&self, server: &ids::ServerId, part: decision::AnswerPart, limit_bytes: usize) {
-        self.guard.context.log(&decision::Decision::AnswerTooLong {
-            request: String::from_utf8_lossy(&self.call.id).into_owned(),
-            server: String::from_utf8_lossy(server).into_owned(),
-            part,
-            limit_bytes,
-            held_bytes: self.guard.context.memory.held_bytes(),
-        });
-    }
-
-    /// Reads a body until it is whole, or longer than what is kept of it.
-    async fn read_start(&self, body: &mut Incoming) -> Result<Start, ReadFault> {
-        let memory = &self.guard.context.memory;
-        let mut held = memory.hold();
-        let mut bytes = bytes::BytesMut::new();
-        loop {
-            let Some(frame) = body.frame().await else { return Ok(Start::Whole(bytes.freeze())) };
-            let frame = frame.map_err(|_| ReadFault::Lost)?;
-            let Some(data) = frame.data_ref() else { continue };
-            let has_room = held.grow(data.len());
-            bytes.extend_from_slice(data);
-            if !has_room || bytes.len() > memory.max_buffered_bytes() {
-                return Ok(Start::Partial(bytes.freeze()));
-            }
-        }
-    }
-
-    /// Reads until the first event is complete and returns all bytes read; none if the body ends
-    /// without any.
-    async fn read_first_event(&self, body: &mut Incoming) -> Result<Bytes, ReadFault> {
-        let mut held = self.guard.context.memory.hold();
-        let mut events = relay::EventBuffer::default();
-        let mut bytes = bytes::BytesMut::new();
-        loop {
-            let Some(frame) = body.frame().await else {
-                return if bytes.is_empty() { Ok(Bytes::new()) } else { Err(ReadFault::Lost) };
-            };
-            let frame = frame.map_err(|_| ReadFault::Lost)?;
-            let Some(data) = frame.data_ref() else { continue };
-            bytes.extend_from_slice(data);
-            if events.push(data).is_some() {
-                return Ok(bytes.freeze());
-            }
-            if bytes.len() > memory::MAX_EVENT_BYTES {
-                let part = decision::AnswerPart::Event;
-                return Err(ReadFault::TooLong(part, memory::MAX_EVENT_BYTES));
-            }
-            if !held.grow(data.len()) {
-                return Err(ReadFault::NoMemory);
-            }
-        }
-    }
-
-    /// Reports what an answer states about the limit of its server, unless it is that of another
-    /// server or of another request.
-    fn report_limit(
-        &self,
-        dispatch: &fleet::Dispatch,
-        head: &http::response::Parts,
-        response_head: dialect::ResponseHead,
-    ) {
-        if response_head.is_misdirected || response_head.is_foreign {
-            return;
-        }
-        // Answers to a prefill bear no signature.
-        let is_prefilled = dispatch.step == fleet::Step::Prefill && head.status.is_success();
-        let is_authentic = response_head.matches_request && response_head.is_signed || is_prefilled;
-        self.guard.context.apply(fleet::Event::AnswerReceived {
-            request: self.guard.request,
-            limit: response_head.limit,
-            notice: response_head.notice,
-            is_authentic,
-        });
+        exchange::log_too_long(&self.guard.context, &self.call, server, part, limit_bytes);
     }
 
     fn refuse(mut self, refusal: refusal::Refusal) -> Response {
@@ -433,7 +209,7 @@
         let failed = self
             .failed_response
             .take()
-            .filter(|failed| !NOT_RUN_STATUSES.contains(&failed.status().as_u16()));
+            .filter(|failed| !exchange::NOT_RUN_STATUSES.contains(&failed.status().as_u16()));
         match failed {
             Some(response) => {
                 self.guard.has_ended = true;
@@ -445,7 +221,8 @@
 
     fn finish(mut self, response: http::Response<Bytes>) -> Response {
         let status = response.status().as_u16();
-        let is_end_marked = framing(response.headers()) != decision::Framing::ConnectionClose;
+        let is_end_marked =
+            exchange::framing(response.headers()) != decision::Framing::ConnectionClose;
         self.report_outcome(fleet::Outcome::Finished { status, is_end_marked });
         self.guard.has_ended = true;
         self.to_caller_response(response)
@@ -458,22 +235,27 @@
     }
 
     /// Responds with the head of a stream and relays its events in a separate task.
-    fn begin_stream(self, stream: Stream) -> Response {
+    fn begin_stream(self, stream: exchange::Stream) -> Response {
         let mut head = stream.head.clone();
         self.guard.context.dialect.clean_response_head(&mut head);
         let (chunks, receiver) = tokio::sync::mpsc::channel(STREAM_BUFFER_CHUNKS);
         match stream.relayed {
-            Relayed::Events => tokio::task::spawn_local(self.relay(stream, chunks)),
-            Relayed::Bytes => tokio::task::spawn_local(self.relay_bytes(stream, chunks)),
+            exchange::Relayed::Events => tokio::task::spawn_local(self.relay(stream, chunks)),
+            exchange::Relayed::Bytes => tokio::task::spawn_local(self.relay_bytes(stream, chunks)),
         };
         http::Response::from_parts(head, body::Body::Stream(receiver))
     }
 
-    async fn relay(mut self, first: Stream, chunks: tokio::sync::mpsc::Sender<body::Chunk>) {
+    async fn relay(
+        mut self,
+        first: exchange::Stream,
+        chunks: tokio::sync::mpsc::Sender<body::Chunk>,
+    ) {
         let mut stream = Some(first);
         while let Some(current) = stream.take() {
             self.report_outcome(fleet::Outcome::Started);
-            let (server, framing) = (current.server.clone(), framing(&current.head.headers));
+            let (server, framing) =
+                (current.server.clone(), exchange::framing(&current.head.headers));
             let end = self.relay_events(current, &chunks).await;
             self.log_stream_end(&server, framing, end);
             match end {
@@ -528,36 +310,46 @@
     async fn next_stream(
         &mut self,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
-    ) -> Option<Stream> {
+    ) -> Option<exchange::Stream> {
         loop {
             let command = tokio::select! {
                 command = self.next_command() => command?,
                 () = chunks.closed() => return None,
             };
-            let context::Command::Send(dispatch) = command else { return None };
+            let (context::Command::Send(dispatch) | context::Command::SendSecond(dispatch)) =
+                command
+            else {
+                return None;
+            };
             let result = tokio::select! {
                 result = self.attempt(&dispatch) => result,
                 () = chunks.closed() => return None,
             };
             match result {
                 None => self.report_expired(),
-                Some(Attempt::Outcome(outcome)) => self.report_outcome(outcome),
-                Some(Attempt::Complete(_)) => self.report_outcome(fleet::Outcome::ConnectionLost),
-                Some(Attempt::Failure(response)) => {
+                Some(exchange::Attempt::Outcome(outcome)) => self.report_outcome(outcome),
+                Some(exchange::Attempt::Complete(_)) => {
+                    self.report_outcome(fleet::Outcome::ConnectionLost)
+                }
+                Some(exchange::Attempt::Failure(response)) => {
                     let status = response.status().as_u16();
                     self.report_outcome(fleet::Outcome::Failed { status });
                 }
-                Some(Attempt::Stream(stream)) => return Some(*stream),
+                Some(exchange::Attempt::Stream(stream)) => return Some(*stream),
             }
         }
     }
 
     /// Relays an answer that is too long to be kept, and ends it as its server does. It cannot go on
     /// at another server.
-    async fn relay_bytes(mut self, stream: Stream, chunks: tokio::sync::mpsc::Sender<body::Chunk>) {
+    async fn relay_bytes(
+        mut self,
+        stream: exchange::Stream,
+        chunks: tokio::sync::mpsc::Sender<body::Chunk>,
+    ) {
         self.report_outcome(fleet::Outcome::Started);
         let status = stream.head.status.as_u16();
-        let (server, framing) = (stream.server.clone(), framing(&stream.head.headers));
+        let (server, framing) = (stream.server.clone(), exchange::framing(&stream.head.headers));
         let end = self.relay_body(stream, &chunks).await;
         self.log_stream_end(&server, framing, end);
         match end {
@@ -576,11 +368,12 @@
 
     async fn relay_body(
         &self,
-        stream: Stream,
+        stream: exchange::Stream,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
     ) -> decision::StreamEnd {
-        let Stream { server, head, mut body, first, connection: _connection, .. } = stream;
-        let max_bytes = match framing(&head.headers) {
+        let exchange::Stream { server, head, mut body, first, connection: _connection, .. } =
+            stream;
+        let max_bytes = match exchange::framing(&head.headers) {
             decision::Framing::Length => usize::MAX,
             decision::Framing::Chunked | decision::Framing::ConnectionClose => {
                 self.guard.context.memory.max_unframed_bytes()
@@ -648,10 +441,10 @@
 
     async fn relay_events(
         &mut self,
-        stream: Stream,
+        stream: exchange::Stream,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
     ) -> decision::StreamEnd {
-        let Stream { server, mut body, first, connection: _connection, .. } = stream;
+        let exchange::Stream { server, mut body, first, connection: _connection, .. } = stream;
         self.events.discard_partial();
         let mut held = self.guard.context.memory.hold();
         let mut next = self.events.push(&first);
@@ -688,22 +481,3 @@
         }
     }
 }
-
-/// Returns whether a response on the route of a stream must end at an event boundary: unless it is
-/// of another type and its end is marked.
-fn is_event_stream(head: &http::response::Parts) -> bool {
-    let content_type = head.headers.get(http::header::CONTENT_TYPE);
-    content_type.is_none_or(|it| it.as_bytes().starts_with(EVENT_STREAM_TYPE))
-        || framing(&head.headers) == decision::Framing::ConnectionClose
-}
-
-/// Returns how the server marks the end of a response.
-fn framing(headers: &http::HeaderMap) -> decision::Framing {
-    if headers.contains_key(http::header::TRANSFER_ENCODING) {
-        decision::Framing::Chunked
-    } else if headers.contains_key(http::header::CONTENT_LENGTH) {
-        decision::Framing::Length
-    } else {
-        decision::Framing::ConnectionClose
-    }
-}
--- a/tests/cli/arguments.rs
+++ b/tests/cli/arguments.rs
@@ -11,6 +11,9 @@
     let lines = [
         "",
         "frob",
+        "node --hedge-percent 11",
+        "node --hedge-percent -1",
+        "node --hedge-percent NaN",
         "config",
         "config frob",
         "key frob",
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod distribution;
 mod engine_pace;
 mod failing_engines;
+mod hedging;
 mod large;
 mod listing;
 mod notices;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod crashes;
 mod fixtures;
+mod legs;
 mod views;
 
 use std::cmp;
@@ -34,7 +35,9 @@
 pub use fixtures::new_fleet;
 pub use fixtures::servers;
 pub use fixtures::servers_of_two_versions;
+pub use legs::Hedge;
 
+use fixtures::hedging_fleet;
 use fixtures::listed;
 use fixtures::member;
 use fixtures::restarted_fleet;
@@ -64,6 +67,8 @@
     RejectsRequests,
     /// The server answers every other request with a failure.
     AnswersErrors,
+    /// The server takes each request and never answers.
+    NeverAnswers,
 }
 
 /// What distinguishes a request that arrives.
@@ -85,6 +90,7 @@
     Return { entry: servers::Entry },
     Message { to: net::SocketAddr, from: net::SocketAddr, message: message::Message },
     Progress { instance: usize, request: u64, sends: u32, outcome: fleet::Outcome },
+    HedgeDue { instance: usize, request: u64, sends: u32 },
     Tick { instance: usize },
     Digest { instance: usize },
     Kill { instance: usize },
@@ -164,6 +170,8 @@
     pub sends: u32,
     pub begun: Option<Duration>,
     pub finished: bool,
+    /// When the whole answer has arrived, whichever send brought it.
+    pub answered: Option<Duration>,
     pub refused: Option<refusal::Refusal>,
     pub refused_at: Option<Duration>,
     pub ends: u32,
@@ -236,6 +244,9 @@
     pub notified: Map<(Bytes, usize), Duration>,
     /// When instances received answers with a notice.
     pub notices: Vec<(Duration, Bytes, usize)>,
+    /// The second sends of requests, in their order.
+    pub hedges: Vec<legs::Hedge>,
+    work: legs::Work,
 }
 
 /// The limit of the workspace that sends requests to the host `limited`.
@@ -264,6 +275,16 @@
 impl World {
     /// Starts instances and servers, and runs them until the instances know each other.
     pub fn new(instances: usize, digests_every: Duration, entries: &[servers::Entry]) -> Self {
+        Self::with_hedging(0.0, instances, digests_every, entries)
+    }
+
+    /// Starts instances that may hedge a share of requests.
+    pub fn with_hedging(
+        hedge_share: f64,
+        instances: usize,
+        digests_every: Duration,
+        entries: &[servers::Entry],
+    ) -> Self {
         let addresses: Vec<_> = (0..instances).map(|index| address(1_000 + index as u16)).collect();
         let mut world = Self {
             now: Duration::ZERO,
@@ -292,9 +313,12 @@
             cut_off: Vec::new(),
             notified: Map::default(),
             notices: Vec::new(),
+            hedges: Vec::new(),
+            work: legs::Work::default(),
         };
         for index in 0..instances {
-            world.instances.push(Some(new_fleet(index, world.addresses[index])));
+            let fleet = hedging_fleet(index, world.addresses[index], hedge_share);
+            world.instances.push(Some(fleet));
         }
         for entry in entries {
             world.backends.insert(entry.id.clone(), Backend::new(entry));
@@ -510,6 +534,12 @@
             Action::Progress { instance, request, sends, outcome } => {
                 self.progressed(instance, request, sends, outcome);
             }
+            Action::HedgeDue { instance, request, sends } => {
+                let record = self.record(instance, request);
+                if record.sends == sends && record.is_in_flight {
+                    self.apply(instance, fleet::Event::HedgeDue { request });
+                }
+            }
             Action::Tick { instance } => {
                 self.apply(instance, fleet::Event::Ticked);
                 self.store_origins(instance);
@@ -612,7 +642,12 @@
     fn carry_out(&mut self, instance: usize, effect: fleet::Effect) {
         match effect {
             fleet::Effect::Send { request, dispatch } => self.serve(instance, request, &dispatch),
+            fleet::Effect::SendSecond { request, dispatch } => {
+                self.send_second(instance, request, &dispatch);
+            }
             fleet::Effect::Refuse { request, refusal } => {
+                let is_whole = false;
+                self.answer_leg(instance, request, is_whole);
                 let now = self.now;
                 let record = self.record(instance, request);
                 record.refused = Some(refusal);
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -34,6 +34,9 @@
                     && dispatch.step == fleet::Step::Prefill,
             });
         }
+        if let Some(after) = dispatch.hedge_after {
+            self.schedule(after, Action::HedgeDue { instance, request, sends });
+        }
         let unhealthy = match health {
             Health::Healthy => None,
             Health::AnswersErrors if request.is_multiple_of(2) => None,
@@ -49,6 +52,11 @@
                 self.record(instance, request).runs += u32::from(is_run);
                 Some((WORK, fleet::Outcome::Failed { status: 500 }))
             }
+            Health::NeverAnswers => {
+                self.record(instance, request).runs += 1;
+                let timeout = dispatch.response_timeout.unwrap_or(dispatch.remaining);
+                Some((timeout, fleet::Outcome::Unresponsive))
+            }
             Health::Unreachable => Some((Duration::from_millis(2), fleet::Outcome::Unsent)),
             Health::RejectsRequests => Some((Duration::from_millis(2), fleet::Outcome::Rejected)),
             Health::Replaced => Some((Duration::from_millis(2), fleet::Outcome::Misdirected)),
@@ -84,8 +92,9 @@
             self.schedule(LATENCY, Action::Progress { instance, request, sends, outcome });
             return;
         }
-        backend.free_at[0] = begins + WORK;
-        let after = begins + WORK - now;
+        let work = self.work.next(&dispatch.server);
+        backend.free_at[0] = begins + work;
+        let after = begins + work - now;
         if self.crashes_servers(instance, request) {
             let server = dispatch.server.clone();
             self.record(instance, request).runs += 1;
@@ -237,8 +246,8 @@
                 record.begun_at.push(server);
             }
             fleet::Outcome::Finished { .. } => {
-                record.finished = true;
-                record.ends += 1;
+                let is_whole = true;
+                self.answer_leg(instance, request, is_whole);
                 self.free_memory(instance, request);
             }
             _ => {}
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -101,8 +101,14 @@
 
 /// An instance of a fleet that starts for the first time.
 pub fn new_fleet(index: usize, own: net::SocketAddr) -> fleet::Fleet {
+    hedging_fleet(index, own, 0.0)
+}
+
+/// An instance of a fleet that starts for the first time and may hedge a share of requests.
+pub fn hedging_fleet(index: usize, own: net::SocketAddr, hedge_share: f64) -> fleet::Fleet {
     let is_first_start = true;
-    fleet::Fleet::new(options(member(index, own), is_first_start))
+    let options = options(member(index, own), is_first_start);
+    fleet::Fleet::new(fleet::Options { hedge_share, ..options })
 }
 
 pub fn restarted_fleet(own: peers::Member) -> fleet::Fleet {
@@ -122,6 +128,7 @@
             slack: RETRY_SLACK,
             window: Duration::from_secs(10),
         },
+        hedge_share: 0.0,
         seeds: vec![address(1_000)],
     }
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -23,6 +23,7 @@
 
 mod broken_streams;
 mod endless_answers;
+mod hedging;
 mod shutdown;
 
 const KEY: &str = "the-key";
@@ -134,6 +135,14 @@
 }
 
 async fn start(addresses: &[net::SocketAddr]) -> (net::SocketAddr, rc::Rc<context::Context>) {
+    start_with(addresses, 0.0).await
+}
+
+/// Starts an instance that may hedge a share of requests.
+async fn start_with(
+    addresses: &[net::SocketAddr],
+    hedge_share: f64,
+) -> (net::SocketAddr, rc::Rc<context::Context>) {
     let ip = own_ip();
     let callers = net::SocketAddr::from((ip, 8_360));
     let peer_address = net::SocketAddr::from((ip, 7_500));
@@ -158,6 +167,7 @@
                 slack: 50.0,
                 window: Duration::from_secs(10),
             },
+            hedge_share,
             seed: 1,
         },
         callers,
