Refuse a share of hedged requests in the settings of `serve`

`serve` routes through core/request and core/scheduler, not core/fleet, so it sends no hedged requests. `[hedging] share` is read and checked from 0 to 0.1, and any share but 0 is refused with the option of `node` as the remedy, rather than ignored. Leaving the field unknown was ruled out: the refusal would then not say where hedging exists.

--- a/src/schema.rs
+++ b/src/schema.rs
@@ -53,6 +53,13 @@
         /// The largest accepted value.
         max: u64,
     },
+    /// A number within an inclusive range.
+    Number {
+        /// The smallest accepted value.
+        min: f64,
+        /// The largest accepted value.
+        max: f64,
+    },
     /// A TOML boolean, `true` or `false`.
     Boolean,
     /// A string with an IP address and a port other than 0.
@@ -263,6 +270,13 @@
             Some(integer) => check_integer(integer, min, max, path, findings),
             None => wrong_type(value, "a whole number", field, path, findings),
         },
+        Kind::Number { min, max } => {
+            let float = value.as_float().map(|float| float.as_str());
+            match float.or_else(|| value.as_integer().map(|integer| integer.as_str())) {
+                Some(text) => check_number(text, min, max, path, findings),
+                None => wrong_type(value, "a number", field, path, findings),
+            }
+        }
         Kind::Text { min_bytes, max_bytes } => match value.as_str() {
             Some(text) => check_text(text, min_bytes, max_bytes, path, findings),
             None => wrong_type(value, "a string", field, path, findings),
@@ -306,6 +320,12 @@
     }
 }
 
+fn check_number(text: &str, min: f64, max: f64, path: &Path, findings: &mut Findings) {
+    if !text.parse().is_ok_and(|value: f64| (min..=max).contains(&value)) {
+        findings.add(path.clone(), "out of range", format!("use a number from {min} to {max}"));
+    }
+}
+
 fn check_text(
     text: &str,
     min_bytes: usize,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,6 +40,9 @@
     /// The policies for placement and limits.
     #[serde(default)]
     pub policy: Policy,
+    /// Hedged requests.
+    #[serde(default)]
+    pub hedging: Hedging,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -308,6 +311,15 @@
     RateOverN,
 }
 
+/// Hedged requests, which `serve` does not send: its instances route through other modules than
+/// those of `node`. A share above 0 is refused.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Hedging {
+    /// The share of requests that may be hedged.
+    pub share: f64,
+}
+
 /// Logging.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/settings/rules.rs
+++ b/src/settings/rules.rs
@@ -13,6 +13,7 @@
     let mut findings = schema::Findings::default();
     check_addresses(settings, &mut findings);
     check_times(settings, &mut findings);
+    check_hedging(settings, &mut findings);
     if findings.is_empty() { Ok(()) } else { Err(findings.into_faults(text)) }
 }
 
@@ -43,6 +44,14 @@
     }
 }
 
+fn check_hedging(settings: &settings::Settings, findings: &mut schema::Findings) {
+    if settings.hedging.share > 0.0 {
+        let problem = "`serve` sends no hedged requests";
+        let remedy = "set it to 0; `node --hedge-percent` hedges on the users' platform";
+        findings.add(schema::Path::default().key("hedging").key("share"), problem, remedy);
+    }
+}
+
 fn check_times(settings: &settings::Settings, findings: &mut schema::Findings) {
     let root = schema::Path::default();
     let membership = &settings.membership;
--- a/src/settings/shape.rs
+++ b/src/settings/shape.rs
@@ -37,6 +37,9 @@
 /// The largest limit on the size of a request's body, in bytes.
 const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
 
+/// The largest share of requests that may be hedged.
+const MAX_HEDGE_SHARE: f64 = 0.1;
+
 const fn required(name: &'static str, kind: Kind, purpose: &'static str) -> schema::Field {
     schema::Field { name, kind, required: true, purpose }
 }
@@ -81,6 +84,7 @@
             Kind::Table(&POLICY),
             "a table with the policies for placement and limits",
         ),
+        optional("hedging", Kind::Table(&HEDGING), "a table with the settings of hedged requests"),
         optional("log", Kind::Table(&LOG), "a table with the settings of logging"),
     ],
 };
@@ -249,6 +253,14 @@
     ],
 };
 
+static HEDGING: schema::Shape = schema::Shape {
+    fields: &[optional(
+        "share",
+        Kind::Number { min: 0.0, max: MAX_HEDGE_SHARE },
+        "the share of requests that may be hedged",
+    )],
+};
+
 static LOG: schema::Shape = schema::Shape {
     fields: &[optional(
         "level",
--- a/tests/bad_input_files.rs
+++ b/tests/bad_input_files.rs
@@ -83,6 +83,9 @@
         case("unknown level", "level = \"info\"", "level = \"loud\""),
         case("unknown policy", "", "[policy]\nplacement = \"random\"\n"),
         case("heartbeats too rare", "", "[membership]\nlease_ms = 300\nheartbeat_ms = 200\n"),
+        case("hedged requests", "", "[hedging]\nshare = 0.05\n"),
+        case("share of hedges out of range", "", "[hedging]\nshare = 0.2\n"),
+        case("share of hedges as text", "", "[hedging]\nshare = \"some\"\n"),
         case("drain cuts requests", "", "[timeouts]\nrequest_ms = 60_000\ndrain_ms = 1_000\n"),
         case(
             "several at once",
