--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod engine_pace;
 mod evacuation;
 mod failing_engines;
+mod hedging;
 mod large;
 mod listing;
 mod notices;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod evacuations;
 mod fixtures;
+mod legs;
 mod views;
 
 use std::cmp;
@@ -35,7 +36,9 @@
 pub use fixtures::new_fleet;
 pub use fixtures::servers;
 pub use fixtures::servers_of_two_versions;
+pub use legs::Hedge;
 
+use fixtures::hedging_fleet;
 use fixtures::listed;
 use fixtures::member;
 use fixtures::restarted_fleet;
@@ -65,6 +68,8 @@
     RejectsRequests,
     /// The server answers every other request with a failure.
     AnswersErrors,
+    /// The server takes each request and never answers.
+    NeverAnswers,
 }
 
 /// What distinguishes a request that arrives.
@@ -86,6 +91,7 @@
     Return { entry: servers::Entry },
     Message { to: net::SocketAddr, from: net::SocketAddr, message: message::Message },
     Progress { instance: usize, request: u64, sends: u32, outcome: fleet::Outcome },
+    HedgeDue { instance: usize, request: u64, sends: u32 },
     Tick { instance: usize },
     Digest { instance: usize },
     Kill { instance: usize },
@@ -165,6 +171,8 @@
     pub sends: u32,
     pub begun: Option<Duration>,
     pub finished: bool,
+    /// When the whole answer has arrived, whichever send brought it.
+    pub answered: Option<Duration>,
     pub refused: Option<refusal::Refusal>,
     pub refused_at: Option<Duration>,
     pub ends: u32,
@@ -241,6 +249,9 @@
     pub evacuations: evacuations::Store,
     /// The calls to servers beside requests of callers: when, from which instance, to which address.
     pub side_calls: Vec<(Duration, usize, net::SocketAddr)>,
+    /// The second sends of requests, in their order.
+    pub hedges: Vec<legs::Hedge>,
+    work: legs::Work,
 }
 
 /// The limit of the workspace that sends requests to the host `limited`.
@@ -269,7 +280,7 @@
 impl World {
     /// Starts instances and servers, and runs them until the instances know each other.
     pub fn new(instances: usize, digests_every: Duration, entries: &[servers::Entry]) -> Self {
-        Self::with_older(instances, digests_every, entries, Vec::new())
+        Self::with_options(instances, digests_every, entries, Vec::new(), 0.0)
     }
 
     /// Starts instances, of which some are of an older build, and servers.
@@ -278,6 +289,26 @@
         digests_every: Duration,
         entries: &[servers::Entry],
         older: Vec<usize>,
+    ) -> Self {
+        Self::with_options(instances, digests_every, entries, older, 0.0)
+    }
+
+    /// Starts instances that may hedge a share of requests.
+    pub fn with_hedging(
+        hedge_share: f64,
+        instances: usize,
+        digests_every: Duration,
+        entries: &[servers::Entry],
+    ) -> Self {
+        Self::with_options(instances, digests_every, entries, Vec::new(), hedge_share)
+    }
+
+    fn with_options(
+        instances: usize,
+        digests_every: Duration,
+        entries: &[servers::Entry],
+        older: Vec<usize>,
+        hedge_share: f64,
     ) -> Self {
         let addresses: Vec<_> = (0..instances).map(|index| address(1_000 + index as u16)).collect();
         let mut world = Self {
@@ -309,9 +340,12 @@
             notices: Vec::new(),
             evacuations: evacuations::Store::default(),
             side_calls: Vec::new(),
+            hedges: Vec::new(),
+            work: legs::Work::default(),
         };
         for index in 0..instances {
-            world.instances.push(Some(new_fleet(index, world.addresses[index])));
+            let fleet = hedging_fleet(index, world.addresses[index], hedge_share);
+            world.instances.push(Some(fleet));
         }
         for entry in entries {
             world.backends.insert(entry.id.clone(), Backend::new(entry));
@@ -538,6 +572,12 @@
             Action::Progress { instance, request, sends, outcome } => {
                 self.progressed(instance, request, sends, outcome);
             }
+            Action::HedgeDue { instance, request, sends } => {
+                let record = self.record(instance, request);
+                if record.sends == sends && record.is_in_flight {
+                    self.apply(instance, fleet::Event::HedgeDue { request });
+                }
+            }
             Action::Tick { instance } => {
                 self.apply(instance, fleet::Event::Ticked);
                 self.read_evacuations(instance);
@@ -641,7 +681,12 @@
     fn carry_out(&mut self, instance: usize, effect: fleet::Effect) {
         match effect {
             fleet::Effect::Send { request, dispatch } => self.serve(instance, request, &dispatch),
+            fleet::Effect::SendSecond { request, dispatch } => {
+                self.send_second(instance, request, &dispatch);
+            }
             fleet::Effect::Refuse { request, refusal } => {
+                let is_whole = false;
+                self.answer_leg(instance, request, is_whole);
                 let now = self.now;
                 let record = self.record(instance, request);
                 record.refused = Some(refusal);
