Judge whether plain requests can be in time by a quantile of their service's work

Cause: start_time of plain requests was a constant of 30 ms, whatever the service does. Requests whose work has a spread were started at the last moment and missed their objective by the spread. Ruled out: the mean with a margin (the tail is not symmetric); the exact quantile of a longer history (work changes within seconds). Instances learn it from their answers, owners from reported progress. Simulated plain servers can have a seeded spread and a tail.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -38,6 +38,7 @@
 pub mod servers;
 pub mod streams;
 pub mod view;
+pub mod work_times;
 
 mod admission;
 mod broker;
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -105,7 +105,7 @@
         Ok(live::LiveRequest {
             call: call.clone(),
             claim: claim::Claim {
-                start_time: self.start_time(engine, &service, tokens),
+                start_time: self.start_time(engine, &service, tokens, route.objective),
                 engine,
                 service,
                 tokens,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -371,15 +371,20 @@
             return;
         }
         let engine = self.catalog.as_ref().and_then(|catalog| catalog.engine(&request.service));
-        let objective_at = now + time::Duration::from_millis(request.objective_remaining_ms);
+        let objective = time::Duration::from_millis(request.objective_remaining_ms);
+        let start_time = match self.claims.get(&ticket) {
+            // A request that is sent again has less time left, which says nothing about its work.
+            Some(known) if engine.is_none() => known.claim.start_time,
+            _ => self.start_time(engine, &request.service, request.tokens, objective),
+        };
         let claim = claim::Claim {
             engine,
-            start_time: self.start_time(engine, &request.service, request.tokens),
+            start_time,
             tokens: request.tokens,
             prompt: request.prompt,
             workspace,
             priority: request.priority,
-            objective_at,
+            objective_at: now + objective,
             begin_by: now + time::Duration::from_millis(request.begin_remaining_ms),
             tried: request.tried,
             domain: request.domain,
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -9,6 +9,7 @@
 use crate::core::fleet::estimate;
 use crate::core::fleet::server_limits;
 use crate::core::fleet::streams;
+use crate::core::fleet::work_times;
 use crate::core::ids;
 
 mod closures;
@@ -208,6 +209,8 @@
     by_service: collections::Map<catalog::ServiceId, Vec<ids::ServerId>>,
     /// The time from sending a prompt to an engine of a service until it is prefilled.
     prefill_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
+    /// The time from sending a request to a plain server until its whole answer.
+    work_times: work_times::WorkTimes,
     /// The time that streams take at the engines of a service.
     stream_times: collections::Map<catalog::ServiceId, estimate::Estimate>,
     /// The software versions of servers that were removed or replaced.
@@ -585,6 +588,13 @@
         }
         let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
         server.work_ms += constants::SPEED_SMOOTHING * (elapsed_ms - server.work_ms);
+        self.work_times.record(&server.entry.service, elapsed, now);
+    }
+
+    /// Returns the time that most requests at a plain service do not exceed.
+    pub fn upper_work(&self, service: &catalog::ServiceId) -> time::Duration {
+        let assumed = time::Duration::from_secs_f64(constants::INITIAL_PLAIN_WORK_MS / 1_000.0);
+        self.work_times.quantile(service).unwrap_or(assumed)
     }
 }
 
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -337,20 +337,21 @@
         true
     }
 
-    /// Returns the expected time from placing a request until its answer begins.
+    /// Returns the expected time from placing a request until its answer begins; for a plain request
+    /// a high quantile of it, up to half of its objective. Otherwise, a slow server would make all
+    /// requests late.
     pub(super) fn start_time(
         &self,
         engine: Option<catalog::EngineShape>,
         service: &catalog::ServiceId,
         tokens: call::Tokens,
+        objective: time::Duration,
     ) -> time::Duration {
-        let start_ms = match engine {
-            Some(_) => {
-                let prefill_ms = self.servers.prefill_ms(service, tokens.prompt_tokens);
-                prefill_ms + constants::HANDOVER_MS + constants::OBJECTIVE_MARGIN_MS
-            }
-            None => constants::INITIAL_PLAIN_WORK_MS,
-        };
+        if engine.is_none() {
+            return self.servers.upper_work(service).min(objective / 2);
+        }
+        let prefill_ms = self.servers.prefill_ms(service, tokens.prompt_tokens);
+        let start_ms = prefill_ms + constants::HANDOVER_MS + constants::OBJECTIVE_MARGIN_MS;
         time::Duration::from_secs_f64(start_ms / 1_000.0)
     }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod large;
 mod listing;
 mod notices;
+mod overload;
 mod retry_budget;
 mod server_limits;
 mod versions;
@@ -39,7 +40,7 @@
     let count = per_s * span.as_millis() as u64 / 1_000;
     for index in 0..count {
         let after = Duration::from_micros(index * 1_000_000 / per_s);
-        let tokens = (host == "stream").then_some(world::PROMPT);
+        let tokens = host.ends_with("stream").then_some(world::PROMPT);
         world.arrive(after, index as usize % instances, host, tokens);
     }
 }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -216,6 +216,8 @@
     /// The calls that reached a server, in their order.
     pub calls: Vec<ServerCall>,
     pub records: Map<(usize, u64), Record>,
+    /// The source of the work of plain requests; without one each takes the mean.
+    plain_work: Option<rand_chacha::ChaCha8Rng>,
     /// Instances of an older build, which knows of no limits.
     pub older: Vec<usize>,
     /// Instances whose messages are lost in both directions.
@@ -253,8 +255,8 @@
     match host {
         "limited" => Some(Bytes::from_static(KEY)),
         // The names of these workspaces are their keys.
-        "busy" | "quiet" => Some(Bytes::from_static(host.as_bytes())),
-        _ => None,
+        "busy" | "quiet" | "calm" | "urgent" => Some(Bytes::from_static(host.as_bytes())),
+        _ => host.strip_suffix("-stream").map(|name| Bytes::from_static(name.as_bytes())),
     }
 }
 
@@ -282,6 +284,7 @@
             stored_quarantines: Vec::new(),
             calls: Vec::new(),
             records: Map::default(),
+            plain_work: None,
             older: Vec::new(),
             muted: Vec::new(),
             crashing_parts: Vec::new(),
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -1,13 +1,31 @@
 //! The behaviour of simulated servers.
 
 use galenayard::core::fleet::crashes;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
 
 use super::*;
 
 /// The time from the start of an answer that crashes its server until the server ends.
 const CRASH_AFTER: Duration = Duration::from_millis(50);
 
+/// Draws the work of a plain request: a standard deviation of half the mean, and a tail of one in a
+/// hundred that takes five times the mean.
+fn draw_work(rng: &mut rand_chacha::ChaCha8Rng) -> Duration {
+    if rng.random::<f64>() < 0.01 {
+        return WORK * 5;
+    }
+    // The sum of four exponential times.
+    let sum: f64 = (0..4).map(|_| -(1.0 - rng.random::<f64>()).ln()).sum();
+    WORK.mul_f64(sum / 4.0)
+}
+
 impl World {
+    /// Gives the work of plain requests a spread.
+    pub fn spread_plain_work(&mut self, seed: u64) {
+        self.plain_work = Some(rand_chacha::ChaCha8Rng::seed_from_u64(seed));
+    }
+
     pub(super) fn serve(&mut self, instance: usize, request: u64, dispatch: &fleet::Dispatch) {
         let now = self.now;
         let sends = {
@@ -84,8 +102,9 @@
             self.schedule(LATENCY, Action::Progress { instance, request, sends, outcome });
             return;
         }
-        backend.free_at[0] = begins + WORK;
-        let after = begins + WORK - now;
+        let work = self.plain_work.as_mut().map_or(WORK, draw_work);
+        backend.free_at[0] = begins + work;
+        let after = begins + work - now;
         if self.crashes_servers(instance, request) {
             let server = dispatch.server.clone();
             self.record(instance, request).runs += 1;
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -25,14 +25,23 @@
 }
 
 pub fn configuration() -> catalog::Catalog {
+    let keyed = |host: &str, service: &str, is_stream: bool| catalog::Route {
+        is_open: false,
+        ..route(host, service, catalog::Repeat::Once, is_stream)
+    };
     let routes = [
         route("stream", "llm", catalog::Repeat::Once, true),
         route("resumable", "llm", catalog::Repeat::Idempotent, true),
         route("order", "desk", catalog::Repeat::Once, false),
         route("query", "desk", catalog::Repeat::Idempotent, false),
-        catalog::Route { is_open: false, ..route("limited", "desk", catalog::Repeat::Once, false) },
-        catalog::Route { is_open: false, ..route("busy", "desk", catalog::Repeat::Once, false) },
-        catalog::Route { is_open: false, ..route("quiet", "desk", catalog::Repeat::Once, false) },
+        keyed("limited", "desk", false),
+        keyed("busy", "desk", false),
+        keyed("quiet", "desk", false),
+        keyed("calm", "desk", false),
+        keyed("urgent", "desk", false),
+        keyed("busy-stream", "llm", true),
+        keyed("quiet-stream", "llm", true),
+        keyed("urgent-stream", "llm", true),
     ];
     let limit = catalog::Limit {
         rate_per_s: LIMIT_PER_S,
@@ -49,7 +58,7 @@
     let unlimited = |name: &str| catalog::Workspace {
         name: name.into(),
         keys: vec![catalog::key_digest(&Bytes::from(name.to_string()))],
-        priority: None,
+        priority: (name == "urgent").then_some(0),
         limit: None,
     };
     let engine = catalog::EngineShape { slots: 64, memory_tokens: MEMORY_TOKENS };
@@ -61,7 +70,11 @@
             catalog::Service { name: "desk".into(), engine: None },
         ],
         workspaces: Some(
-            [workspace, unlimited("busy"), unlimited("quiet")].map(sync::Arc::new).to_vec(),
+            [workspace]
+                .into_iter()
+                .chain(["busy", "quiet", "calm", "urgent"].map(unlimited))
+                .map(sync::Arc::new)
+                .collect(),
         ),
         caller_limits: catalog::CallerLimits {
             header_bytes: 1,
