Place the newest requests first while a service is in overload

Cause: in a burst, by earliest objective each request starts at the last possible moment and misses its objective by the spread of its work. Ruled out: a threshold on the number that wait (depends on the size of the service); the age of the oldest one (bounded by the objective, so that a long burst looks like a short one). Change: a service is in overload when requests that could still meet their objective have waited for 100 ms without a gap, until none waits. Then the newest of a priority goes first among these, and arrivals join the queue. It applies to the owner's queue and to an instance's own, for plain services and engines. Requests for plain services without a free place are not sorted any more. Line overload_changed, gauge service_overloaded, order in the line sent of requests that this instance placed.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -27,6 +27,7 @@
 pub mod ledger;
 pub mod message;
 pub mod notices;
+pub mod overload;
 pub mod peers;
 pub mod placement;
 pub mod quarantine;
@@ -354,6 +355,7 @@
     /// Servers whose limit or use of it is to be reported.
     limit_reports: throttle::DueReports,
     recent_use: fairness::RecentUse,
+    overloads: overload::Overloads,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
     servers_position: ids::StorePosition,
@@ -399,6 +401,7 @@
             grants: collections::Map::default(),
             limit_reports: throttle::DueReports::default(),
             recent_use: fairness::RecentUse::default(),
+            overloads: overload::Overloads::default(),
             charge_responses: collections::Map::default(),
             ledger: ledger::Ledger::default(),
             servers_position: 0,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -350,6 +350,7 @@
         if let Some(live) = self.requests.get_mut(&request) {
             let owner = awaiting.owner;
             live.grant = Some(live::Grant { owner, owner_address: from, received: now });
+            live.order = None;
         }
         self.use_placement(request, placement, expected_ms as f64, now, effects);
     }
@@ -377,6 +378,7 @@
             Some(known) if engine.is_none() => known.claim.start_time,
             _ => self.start_time(engine, &request.service, request.tokens, objective),
         };
+        let arrived = self.claims.get(&ticket).map_or(now, |known| known.claim.arrived);
         let claim = claim::Claim {
             engine,
             start_time,
@@ -384,6 +386,7 @@
             prompt: request.prompt,
             workspace,
             priority: request.priority,
+            arrived,
             objective_at: now + objective,
             begin_by: now + time::Duration::from_millis(request.begin_remaining_ms),
             tried: request.tried,
@@ -391,10 +394,9 @@
             service: request.service,
             binding,
         };
-        let is_shared = self.is_shared_fairly(&claim.service, now);
+        let is_queued = self.is_queued_first(&claim.service, now);
         self.claims.insert(ticket, RemoteClaim { claim, from });
-        let is_granted = if is_shared {
-            // A limit allows the next request at some time; those that wait for it come first.
+        let is_granted = if is_queued {
             self.place_waiting(now, effects);
             !self.claims.contains_key(&ticket)
         } else {
--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -56,6 +56,8 @@
     pub priority: u8,
     /// The expected time from placing the request until its answer begins.
     pub start_time: time::Duration,
+    /// When the request arrived, or when the instance that grants it first learned of it.
+    pub arrived: ids::Timestamp,
     /// The time at which the objective is missed.
     pub objective_at: ids::Timestamp,
     /// The time by which the answer must begin, as the caller gives up then.
@@ -70,10 +72,18 @@
 
 impl Claim {
     /// Returns the sort key of the queue: requests that can still meet their objective come first,
-    /// by priority and objective; late ones follow by the time at which their callers give up.
-    pub fn order(&self, now: ids::Timestamp) -> (bool, u8, ids::Timestamp) {
+    /// by priority and objective, or in overload the newest of a priority; late ones follow by the
+    /// time at which their callers give up.
+    pub fn order(&self, is_overload: bool, now: ids::Timestamp) -> (bool, u8, ids::Timestamp) {
         let is_late = self.is_late(now);
-        (is_late, self.priority, if is_late { self.begin_by } else { self.objective_at })
+        let at = if is_late {
+            self.begin_by
+        } else if is_overload {
+            ids::Timestamp::MAX.saturating_sub(self.arrived)
+        } else {
+            self.objective_at
+        };
+        (is_late, self.priority, at)
     }
 
     /// Returns whether the objective will be missed even if the request is placed now.
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -232,6 +232,22 @@
         #[serde(rename = "before")]
         ranked_higher: usize,
     },
+    /// A service enters or leaves overload at this instance.
+    OverloadChanged {
+        /// The service.
+        service: String,
+        /// Whether it is in overload now.
+        is_overloaded: bool,
+        /// The number of requests that wait and can still meet their objective.
+        waiting: usize,
+        /// The longest time that one of them has waited.
+        oldest_wait_ms: u64,
+        /// The number of requests that the service's servers can take.
+        room_requests: u64,
+        /// The tokens that fit into the KV caches of its engines.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        room_memory_tokens: Option<u64>,
+    },
     /// A request is sent to a server.
     Sent {
         /// The caller's id of the request.
@@ -268,6 +284,9 @@
         waited_ms: u64,
         /// The position of the server's entry in the store.
         offset: ids::StorePosition,
+        /// The order in which this instance placed it; absent if the owner of the service did.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        order: Option<&'static str>,
         /// The limit that the server names, in requests a second from the whole fleet.
         #[serde(skip_serializing_if = "Option::is_none")]
         limit_per_s: Option<f64>,
--- a/src/core/fleet/fairness.rs
+++ b/src/core/fleet/fairness.rs
@@ -77,7 +77,8 @@
         let mut turns: collections::Map<(User, u8), f64> = collections::Map::default();
         let mut ranked = Vec::with_capacity(queue.len());
         for (waiter, claim) in queue {
-            let (is_late, priority, at) = claim.order(now);
+            let is_overload = self.overloads.contains(&claim.service);
+            let (is_late, priority, at) = claim.order(is_overload, now);
             let is_shared = *shared
                 .entry(claim.service.clone())
                 .or_insert_with(|| self.is_shared_fairly(&claim.service, now));
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -12,6 +12,7 @@
 use crate::core::fleet::constants;
 use crate::core::fleet::crashes;
 use crate::core::fleet::ledger;
+use crate::core::fleet::overload;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -157,6 +158,8 @@
     pub expires: ids::Timestamp,
     /// The current phase.
     pub phase: Phase,
+    /// The order in which this instance placed it; `None` if an owner did.
+    pub order: Option<overload::Order>,
     /// Counts the charges and reservations requested for it; part of its tickets.
     pub attempt: u32,
     /// The grant of its reservation, if an owner granted it.
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -20,6 +20,7 @@
 use crate::core::fleet::decision;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
+use crate::core::fleet::overload;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
 use crate::core::fleet::server_limits;
@@ -54,12 +55,11 @@
             self.has_generator(&live.claim, now) && self.pause_of_all(&live.claim, now).is_none();
         // The grant of the owner has led to no decode server.
         let is_held = live.held.is_some();
-        let is_shared = self.is_shared_fairly(&live.claim.service, now);
+        let is_queued = self.is_queued_first(&live.claim.service, now);
         if is_servable && !is_held && self.request_reservation(request, now, effects) {
             return;
         }
-        if is_servable && is_shared {
-            // A limit allows the next request at some time; those that wait for it come first.
+        if is_servable && is_queued {
             self.waiting.push(request);
             self.place_waiting(now, effects);
             if self.waiting.contains(&request) {
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Returns whether requests are placed from the queue only. A limit allows the next request at
+    /// some time, and those that wait for it come first; in overload the queue has an order.
+    pub(super) fn is_queued_first(
+        &self,
+        service: &catalog::ServiceId,
+        now: ids::Timestamp,
+    ) -> bool {
+        self.overloads.contains(service) || self.is_shared_fairly(service, now)
+    }
+
     /// Refuses a request that cannot be served in time; returns whether it did.
     fn refuse_if_unservable(
         &mut self,
@@ -102,9 +112,12 @@
     }
 
     /// Places queued requests: first those that can meet their objective, by priority and
-    /// objective, then late ones by the time at which their callers give up.
+    /// objective or age, then late ones by the time at which their callers give up.
     pub(super) fn place_waiting(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         if self.waiting.is_empty() && self.claims.is_empty() {
+            if !self.overloads.is_empty() {
+                self.update_overloads(now, effects);
+            }
             return;
         }
         let mut failed: Vec<((catalog::ServiceId, claim::Binding), u32)> = Vec::new();
@@ -129,19 +142,47 @@
         self.waiting.retain(|request| {
             requests.get(request).is_some_and(|live| matches!(live.phase, live::Phase::Waiting))
         });
+        self.update_overloads(now, effects);
     }
 
-    /// Returns the queue in the order of placement, with the pool of servers that each waits for.
-    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, (catalog::ServiceId, claim::Binding))> {
+    /// Returns all requests that wait in this instance's queue, in no order.
+    pub(super) fn waiters(&self) -> impl Iterator<Item = (Waiter, &claim::Claim)> {
         let local = self.waiting.iter().filter_map(|request| {
             let live = self.requests.get(request)?;
             Some((Waiter::Local(*request), &live.claim))
         });
-        let remote =
-            self.claims.iter().map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim));
-        let mut queue: Vec<_> = local.chain(remote).collect();
-        queue.sort_by_key(|(_, claim)| claim.order(now));
-        let queue = self.take_turns(queue, now);
+        let remote = self.claims.iter();
+        local.chain(remote.map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim)))
+    }
+
+    /// Puts claims into the order of placement.
+    fn ranked<'a>(
+        &self,
+        claims: impl Iterator<Item = (Waiter, &'a claim::Claim)>,
+        now: ids::Timestamp,
+    ) -> Vec<(Waiter, &'a claim::Claim)> {
+        let order =
+            |claim: &claim::Claim| claim.order(self.overloads.contains(&claim.service), now);
+        let mut queue: Vec<_> =
+            claims.map(|(waiter, claim)| (order(claim), waiter, claim)).collect();
+        queue.sort_by_key(|(order, ..)| *order);
+        let queue = queue.into_iter().map(|(_, waiter, claim)| (waiter, claim)).collect();
+        self.take_turns(queue, now)
+    }
+
+    /// Returns the queue in the order of placement, with the pool of servers that each waits for, and
+    /// without the requests for plain services whose servers are full.
+    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, (catalog::ServiceId, claim::Binding))> {
+        let mut rooms: Vec<(&catalog::ServiceId, bool)> = Vec::new();
+        let waiters = self.waiters().filter(|(_, claim)| {
+            let known = rooms.iter().find(|(service, _)| *service == &claim.service);
+            known.map(|(_, has_room)| *has_room).unwrap_or_else(|| {
+                let has_room = self.may_have_room(&claim.service, now);
+                rooms.push((&claim.service, has_room));
+                has_room
+            })
+        });
+        let queue = self.ranked(waiters, now);
         let pool = |claim: &claim::Claim| (claim.service.clone(), claim.binding.clone());
         queue.into_iter().map(|(waiter, claim)| (waiter, pool(claim))).collect()
     }
@@ -208,25 +249,15 @@
         claim: &'a claim::Claim,
         now: ids::Timestamp,
     ) -> Vec<&'a claim::Claim> {
-        let order = claim.order(now);
-        let local = self
-            .waiting
-            .iter()
-            .filter_map(|other| Some((Waiter::Local(*other), &self.requests.get(other)?.claim)));
-        let remote = self.claims.iter();
-        let remote = remote.map(|(other, remote)| (Waiter::Remote(*other), &remote.claim));
-        let mut others: Vec<_> = local
-            .chain(remote)
-            .filter(|(other, _)| *other != waiter)
-            .filter(|(_, other)| other.service == claim.service)
-            .collect();
+        let is_overload = self.overloads.contains(&claim.service);
+        let order = claim.order(is_overload, now);
+        let others = self.waiters().filter(|(other, _)| *other != waiter);
+        let others = others.filter(|(_, other)| other.service == claim.service);
         if !self.is_shared_fairly(&claim.service, now) {
-            others.retain(|(_, other)| other.order(now) <= order);
-            return others.into_iter().map(|(_, other)| other).collect();
+            let ahead = others.filter(|(_, other)| other.order(is_overload, now) <= order);
+            return ahead.map(|(_, other)| other).collect();
         }
-        others.push((waiter, claim));
-        others.sort_by_key(|(_, other)| other.order(now));
-        let queue = self.take_turns(others, now);
+        let queue = self.ranked(others.chain(std::iter::once((waiter, claim))), now);
         let ahead = queue.into_iter().take_while(|(other, _)| *other != waiter);
         ahead.map(|(_, other)| other).collect()
     }
@@ -331,6 +362,10 @@
             return false;
         };
         let claim = live.claim.clone();
+        let order = self.order_of(&claim, now);
+        if let Some(live) = self.requests.get_mut(&request) {
+            live.order = Some(order);
+        }
         self.record_prompt(&claim, &placement, now);
         self.take_allowances(&claim, &placement, now);
         self.use_placement(request, placement, expected_ms, now, effects);
@@ -536,6 +571,7 @@
             expected_ms: expected_ms as u64,
             waited_ms: millis(now.saturating_sub(live.arrived)),
             offset: known.entry.offset,
+            order: live.order.map(overload::Order::name),
             limit_per_s,
             limits,
         }));
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -49,6 +49,12 @@
             let labels = labels(route, workspace.as_deref());
             metrics::histogram!("answer_ms", &labels).record(*since_arrival_ms as f64);
         }
+        decision::Decision::OverloadChanged { service, is_overloaded, .. } => {
+            let labels = [("service", service.clone())];
+            let overloaded = f64::from(u8::from(*is_overloaded));
+            metrics::gauge!("service_overloaded", &labels).set(overloaded);
+            metrics::counter!("overload_changes_total", &labels).increment(1);
+        }
         decision::Decision::StreamResumed { source, .. } => {
             metrics::counter!("streams_resumed_total", "source" => source.name()).increment(1);
         }
--- a/tests/fleet/overload.rs
+++ b/tests/fleet/overload.rs
@@ -15,10 +15,15 @@
 /// The plain requests that the simulated servers answer in a second.
 const PLAIN_ROOM_PER_S: u64 = 600;
 
+/// The length of a burst.
+const BURST: Duration = Duration::from_secs(4);
+
 /// What became of the requests of one host, which belong to one workspace.
 #[derive(Debug, Default, Clone)]
 struct Outcome {
     in_time: usize,
+    /// The time until half of the answers in time had begun.
+    in_time_after_ms: u128,
     late: usize,
     refused: usize,
     /// The time until half of the refusals, and until all of them.
@@ -28,6 +33,7 @@
 /// Returns what became of the requests that arrived after `from`, by host.
 fn outcomes(world: &World, from: Duration) -> BTreeMap<&'static str, Outcome> {
     let mut outcomes: BTreeMap<_, Outcome> = BTreeMap::new();
+    let mut in_time_after: BTreeMap<_, Vec<u128>> = BTreeMap::new();
     let mut refused_after: BTreeMap<_, Vec<u128>> = BTreeMap::new();
     for record in world.records.values().filter(|record| record.arrived >= from) {
         let objective = if record.host.ends_with("stream") { ms(900) } else { PLAIN_OBJECTIVE };
@@ -36,12 +42,20 @@
             outcome.refused += 1;
             let after = (refused - record.arrived).as_millis();
             refused_after.entry(record.host).or_default().push(after);
-        } else if record.begun.is_some_and(|begun| begun <= record.arrived + objective) {
+        } else if let Some(begun) = record.begun
+            && begun <= record.arrived + objective
+        {
             outcome.in_time += 1;
+            let after = (begun - record.arrived).as_millis();
+            in_time_after.entry(record.host).or_default().push(after);
         } else if record.finished {
             outcome.late += 1;
         }
     }
+    for (host, mut after) in in_time_after {
+        after.sort_unstable();
+        outcomes.entry(host).or_default().in_time_after_ms = after[after.len() / 2];
+    }
     for (host, mut after) in refused_after {
         after.sort_unstable();
         let outcome = outcomes.entry(host).or_default();
@@ -69,3 +83,56 @@
     insta::assert_debug_snapshot!(outcomes);
     assert!(outcomes["order"].in_time >= 1_500, "{outcomes:?}");
 }
+
+/// Sends requests of several hosts, each with its rate a second, for four seconds after a second of
+/// usual load, and returns what became of them.
+fn replay(instances: usize, load: &[(&'static str, u64)]) -> BTreeMap<&'static str, Outcome> {
+    let mut world = spread_world(instances);
+    let from = world.now;
+    for (host, per_s) in load {
+        send_load(&mut world, host, instances, *per_s, BURST);
+    }
+    world.run(BURST + ms(16_000));
+    outcomes(&world, from)
+}
+
+#[test]
+fn a_burst_at_a_plain_service_is_answered_newest_first() {
+    let outcomes = [1, 6].map(|instances| replay(instances, &[("order", PLAIN_ROOM_PER_S * 2)]));
+    insta::assert_debug_snapshot!(outcomes);
+    for outcomes in outcomes {
+        let order = &outcomes["order"];
+        assert!(order.in_time >= 2_200 && order.late <= 350, "{order:?}");
+    }
+}
+
+#[test]
+fn a_burst_at_engines_is_answered_newest_first() {
+    let outcomes = [1, 6].map(|instances| replay(instances, &[("stream", 80)]));
+    insta::assert_debug_snapshot!(outcomes);
+    for outcomes in outcomes {
+        let stream = &outcomes["stream"];
+        assert!(stream.in_time_after_ms <= 400 && stream.in_time >= 100, "{stream:?}");
+    }
+}
+
+#[test]
+fn a_lost_owner_in_a_burst_costs_only_the_time_until_another_one_takes_over() {
+    let lost = |killed: usize| {
+        let mut world = spread_world(6);
+        let from = world.now;
+        send_load(&mut world, "busy", 6, 1_000, BURST);
+        send_load(&mut world, "quiet", 6, 150, BURST);
+        world.kill(BURST / 2, killed);
+        world.run(BURST + ms(4_000));
+        world.records.retain(|(instance, _), _| *instance != killed);
+        assert!(world.records.values().all(|record| record.ends == 1), "each request ends once");
+        outcomes(&world, from)
+    };
+    let outcomes = [0, 1, 2].map(lost);
+    insta::assert_debug_snapshot!(outcomes);
+    for outcomes in outcomes {
+        let in_time: usize = outcomes.values().map(|outcome| outcome.in_time).sum();
+        assert!(in_time >= 1_150, "{outcomes:?}");
+    }
+}
