Let workspaces take turns by their recent use of what a service in overload is short of

Cause: a workspace at several times its share took most of a service in a burst, and the requests of the others were refused. Turns existed only for services whose servers all name limits. Ruled out: equal rates by workspace (not work-conserving); a second queue beside take_turns. Workspaces take turns by the requests at limited services, by slots x time at plain services in overload, and at engines in overload by the resource whose recent use would take the servers longer. A placement counts with the usual time and is corrected at its end. ReserveForWorkspace is sent to owners that state protocol level 1. The line sent has use_share. In the simulation, older builds no longer state a level.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -351,7 +351,7 @@
     requests: collections::Map<call::RequestNumber, live::LiveRequest>,
     waiting: Vec<call::RequestNumber>,
     claims: collections::Map<ledger::Ticket, broker::RemoteClaim>,
-    grants: collections::Map<ledger::Ticket, (placement::Placement, u64)>,
+    grants: collections::Map<ledger::Ticket, broker::Granted>,
     /// Servers whose limit or use of it is to be reported.
     limit_reports: throttle::DueReports,
     recent_use: fairness::RecentUse,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -31,6 +31,17 @@
     pub from: std::net::SocketAddr,
 }
 
+/// A reservation that this instance has granted.
+#[derive(Debug, Clone)]
+pub struct Granted {
+    /// The claim.
+    pub claim: claim::Claim,
+    /// The servers with reserved capacity.
+    pub placement: placement::Placement,
+    /// The expected time to the first event or whole answer.
+    pub expected_ms: u64,
+}
+
 impl Fleet {
     /// Requests a reservation from the owner of the request's service; returns `false` if this
     /// instance places the request itself.
@@ -75,7 +86,8 @@
         let knows_limits = self.servers.of_service(&claim.service).any(|server| {
             server.allowance().is_some_and(|allowance| allowance.is_kept_by(awaiting.owner, now))
         });
-        let workspace = claim.workspace.as_ref().filter(|_| knows_limits);
+        let reads_workspaces = knows_limits || self.peers.speaks(awaiting.owner, 1);
+        let workspace = claim.workspace.as_ref().filter(|_| reads_workspaces);
         let request = message::ReservationRequest {
             ticket: self.ticket(request, live.attempt),
             service: claim.service.clone(),
@@ -88,7 +100,7 @@
             prompt: claim.prompt,
         };
         let message = match &claim.binding {
-            // Older builds do not read the workspace; they state no limits either.
+            // Builds that do not read the workspace state neither limits nor a protocol level.
             binding if let Some(workspace) = workspace => message::Message::ReserveForWorkspace {
                 request,
                 software_version: binding.version().cloned(),
@@ -367,7 +379,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let ticket = request.ticket;
-        if let Some((placement, expected_ms)) = self.grants.get(&ticket).cloned() {
+        if let Some(Granted { placement, expected_ms, .. }) = self.grants.get(&ticket).cloned() {
             self.send_grant(from, ticket, placement, expected_ms, now, effects);
             return;
         }
@@ -394,7 +406,8 @@
             service: request.service,
             binding,
         };
-        let is_queued = self.is_queued_first(&claim.service, now);
+        // Where workspaces take turns, those that wait come first.
+        let is_queued = self.is_shared_fairly(&claim.service, now);
         self.claims.insert(ticket, RemoteClaim { claim, from });
         let is_granted = if is_queued {
             self.place_waiting(now, effects);
@@ -428,7 +441,8 @@
         let reservations = placement.loads(&claim);
         self.ledger.insert(ticket, reservations, &mut self.servers, now);
         let expected_ms = expected_ms as u64;
-        self.grants.insert(ticket, (placement.clone(), expected_ms));
+        let granted = Granted { claim, placement: placement.clone(), expected_ms };
+        self.grants.insert(ticket, granted);
         self.send_grant(to, ticket, placement, expected_ms, now, effects);
         true
     }
@@ -501,7 +515,7 @@
             }
             message::Progress::Ended { evidence, elapsed_ms } => {
                 self.claims.remove(&ticket);
-                self.grants.remove(&ticket);
+                let granted = self.grants.remove(&ticket);
                 self.ledger.end(ticket, &mut self.servers, now);
                 if let Some((server, evidence)) = evidence {
                     self.servers.record_evidence(&server, evidence, now);
@@ -509,6 +523,9 @@
                         self.servers.record_answered(&server);
                         let elapsed = time::Duration::from_millis(elapsed_ms);
                         self.servers.record_work(&server, elapsed, now);
+                        if let Some(granted) = granted {
+                            self.correct_use(&granted.claim, elapsed, now);
+                        }
                     }
                 }
             }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -287,6 +287,10 @@
         /// The order in which this instance placed it; absent if the owner of the service did.
         #[serde(skip_serializing_if = "Option::is_none")]
         order: Option<&'static str>,
+        /// The share of the workspace in the recent use of what the service is short of, by which
+        /// workspaces take turns; absent if they do not, or if the owner placed it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        use_share: Option<f64>,
         /// The limit that the server names, in requests a second from the whole fleet.
         #[serde(skip_serializing_if = "Option::is_none")]
         limit_per_s: Option<f64>,
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -158,8 +158,9 @@
     pub expires: ids::Timestamp,
     /// The current phase.
     pub phase: Phase,
-    /// The order in which this instance placed it; `None` if an owner did.
-    pub order: Option<overload::Order>,
+    /// The order in which this instance placed it, and the share of its workspace in the recent use
+    /// if workspaces take turns; `None` if an owner placed it.
+    pub order: Option<(overload::Order, Option<f64>)>,
     /// Counts the charges and reservations requested for it; part of its tickets.
     pub attempt: u32,
     /// The grant of its reservation, if an owner granted it.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -150,6 +150,13 @@
         if matches!(outcome, Outcome::Prefilled { .. }) {
             return self.report_prefilled(request, at, elapsed, effects);
         }
+        if let Some(live) = self.requests.get(&request)
+            && live.grant.is_none()
+            && matches!(outcome, Outcome::Finished { .. })
+        {
+            let claim = live.claim.clone();
+            self.correct_use(&claim, elapsed, now);
+        }
         let evidence = evidence(outcome).map(|evidence| (at.server.clone(), evidence));
         self.report_progress(request, broker::ended(evidence, elapsed), effects);
         if let Some(live) = self.requests.get_mut(&request) {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -20,7 +20,6 @@
 use crate::core::fleet::decision;
 use crate::core::fleet::ledger;
 use crate::core::fleet::live;
-use crate::core::fleet::overload;
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
 use crate::core::fleet::server_limits;
@@ -55,7 +54,8 @@
             self.has_generator(&live.claim, now) && self.pause_of_all(&live.claim, now).is_none();
         // The grant of the owner has led to no decode server.
         let is_held = live.held.is_some();
-        let is_queued = self.is_queued_first(&live.claim.service, now);
+        // Where workspaces take turns, those that wait come first.
+        let is_queued = self.is_shared_fairly(&live.claim.service, now);
         if is_servable && !is_held && self.request_reservation(request, now, effects) {
             return;
         }
@@ -75,16 +75,6 @@
         }
     }
 
-    /// Returns whether requests are placed from the queue only. A limit allows the next request at
-    /// some time, and those that wait for it come first; in overload the queue has an order.
-    pub(super) fn is_queued_first(
-        &self,
-        service: &catalog::ServiceId,
-        now: ids::Timestamp,
-    ) -> bool {
-        self.overloads.contains(service) || self.is_shared_fairly(service, now)
-    }
-
     /// Refuses a request that cannot be served in time; returns whether it did.
     fn refuse_if_unservable(
         &mut self,
@@ -362,7 +352,7 @@
             return false;
         };
         let claim = live.claim.clone();
-        let order = self.order_of(&claim, now);
+        let order = (self.order_of(&claim, now), self.use_share(&claim, now));
         if let Some(live) = self.requests.get_mut(&request) {
             live.order = Some(order);
         }
@@ -571,7 +561,8 @@
             expected_ms: expected_ms as u64,
             waited_ms: millis(now.saturating_sub(live.arrived)),
             offset: known.entry.offset,
-            order: live.order.map(overload::Order::name),
+            order: live.order.map(|(order, _)| order.name()),
+            use_share: live.order.and_then(|(_, share)| share),
             limit_per_s,
             limits,
         }));
--- a/tests/fleet/overload.rs
+++ b/tests/fleet/overload.rs
@@ -116,6 +116,28 @@
     }
 }
 
+#[test]
+fn a_workspace_at_five_times_its_share_does_not_harm_others() {
+    let load = [("busy", 1_000), ("quiet", 150), ("calm", 150)];
+    let outcomes = [1, 6].map(|instances| replay(instances, &load));
+    insta::assert_debug_snapshot!(outcomes);
+    for outcomes in outcomes {
+        for host in ["quiet", "calm"] {
+            assert!(outcomes[host].in_time >= 600 * 9 / 10, "{host}: {outcomes:?}");
+        }
+    }
+}
+
+#[test]
+fn a_workspace_at_five_times_its_share_of_engines_does_not_harm_others() {
+    let load = [("busy-stream", 50), ("quiet-stream", 6)];
+    let outcomes = [1, 6].map(|instances| replay(instances, &load));
+    insta::assert_debug_snapshot!(outcomes);
+    for outcomes in outcomes {
+        assert!(outcomes["quiet-stream"].in_time >= 24 * 3 / 4, "{outcomes:?}");
+    }
+}
+
 #[test]
 fn a_lost_owner_in_a_burst_costs_only_the_time_until_another_one_takes_over() {
     let lost = |killed: usize| {
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -502,9 +502,11 @@
                                 | message::Message::ServerLeaving { .. }
                                 | message::Message::ReserveForWorkspace { .. }
                         );
+                    let is_unstated = from_index.is_some_and(|from| self.older.contains(&from))
+                        && matches!(message, message::Message::ProtocolLevel { .. });
                     let is_muted =
                         |index: Option<usize>| index.is_some_and(|it| self.muted.contains(&it));
-                    is_unknown || is_muted(Some(*index)) || is_muted(from_index)
+                    is_unknown || is_unstated || is_muted(Some(*index)) || is_muted(from_index)
                 };
                 if let Some(index) = index.filter(|index| !is_lost(index)) {
                     self.apply(index, fleet::Event::Received { from, message });
