Give less urgent work that waits a tenth of the placements

Cause: more urgent requests that alone fill a service keep all others from it. Ruled out: ageing of priorities (the part that less urgent work gets depends on the load); a tenth of the servers (idle while no such work waits). Change: after nine placements of a priority from the queue of a service while a less urgent request waits, the first of the less urgent ones goes next; the same rule holds among these.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -30,6 +30,7 @@
 pub mod overload;
 pub mod peers;
 pub mod placement;
+pub mod priorities;
 pub mod quarantine;
 pub mod quota;
 pub mod recent;
@@ -356,6 +357,7 @@
     limit_reports: throttle::DueReports,
     recent_use: fairness::RecentUse,
     overloads: overload::Overloads,
+    lower_turns: priorities::LowerTurns,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
     servers_position: ids::StorePosition,
@@ -402,6 +404,7 @@
             limit_reports: throttle::DueReports::default(),
             recent_use: fairness::RecentUse::default(),
             overloads: overload::Overloads::default(),
+            lower_turns: priorities::LowerTurns::default(),
             charge_responses: collections::Map::default(),
             ledger: ledger::Ledger::default(),
             servers_position: 0,
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -5,11 +5,13 @@
 //! that can still meet it are placed first, late ones when a server is nearly idle, and requests
 //! whose time cannot suffice are refused immediately.
 
+use std::collections::BTreeSet;
 use std::sync;
 use std::time;
 
 use rand::RngExt as _;
 
+use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::Effect;
 use crate::core::fleet::Fleet;
@@ -111,7 +113,14 @@
             return;
         }
         let mut failed: Vec<((catalog::ServiceId, claim::Binding), u32)> = Vec::new();
-        for (waiter, pool) in self.queue(now) {
+        let queue = self.queue(now);
+        let mut priorities: collections::Map<catalog::ServiceId, BTreeSet<u8>> =
+            collections::Map::default();
+        for (_, priority, (service, _)) in &queue {
+            priorities.entry(service.clone()).or_default().insert(*priority);
+        }
+        for (waiter, priority, pool) in queue {
+            let service = pool.0.clone();
             let known = failed.iter().position(|(known, _)| *known == pool);
             let index = known.unwrap_or_else(|| {
                 failed.push((pool, 0));
@@ -124,7 +133,9 @@
                 Waiter::Local(request) => self.try_place(request, now, effects),
                 Waiter::Remote(ticket) => self.try_grant(ticket, now, effects),
             };
-            if !is_placed {
+            if is_placed {
+                self.lower_turns.record(&service, priority, &priorities[&service]);
+            } else {
                 failed[index].1 += 1;
             }
         }
@@ -157,12 +168,15 @@
             claims.map(|(waiter, claim)| (order(claim), waiter, claim)).collect();
         queue.sort_by_key(|(order, ..)| *order);
         let queue = queue.into_iter().map(|(_, waiter, claim)| (waiter, claim)).collect();
-        self.take_turns(queue, now)
+        self.share_with_lower_priorities(self.take_turns(queue, now))
     }
 
-    /// Returns the queue in the order of placement, with the pool of servers that each waits for, and
-    /// without the requests for plain services whose servers are full.
-    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, (catalog::ServiceId, claim::Binding))> {
+    /// Returns the queue in the order of placement, with the priority of each and the pool of servers
+    /// that it waits for, and without the requests for plain services whose servers are full.
+    fn queue(
+        &self,
+        now: ids::Timestamp,
+    ) -> Vec<(Waiter, u8, (catalog::ServiceId, claim::Binding))> {
         let mut rooms: Vec<(&catalog::ServiceId, bool)> = Vec::new();
         let waiters = self.waiters().filter(|(_, claim)| {
             let known = rooms.iter().find(|(service, _)| *service == &claim.service);
@@ -174,7 +188,7 @@
         });
         let queue = self.ranked(waiters, now);
         let pool = |claim: &claim::Claim| (claim.service.clone(), claim.binding.clone());
-        queue.into_iter().map(|(waiter, claim)| (waiter, pool(claim))).collect()
+        queue.into_iter().map(|(waiter, claim)| (waiter, claim.priority, pool(claim))).collect()
     }
 
     /// Queues a request again after a failed attempt, or refuses it if it cannot be served in time.
--- a/tests/fleet/overload.rs
+++ b/tests/fleet/overload.rs
@@ -138,6 +138,18 @@
     }
 }
 
+#[test]
+fn urgent_requests_leave_a_tenth_to_others() {
+    let load = [("urgent", PLAIN_ROOM_PER_S * 2), ("quiet", 200)];
+    let outcomes = [1, 6].map(|instances| replay(instances, &load));
+    insta::assert_debug_snapshot!(outcomes);
+    for outcomes in outcomes {
+        let (urgent, quiet) = (&outcomes["urgent"], &outcomes["quiet"]);
+        assert!(urgent.in_time >= quiet.in_time * 5, "{outcomes:?}");
+        assert!(quiet.in_time >= 120, "{outcomes:?}");
+    }
+}
+
 #[test]
 fn a_lost_owner_in_a_burst_costs_only_the_time_until_another_one_takes_over() {
     let lost = |killed: usize| {
