Refuse the requests whose turn would come last

Cause: a full queue refused whichever request arrived next, and each tick judged every request behind all others, also behind those that it was about to refuse, with one sort for each. Ruled out: a bound for each workspace (the turns already say who is last); one pass at each arrival in overload (a pass sorts the whole queue; the next tick is at most 50 ms away). Change: a tick goes through the queue once in its order and keeps what can be served behind those kept before. A full queue refuses its last sixteenth in that order. An arrival that can meet its objective in overload is judged by the next tick. Overload is detected without counting the queue.

--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -415,7 +415,10 @@
         } else {
             self.try_grant(ticket, now, effects)
         };
-        if is_granted || self.decline_if_unservable(ticket, now, effects) {
+        if !is_granted {
+            self.refuse_arrival(waiting::Waiter::Remote(ticket), now, effects);
+        }
+        if !self.claims.contains_key(&ticket) {
             return;
         }
         effects
@@ -480,23 +483,17 @@
         }
     }
 
-    /// Declines a claim of another instance that cannot be served in time; returns whether it did.
-    pub(super) fn decline_if_unservable(
+    /// Declines a claim of another instance that cannot be served in time.
+    pub(super) fn decline(
         &mut self,
         ticket: ledger::Ticket,
-        now: ids::Timestamp,
+        wait: time::Duration,
         effects: &mut Vec<Effect>,
-    ) -> bool {
-        let Some(remote) = self.claims.get(&ticket) else { return false };
-        let (to, claim) = (remote.from, remote.claim.clone());
-        let Some(wait) = self.retry_wait(waiting::Waiter::Remote(ticket), &claim, now) else {
-            return false;
-        };
-        self.claims.remove(&ticket);
+    ) {
+        let Some(remote) = self.claims.remove(&ticket) else { return };
         let retry_after_ms = waiting::millis(wait);
         let message = message::Message::Decline { ticket, retry_after_ms };
-        effects.push(Effect::SendMessage { to, message });
-        true
+        effects.push(Effect::SendMessage { to: remote.from, message });
     }
 
     fn receive_progress(
--- a/src/core/fleet/overload.rs
+++ b/src/core/fleet/overload.rs
@@ -43,15 +43,6 @@
     }
 }
 
-/// The requests of a service that wait and can still meet their objective.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct Queue {
-    /// Their number.
-    pub waiting: usize,
-    /// The longest time that one of them has waited.
-    pub oldest_wait: time::Duration,
-}
-
 #[derive(Debug)]
 struct StandingQueue {
     since: ids::Timestamp,
@@ -75,28 +66,29 @@
         self.queues.is_empty()
     }
 
-    /// Applies the present queues; returns the services that enter or leave overload.
+    /// Applies the services where requests that can still meet their objective wait now; returns those
+    /// that enter or leave overload.
     pub fn update(
         &mut self,
-        queues: &collections::Map<catalog::ServiceId, Queue>,
+        standing: &[&catalog::ServiceId],
         now: ids::Timestamp,
     ) -> Vec<catalog::ServiceId> {
         let mut changed = Vec::new();
         self.queues.retain(|service, known| {
-            let is_standing = queues.contains_key(service);
+            let is_standing = standing.contains(&service);
             if !is_standing && known.is_overload {
                 changed.push(service.clone());
             }
             is_standing
         });
-        for service in queues.keys() {
+        for service in standing {
             let known = self
                 .queues
-                .entry(service.clone())
+                .entry((*service).clone())
                 .or_insert(StandingQueue { since: now, is_overload: false });
             if !known.is_overload && now.saturating_sub(known.since) >= STANDING_QUEUE {
                 known.is_overload = true;
-                changed.push(service.clone());
+                changed.push((*service).clone());
             }
         }
         changed
@@ -117,31 +109,25 @@
 
     /// Detects services that enter or leave overload by the requests that wait after a placement.
     pub(super) fn update_overloads(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let mut queues: collections::Map<catalog::ServiceId, Queue> = collections::Map::default();
-        for (_, claim) in self.waiters() {
-            if claim.is_late(now) {
-                continue;
-            }
-            let wait = now.saturating_sub(claim.arrived);
-            match queues.get_mut(&claim.service) {
-                Some(queue) => {
-                    queue.waiting += 1;
-                    queue.oldest_wait = queue.oldest_wait.max(wait);
-                }
-                None => {
-                    let queue = Queue { waiting: 1, oldest_wait: wait };
-                    queues.insert(claim.service.clone(), queue);
-                }
+        let mut standing: Vec<&catalog::ServiceId> = Vec::new();
+        let claims =
+            self.waiting.iter().filter_map(|request| Some(&self.requests.get(request)?.claim));
+        let claims = claims.chain(self.claims.values().map(|remote| &remote.claim));
+        for claim in claims.filter(|claim| !claim.is_late(now)) {
+            if !standing.contains(&&claim.service) {
+                standing.push(&claim.service);
             }
         }
-        for service in self.overloads.update(&queues, now) {
-            let queue = queues.get(&service).copied().unwrap_or_default();
+        for service in self.overloads.update(&standing, now) {
+            let in_time = self.waiters().map(|(_, claim)| claim);
+            let in_time = in_time.filter(|claim| claim.service == service && !claim.is_late(now));
+            let waits: Vec<_> = in_time.map(|claim| now.saturating_sub(claim.arrived)).collect();
             let (room_requests, room_memory_tokens) = self.room(&service, now);
             effects.push(Effect::Log(decision::Decision::OverloadChanged {
                 service: service.to_string(),
                 is_overloaded: self.overloads.contains(&service),
-                waiting: queue.waiting,
-                oldest_wait_ms: waiting::millis(queue.oldest_wait),
+                waiting: waits.len(),
+                oldest_wait_ms: waiting::millis(waits.into_iter().max().unwrap_or_default()),
                 room_requests,
                 room_memory_tokens,
             }));
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -40,6 +40,22 @@
     Remote(ledger::Ticket),
 }
 
+/// The requests of a service whose turn comes before that of another one.
+#[derive(Debug, Default, Clone, Copy)]
+struct Ahead {
+    requests: f64,
+    prefill_tokens: f64,
+    kv_tokens: f64,
+}
+
+impl Ahead {
+    fn add(&mut self, claim: &claim::Claim) {
+        self.requests += 1.0;
+        self.prefill_tokens += f64::from(claim.tokens.prompt_tokens);
+        self.kv_tokens += f64::from(claim.tokens.memory_tokens());
+    }
+}
+
 impl Fleet {
     /// Places a request, queues it, or refuses it if it cannot be served in time.
     pub(super) fn place_or_queue(
@@ -65,36 +81,69 @@
             self.waiting.push(request);
             self.place_waiting(now, effects);
             if self.waiting.contains(&request) {
-                self.refuse_if_unservable(request, now, effects);
+                self.refuse_arrival(Waiter::Local(request), now, effects);
             }
             return;
         }
         if is_servable && self.try_place(request, now, effects) {
             return;
         }
-        if !self.refuse_if_unservable(request, now, effects) {
-            self.waiting.push(request);
+        self.waiting.push(request);
+        self.refuse_arrival(Waiter::Local(request), now, effects);
+    }
+
+    /// Refuses a request that has just joined the queue if it cannot be served in time, or those whose
+    /// turn would come last if the queue is full; some at once, as that takes an order of all.
+    pub(super) fn refuse_arrival(
+        &mut self,
+        waiter: Waiter,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.waiting.len() + self.claims.len() > constants::MAX_WAITING_REQUESTS {
+            return self.refuse_last(constants::MAX_WAITING_REQUESTS * 15 / 16, now, effects);
+        }
+        let Some(claim) = self.claim_of(waiter) else { return };
+        let is_servable = self.has_generator(claim, now);
+        if self.overloads.contains(&claim.service) && !claim.is_late(now) && is_servable {
+            // Its turn is among the first ones. The next tick judges all by one order of the queue.
+            return;
+        }
+        let claim = claim.clone();
+        let ahead = self.ahead_of(waiter, &claim, now);
+        if let Some(wait) = self.retry_wait(waiter, &claim, ahead, now) {
+            self.turn_away(waiter, wait, now, effects);
         }
     }
 
-    /// Refuses a request that cannot be served in time; returns whether it did.
-    fn refuse_if_unservable(
+    /// Refuses a request that waits in the queue, or declines the claim of another instance.
+    fn turn_away(
         &mut self,
-        request: call::RequestNumber,
+        waiter: Waiter,
+        wait: time::Duration,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
-    ) -> bool {
-        let Some(live) = self.requests.get(&request) else { return false };
-        let (claim, max_wait) = (live.claim.clone(), live.expires.saturating_sub(now) / 3);
-        let Some(wait) = self.retry_wait(Waiter::Local(request), &claim, now) else { return false };
-        let reason = if self.has_generator(&claim, now) {
+    ) {
+        let request = match waiter {
+            Waiter::Local(request) => request,
+            Waiter::Remote(ticket) => return self.decline(ticket, wait, effects),
+        };
+        let Some(live) = self.requests.get(&request) else { return };
+        let max_wait = live.expires.saturating_sub(now) / 3;
+        let reason = if self.has_generator(&live.claim, now) {
             refusal::Reason::NoCapacity
         } else {
             refusal::Reason::NotResumable
         };
         let refusal = refusal::Refusal::retry_after(reason, wait.min(max_wait));
         self.refuse(request, refusal, now, effects);
-        true
+    }
+
+    fn claim_of(&self, waiter: Waiter) -> Option<&claim::Claim> {
+        match waiter {
+            Waiter::Local(request) => self.requests.get(&request).map(|live| &live.claim),
+            Waiter::Remote(ticket) => self.claims.get(&ticket).map(|remote| &remote.claim),
+        }
     }
 
     /// Adds up to a quarter to a wait at random, so that callers do not all retry at the same time.
@@ -204,23 +253,41 @@
         self.place_or_queue(request, now, effects);
     }
 
-    /// Refuses all queued requests that can no longer be served in time.
+    /// Refuses all queued requests that can no longer be served in time behind those whose turn comes
+    /// before.
     pub(super) fn refuse_unservable(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        for request in self.waiting.clone() {
-            self.refuse_if_unservable(request, now, effects);
-        }
-        let tickets: Vec<_> = self.claims.keys().copied().collect();
-        for ticket in tickets {
-            self.decline_if_unservable(ticket, now, effects);
+        self.refuse_last(constants::MAX_WAITING_REQUESTS, now, effects);
+    }
+
+    /// Refuses all queued requests that can no longer be served in time, and those behind the first
+    /// `places` ones.
+    fn refuse_last(&mut self, mut places: usize, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let queue = self.ranked(self.waiters(), now);
+        let queue: Vec<_> =
+            queue.into_iter().map(|(waiter, claim)| (waiter, claim.clone())).collect();
+        let mut kept: collections::Map<catalog::ServiceId, Ahead> = collections::Map::default();
+        for (waiter, claim) in queue {
+            let ahead = kept.get(&claim.service).copied().unwrap_or_default();
+            let wait = match self.retry_wait(waiter, &claim, ahead, now) {
+                None if places == 0 => Some(self.jittered(time::Duration::ZERO)),
+                wait => wait,
+            };
+            if let Some(wait) = wait {
+                self.turn_away(waiter, wait, now, effects);
+                continue;
+            }
+            places -= 1;
+            kept.entry(claim.service.clone()).or_default().add(&claim);
         }
     }
 
-    /// Returns the time after which the caller may retry if no server can begin the answer in time
-    /// or the queue is full.
-    pub(super) fn retry_wait(
+    /// Returns the time after which the caller may retry if no server can begin the answer in time,
+    /// behind the requests `ahead`.
+    fn retry_wait(
         &mut self,
         waiter: Waiter,
         claim: &claim::Claim,
+        ahead: Ahead,
         now: ids::Timestamp,
     ) -> Option<time::Duration> {
         if !self.has_generator(claim, now) {
@@ -233,13 +300,12 @@
         }
         let remaining = claim.begin_by.saturating_sub(now);
         let drain_ms = match claim.engine {
-            Some(engine) => self.engine_drain_ms(waiter, claim, engine, now),
-            None => self.plain_drain_ms(waiter, claim, now),
+            Some(engine) => self.engine_drain_ms(ahead, claim, engine, now),
+            None => self.plain_drain_ms(ahead, claim, now),
         };
         let drain_ms = drain_ms + self.limit_wait_ms(claim, now);
-        let is_full = self.waiting.len() + self.claims.len() >= constants::MAX_WAITING_REQUESTS;
         // Without usable servers the drain time is infinite or undefined.
-        if drain_ms <= remaining.as_secs_f64() * 1_000.0 && !is_full {
+        if drain_ms <= remaining.as_secs_f64() * 1_000.0 {
             return None;
         }
         let drain = if drain_ms.is_finite() { drain_ms } else { 0.0 };
@@ -247,23 +313,21 @@
     }
 
     /// Returns the queued claims of the same service that are placed before `claim`.
-    fn ranked_ahead<'a>(
-        &'a self,
-        waiter: Waiter,
-        claim: &'a claim::Claim,
-        now: ids::Timestamp,
-    ) -> Vec<&'a claim::Claim> {
-        let is_overload = self.overloads.contains(&claim.service);
-        let order = claim.order(is_overload, now);
-        let others = self.waiters().filter(|(other, _)| *other != waiter);
-        let others = others.filter(|(_, other)| other.service == claim.service);
-        if !self.is_shared_fairly(&claim.service, now) {
-            let ahead = others.filter(|(_, other)| other.order(is_overload, now) <= order);
-            return ahead.map(|(_, other)| other).collect();
-        }
-        let queue = self.ranked(others.chain(std::iter::once((waiter, claim))), now);
-        let ahead = queue.into_iter().take_while(|(other, _)| *other != waiter);
-        ahead.map(|(_, other)| other).collect()
+    fn ahead_of(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> Ahead {
+        let mut ahead = Ahead::default();
+        let others = self.waiters().filter(|(_, other)| other.service == claim.service);
+        if self.is_shared_fairly(&claim.service, now) {
+            let queue = self.ranked(others, now);
+            let before = queue.into_iter().take_while(|(other, _)| *other != waiter);
+            before.for_each(|(_, other)| ahead.add(other));
+        } else {
+            let order = claim.order(false, now);
+            let before = others
+                .filter(|(other, _)| *other != waiter)
+                .filter(|(_, other)| other.order(false, now) <= order);
+            before.for_each(|(_, other)| ahead.add(other));
+        }
+        ahead
     }
 
     /// Returns whether a server is listed that may go on with the stream of a claim; `true` for a
@@ -308,16 +372,12 @@
     /// that they need, plus the prefill of the claim's own prompt.
     fn engine_drain_ms(
         &self,
-        waiter: Waiter,
+        ahead: Ahead,
         claim: &claim::Claim,
         engine: catalog::EngineShape,
         now: ids::Timestamp,
     ) -> f64 {
-        let (mut prefill_tokens, mut kv_tokens) = (0.0, 0.0);
-        for other in self.ranked_ahead(waiter, claim, now) {
-            prefill_tokens += f64::from(other.tokens.prompt_tokens);
-            kv_tokens += f64::from(other.tokens.memory_tokens());
-        }
+        let Ahead { prefill_tokens, kv_tokens, .. } = ahead;
         let (mut rate, mut capacity) = (0.0, 0.0);
         for server in self.untried(claim, now) {
             let prompts_per_s =
@@ -338,14 +398,14 @@
     }
 
     /// Returns the time until the plain servers have served the requests ahead.
-    fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
+    fn plain_drain_ms(&self, ahead: Ahead, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
         for server in self.untried(claim, now).filter(|server| claim.binding.allows(server)) {
             let requests_per_s = f64::from(server.entry.slots) * 1_000.0 / server.work_ms;
             slots += server.capped_rate_per_s(requests_per_s) * server.work_ms / 1_000.0;
             work_ms = work_ms.max(server.work_ms);
         }
-        self.ranked_ahead(waiter, claim, now).len() as f64 * work_ms / slots + work_ms / 2.0
+        ahead.requests * work_ms / slots + work_ms / 2.0
     }
 
     /// Sends a queued request to the best placement; returns `false` if there is none now.
--- a/tests/fleet/overload.rs
+++ b/tests/fleet/overload.rs
@@ -170,3 +170,19 @@
         assert!(in_time >= 1_150, "{outcomes:?}");
     }
 }
+
+#[test]
+fn a_full_queue_refuses_those_whose_turn_would_come_last() {
+    let entries: Vec<_> =
+        (0..20).map(|index| world::entry(&format!("desk-{index}"), "desk", None)).collect();
+    let mut world = World::new(1, FAST_DIGESTS, &entries);
+    let from = world.now;
+    // Three times the room: the queue is full after 0.25 s.
+    send_load(&mut world, "busy", 1, 12_000, ms(500));
+    world.run(ms(300));
+    send_load(&mut world, "quiet", 1, 100, ms(200));
+    world.run(ms(4_000));
+    let outcomes = outcomes(&world, from);
+    insta::assert_debug_snapshot!(outcomes);
+    assert!(outcomes["quiet"].in_time >= 18, "{outcomes:?}");
+}
