--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -29,8 +29,10 @@
 pub mod ledger;
 pub mod message;
 pub mod notices;
+pub mod overload;
 pub mod peers;
 pub mod placement;
+pub mod priorities;
 pub mod quarantine;
 pub mod quota;
 pub mod recent;
@@ -40,6 +42,7 @@
 pub mod servers;
 pub mod streams;
 pub mod view;
+pub mod work_times;
 
 mod admission;
 mod broker;
@@ -379,10 +382,12 @@
     requests: collections::Map<call::RequestNumber, live::LiveRequest>,
     waiting: Vec<call::RequestNumber>,
     claims: collections::Map<ledger::Ticket, broker::RemoteClaim>,
-    grants: collections::Map<ledger::Ticket, (placement::Placement, u64)>,
+    grants: collections::Map<ledger::Ticket, broker::Granted>,
     /// Servers whose limit or use of it is to be reported.
     limit_reports: throttle::DueReports,
     recent_use: fairness::RecentUse,
+    overloads: overload::Overloads,
+    lower_turns: priorities::LowerTurns,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
     servers_position: ids::StorePosition,
@@ -430,6 +435,8 @@
             grants: collections::Map::default(),
             limit_reports: throttle::DueReports::default(),
             recent_use: fairness::RecentUse::default(),
+            overloads: overload::Overloads::default(),
+            lower_turns: priorities::LowerTurns::default(),
             charge_responses: collections::Map::default(),
             ledger: ledger::Ledger::default(),
             servers_position: 0,
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -107,13 +107,14 @@
         Ok(live::LiveRequest {
             call: call.clone(),
             claim: claim::Claim {
-                start_time: self.start_time(engine, &service, tokens),
+                start_time: self.start_time(engine, &service, tokens, route.objective),
                 engine,
                 service,
                 tokens,
                 prompt: call.prompt,
                 workspace: workspace.as_ref().map(|workspace| sync::Arc::clone(&workspace.name)),
                 priority: priority.unwrap_or(route.priority),
+                arrived: now,
                 objective_at: now + route.objective,
                 begin_by,
                 tried: Vec::new(),
@@ -129,6 +130,7 @@
             arrived: now,
             expires,
             phase: live::Phase::Waiting,
+            order: None,
             attempt: 0,
             grant: None,
             arrivals: 0,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -32,6 +32,17 @@
     pub from: std::net::SocketAddr,
 }
 
+/// A reservation that this instance has granted.
+#[derive(Debug, Clone)]
+pub struct Granted {
+    /// The claim.
+    pub claim: claim::Claim,
+    /// The servers with reserved capacity.
+    pub placement: placement::Placement,
+    /// The expected time to the first event or whole answer.
+    pub expected_ms: u64,
+}
+
 impl Fleet {
     /// Requests a reservation from the owner of the request's service; returns `false` if this
     /// instance places the request itself.
@@ -76,7 +87,8 @@
         let knows_limits = self.servers.of_service(&claim.service).any(|server| {
             server.allowance().is_some_and(|allowance| allowance.is_kept_by(awaiting.owner, now))
         });
-        let workspace = claim.workspace.as_ref().filter(|_| knows_limits);
+        let reads_workspaces = knows_limits || self.peers.speaks(awaiting.owner, 1);
+        let workspace = claim.workspace.as_ref().filter(|_| reads_workspaces);
         let request = message::ReservationRequest {
             ticket: self.ticket(request, live.attempt),
             service: claim.service.clone(),
@@ -93,7 +105,7 @@
             prompt: claim.prompt,
         };
         let message = match &claim.binding {
-            // Older builds do not read the workspace; they state no limits either.
+            // Builds that do not read the workspace state neither limits nor a protocol level.
             binding if let Some(workspace) = workspace => message::Message::ReserveForWorkspace {
                 request,
                 software_version: binding.version().cloned(),
@@ -377,6 +389,7 @@
         if let Some(live) = self.requests.get_mut(&request) {
             let owner = awaiting.owner;
             live.grant = Some(live::Grant { owner, owner_address: from, received: now });
+            live.order = None;
         }
         self.use_placement(request, placement, expected_ms as f64, now, effects);
     }
@@ -393,36 +406,46 @@
         effects: &mut Vec<Effect>,
     ) {
         let ticket = request.ticket;
-        if let Some((placement, expected_ms)) = self.grants.get(&ticket).cloned() {
+        if let Some(Granted { placement, expected_ms, .. }) = self.grants.get(&ticket).cloned() {
             self.send_grant(from, ticket, placement, expected_ms, now, effects);
             return;
         }
         let engine = self.catalog.as_ref().and_then(|catalog| catalog.engine(&request.service));
-        let objective_at = now + time::Duration::from_millis(request.objective_remaining_ms);
+        let objective = time::Duration::from_millis(request.objective_remaining_ms);
+        let start_time = match self.claims.get(&ticket) {
+            // A request that is sent again has less time left, which says nothing about its work.
+            Some(known) if engine.is_none() => known.claim.start_time,
+            _ => self.start_time(engine, &request.service, request.tokens, objective),
+        };
+        let arrived = self.claims.get(&ticket).map_or(now, |known| known.claim.arrived);
         let claim = claim::Claim {
             engine,
-            start_time: self.start_time(engine, &request.service, request.tokens),
+            start_time,
             tokens: request.tokens,
             prompt: request.prompt,
             workspace,
             priority: request.priority,
-            objective_at,
+            arrived,
+            objective_at: now + objective,
             begin_by: now + time::Duration::from_millis(request.begin_remaining_ms),
             tried: request.tried,
             domain: request.domain,
             service: request.service,
             binding,
         };
-        let is_shared = self.is_shared_fairly(&claim.service, now);
+        // Where workspaces take turns, those that wait come first.
+        let is_queued = self.is_shared_fairly(&claim.service, now);
         self.claims.insert(ticket, RemoteClaim { claim, from });
-        let is_granted = if is_shared {
-            // A limit allows the next request at some time; those that wait for it come first.
+        let is_granted = if is_queued {
             self.place_waiting(now, effects);
             !self.claims.contains_key(&ticket)
         } else {
             self.try_grant(ticket, now, effects)
         };
-        if is_granted || self.decline_if_unservable(ticket, now, effects) {
+        if !is_granted {
+            self.refuse_arrival(waiting::Waiter::Remote(ticket), now, effects);
+        }
+        if !self.claims.contains_key(&ticket) {
             return;
         }
         effects
@@ -448,7 +471,8 @@
         let reservations = placement.loads(&claim);
         self.ledger.insert(ticket, reservations, &mut self.servers, now);
         let expected_ms = expected_ms as u64;
-        self.grants.insert(ticket, (placement.clone(), expected_ms));
+        let granted = Granted { claim, placement: placement.clone(), expected_ms };
+        self.grants.insert(ticket, granted);
         self.send_grant(to, ticket, placement, expected_ms, now, effects);
         true
     }
@@ -486,23 +510,17 @@
         }
     }
 
-    /// Declines a claim of another instance that cannot be served in time; returns whether it did.
-    pub(super) fn decline_if_unservable(
+    /// Declines a claim of another instance that cannot be served in time.
+    pub(super) fn decline(
         &mut self,
         ticket: ledger::Ticket,
-        now: ids::Timestamp,
+        wait: time::Duration,
         effects: &mut Vec<Effect>,
-    ) -> bool {
-        let Some(remote) = self.claims.get(&ticket) else { return false };
-        let (to, claim) = (remote.from, remote.claim.clone());
-        let Some(wait) = self.retry_wait(waiting::Waiter::Remote(ticket), &claim, now) else {
-            return false;
-        };
-        self.claims.remove(&ticket);
+    ) {
+        let Some(remote) = self.claims.remove(&ticket) else { return };
         let retry_after_ms = waiting::millis(wait);
         let message = message::Message::Decline { ticket, retry_after_ms };
-        effects.push(Effect::SendMessage { to, message });
-        true
+        effects.push(Effect::SendMessage { to: remote.from, message });
     }
 
     fn receive_progress(
@@ -521,7 +539,7 @@
             }
             message::Progress::Ended { evidence, elapsed_ms } => {
                 self.claims.remove(&ticket);
-                self.grants.remove(&ticket);
+                let granted = self.grants.remove(&ticket);
                 self.ledger.end(ticket, &mut self.servers, now);
                 if let Some((server, evidence)) = evidence {
                     self.servers.record_evidence(&server, evidence, now);
@@ -529,6 +547,9 @@
                         self.servers.record_answered(&server);
                         let elapsed = time::Duration::from_millis(elapsed_ms);
                         self.servers.record_work(&server, elapsed, now);
+                        if let Some(granted) = granted {
+                            self.correct_use(&granted.claim, elapsed, now);
+                        }
                     }
                 }
             }
--- a/src/core/fleet/hedging.rs
+++ b/src/core/fleet/hedging.rs
@@ -303,8 +303,8 @@
         Ok((basis, claim))
     }
 
-    /// Returns whether a service lacks the room for requests that are not needed: others wait, its
-    /// servers name limits, or few slots are free.
+    /// Returns whether a service lacks the room for requests that are not needed: it is in overload,
+    /// others wait, its servers name limits, or few slots are free.
     fn is_short_of_room(&self, service: &catalog::ServiceId, now: ids::Timestamp) -> bool {
         let is_queued = |live: &live::LiveRequest| match &live.phase {
             live::Phase::Waiting => true,
@@ -313,7 +313,8 @@
         };
         let mut local = self.requests.values().filter(|live| live.claim.service == *service);
         let mut remote = self.claims.values().map(|remote| &remote.claim);
-        if local.any(is_queued)
+        if self.overloads.contains(service)
+            || local.any(is_queued)
             || remote.any(|claim| claim.service == *service)
             || self.limit_view(service, now).is_some()
         {
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -5,11 +5,13 @@
 //! that can still meet it are placed first, late ones when a server is nearly idle, and requests
 //! whose time cannot suffice are refused immediately.
 
+use std::collections::BTreeSet;
 use std::sync;
 use std::time;
 
 use rand::RngExt as _;
 
+use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::Effect;
 use crate::core::fleet::Fleet;
@@ -39,6 +41,22 @@
     Remote(ledger::Ticket),
 }
 
+/// The requests of a service whose turn comes before that of another one.
+#[derive(Debug, Default, Clone, Copy)]
+struct Ahead {
+    requests: f64,
+    prefill_tokens: f64,
+    kv_tokens: f64,
+}
+
+impl Ahead {
+    fn add(&mut self, claim: &claim::Claim) {
+        self.requests += 1.0;
+        self.prefill_tokens += f64::from(claim.tokens.prompt_tokens);
+        self.kv_tokens += f64::from(claim.tokens.memory_tokens());
+    }
+}
+
 impl Fleet {
     /// Places a request, queues it, or refuses it if it cannot be served in time.
     pub(super) fn place_or_queue(
@@ -57,48 +75,81 @@
             self.has_generator(&live.claim, now) && self.pause_of_all(&live.claim, now).is_none();
         // The grant of the owner has led to no decode server.
         let is_held = live.held.is_some();
-        let is_shared = self.is_shared_fairly(&live.claim.service, now);
+        // Where workspaces take turns, those that wait come first.
+        let is_queued = self.is_shared_fairly(&live.claim.service, now);
         if is_servable && !is_held && self.request_reservation(request, now, effects) {
             return;
         }
-        if is_servable && is_shared {
-            // A limit allows the next request at some time; those that wait for it come first.
+        if is_servable && is_queued {
             self.waiting.push(request);
             self.place_waiting(now, effects);
             if self.waiting.contains(&request) {
-                self.refuse_if_unservable(request, now, effects);
+                self.refuse_arrival(Waiter::Local(request), now, effects);
             }
             return;
         }
         if is_servable && self.try_place(request, now, effects) {
             return;
         }
-        if !self.refuse_if_unservable(request, now, effects) {
-            self.waiting.push(request);
+        self.waiting.push(request);
+        self.refuse_arrival(Waiter::Local(request), now, effects);
+    }
+
+    /// Refuses a request that has just joined the queue if it cannot be served in time, or those whose
+    /// turn would come last if the queue is full; some at once, as that takes an order of all.
+    pub(super) fn refuse_arrival(
+        &mut self,
+        waiter: Waiter,
+        now: ids::Timestamp,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.waiting.len() + self.claims.len() > constants::MAX_WAITING_REQUESTS {
+            return self.refuse_last(constants::MAX_WAITING_REQUESTS * 15 / 16, now, effects);
+        }
+        let Some(claim) = self.claim_of(waiter) else { return };
+        let is_servable = self.has_generator(claim, now);
+        if self.overloads.contains(&claim.service) && !claim.is_late(now) && is_servable {
+            // Its turn is among the first ones. The next tick judges all by one order of the queue.
+            return;
+        }
+        let claim = claim.clone();
+        let ahead = self.ahead_of(waiter, &claim, now);
+        if let Some(wait) = self.retry_wait(waiter, &claim, ahead, now) {
+            self.turn_away(waiter, wait, now, effects);
         }
     }
 
-    /// Refuses a request that cannot be served in time; returns whether it did.
-    fn refuse_if_unservable(
+    /// Refuses a request that waits in the queue, or declines the claim of another instance.
+    fn turn_away(
         &mut self,
-        request: call::RequestNumber,
+        waiter: Waiter,
+        wait: time::Duration,
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
-    ) -> bool {
-        let Some(live) = self.requests.get(&request) else { return false };
-        let (claim, max_wait) = (live.claim.clone(), live.expires.saturating_sub(now) / 3);
+    ) {
+        let request = match waiter {
+            Waiter::Local(request) => request,
+            Waiter::Remote(ticket) => return self.decline(ticket, wait, effects),
+        };
         if self.refuse_if_evacuated(request, now, effects) {
-            return true;
+            return;
         }
-        let Some(wait) = self.retry_wait(Waiter::Local(request), &claim, now) else { return false };
-        let reason = if self.has_generator(&claim, now) {
+        let Some(live) = self.requests.get(&request) else { return };
+        let max_wait = live.expires.saturating_sub(now) / 3;
+        let reason = if self.has_generator(&live.claim, now) {
             refusal::Reason::NoCapacity
         } else {
             refusal::Reason::NotResumable
         };
         let refusal = refusal::Refusal::retry_after(reason, wait.min(max_wait));
         self.refuse(request, refusal, now, effects);
-        true
+    }
+
+    fn claim_of(&self, waiter: Waiter) -> Option<&claim::Claim> {
+        match waiter {
+            Waiter::Local(request) => self.requests.get(&request).map(|live| &live.claim),
+            Waiter::Remote(ticket) => self.claims.get(&ticket).map(|remote| &remote.claim),
+        }
     }
 
     /// Adds up to a quarter to a wait at random, so that callers do not all retry at the same time.
@@ -108,13 +159,23 @@
     }
 
     /// Places queued requests: first those that can meet their objective, by priority and
-    /// objective, then late ones by the time at which their callers give up.
+    /// objective or age, then late ones by the time at which their callers give up.
     pub(super) fn place_waiting(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         if self.waiting.is_empty() && self.claims.is_empty() {
+            if !self.overloads.is_empty() {
+                self.update_overloads(now, effects);
+            }
             return;
         }
         let mut failed: Vec<((catalog::ServiceId, claim::Binding), u32)> = Vec::new();
-        for (waiter, pool) in self.queue(now) {
+        let queue = self.queue(now);
+        let mut priorities: collections::Map<catalog::ServiceId, BTreeSet<u8>> =
+            collections::Map::default();
+        for (_, priority, (service, _)) in &queue {
+            priorities.entry(service.clone()).or_default().insert(*priority);
+        }
+        for (waiter, priority, pool) in queue {
+            let service = pool.0.clone();
             let known = failed.iter().position(|(known, _)| *known == pool);
             let index = known.unwrap_or_else(|| {
                 failed.push((pool, 0));
@@ -127,7 +188,9 @@
                 Waiter::Local(request) => self.try_place(request, now, effects),
                 Waiter::Remote(ticket) => self.try_grant(ticket, now, effects),
             };
-            if !is_placed {
+            if is_placed {
+                self.lower_turns.record(&service, priority, &priorities[&service]);
+            } else {
                 failed[index].1 += 1;
             }
         }
@@ -135,21 +198,52 @@
         self.waiting.retain(|request| {
             requests.get(request).is_some_and(|live| matches!(live.phase, live::Phase::Waiting))
         });
+        self.update_overloads(now, effects);
     }
 
-    /// Returns the queue in the order of placement, with the pool of servers that each waits for.
-    fn queue(&self, now: ids::Timestamp) -> Vec<(Waiter, (catalog::ServiceId, claim::Binding))> {
+    /// Returns all requests that wait in this instance's queue, in no order.
+    pub(super) fn waiters(&self) -> impl Iterator<Item = (Waiter, &claim::Claim)> {
         let local = self.waiting.iter().filter_map(|request| {
             let live = self.requests.get(request)?;
             Some((Waiter::Local(*request), &live.claim))
         });
-        let remote =
-            self.claims.iter().map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim));
-        let mut queue: Vec<_> = local.chain(remote).collect();
-        queue.sort_by_key(|(_, claim)| claim.order(now));
-        let queue = self.take_turns(queue, now);
+        let remote = self.claims.iter();
+        local.chain(remote.map(|(ticket, remote)| (Waiter::Remote(*ticket), &remote.claim)))
+    }
+
+    /// Puts claims into the order of placement.
+    fn ranked<'a>(
+        &self,
+        claims: impl Iterator<Item = (Waiter, &'a claim::Claim)>,
+        now: ids::Timestamp,
+    ) -> Vec<(Waiter, &'a claim::Claim)> {
+        let order =
+            |claim: &claim::Claim| claim.order(self.overloads.contains(&claim.service), now);
+        let mut queue: Vec<_> =
+            claims.map(|(waiter, claim)| (order(claim), waiter, claim)).collect();
+        queue.sort_by_key(|(order, ..)| *order);
+        let queue = queue.into_iter().map(|(_, waiter, claim)| (waiter, claim)).collect();
+        self.share_with_lower_priorities(self.take_turns(queue, now))
+    }
+
+    /// Returns the queue in the order of placement, with the priority of each and the pool of servers
+    /// that it waits for, and without the requests for plain services whose servers are full.
+    fn queue(
+        &self,
+        now: ids::Timestamp,
+    ) -> Vec<(Waiter, u8, (catalog::ServiceId, claim::Binding))> {
+        let mut rooms: Vec<(&catalog::ServiceId, bool)> = Vec::new();
+        let waiters = self.waiters().filter(|(_, claim)| {
+            let known = rooms.iter().find(|(service, _)| *service == &claim.service);
+            known.map(|(_, has_room)| *has_room).unwrap_or_else(|| {
+                let has_room = self.may_have_room(&claim.service, now);
+                rooms.push((&claim.service, has_room));
+                has_room
+            })
+        });
+        let queue = self.ranked(waiters, now);
         let pool = |claim: &claim::Claim| (claim.service.clone(), claim.binding.clone());
-        queue.into_iter().map(|(waiter, claim)| (waiter, pool(claim))).collect()
+        queue.into_iter().map(|(waiter, claim)| (waiter, claim.priority, pool(claim))).collect()
     }
 
     /// Queues a request again after a failed attempt, or refuses it if it cannot be served in time.
@@ -165,23 +259,41 @@
         self.place_or_queue(request, now, effects);
     }
 
-    /// Refuses all queued requests that can no longer be served in time.
+    /// Refuses all queued requests that can no longer be served in time behind those whose turn comes
+    /// before.
     pub(super) fn refuse_unservable(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        for request in self.waiting.clone() {
-            self.refuse_if_unservable(request, now, effects);
-        }
-        let tickets: Vec<_> = self.claims.keys().copied().collect();
-        for ticket in tickets {
-            self.decline_if_unservable(ticket, now, effects);
+        self.refuse_last(constants::MAX_WAITING_REQUESTS, now, effects);
+    }
+
+    /// Refuses all queued requests that can no longer be served in time, and those behind the first
+    /// `places` ones.
+    fn refuse_last(&mut self, mut places: usize, now: ids::Timestamp, effects: &mut Vec<Effect>) {
+        let queue = self.ranked(self.waiters(), now);
+        let queue: Vec<_> =
+            queue.into_iter().map(|(waiter, claim)| (waiter, claim.clone())).collect();
+        let mut kept: collections::Map<catalog::ServiceId, Ahead> = collections::Map::default();
+        for (waiter, claim) in queue {
+            let ahead = kept.get(&claim.service).copied().unwrap_or_default();
+            let wait = match self.retry_wait(waiter, &claim, ahead, now) {
+                None if places == 0 => Some(self.jittered(time::Duration::ZERO)),
+                wait => wait,
+            };
+            if let Some(wait) = wait {
+                self.turn_away(waiter, wait, now, effects);
+                continue;
+            }
+            places -= 1;
+            kept.entry(claim.service.clone()).or_default().add(&claim);
         }
     }
 
-    /// Returns the time after which the caller may retry if no server can begin the answer in time
-    /// or the queue is full.
-    pub(super) fn retry_wait(
+    /// Returns the time after which the caller may retry if no server can begin the answer in time,
+    /// behind the requests `ahead`.
+    fn retry_wait(
         &mut self,
         waiter: Waiter,
         claim: &claim::Claim,
+        ahead: Ahead,
         now: ids::Timestamp,
     ) -> Option<time::Duration> {
         if !self.has_generator(claim, now) {
@@ -194,13 +306,12 @@
         }
         let remaining = claim.begin_by.saturating_sub(now);
         let drain_ms = match claim.engine {
-            Some(engine) => self.engine_drain_ms(waiter, claim, engine, now),
-            None => self.plain_drain_ms(waiter, claim, now),
+            Some(engine) => self.engine_drain_ms(ahead, claim, engine, now),
+            None => self.plain_drain_ms(ahead, claim, now),
         };
         let drain_ms = drain_ms + self.limit_wait_ms(claim, now);
-        let is_full = self.waiting.len() + self.claims.len() >= constants::MAX_WAITING_REQUESTS;
         // Without usable servers the drain time is infinite or undefined.
-        if drain_ms <= remaining.as_secs_f64() * 1_000.0 && !is_full {
+        if drain_ms <= remaining.as_secs_f64() * 1_000.0 {
             return None;
         }
         let drain = if drain_ms.is_finite() { drain_ms } else { 0.0 };
@@ -208,33 +319,21 @@
     }
 
     /// Returns the queued claims of the same service that are placed before `claim`.
-    fn ranked_ahead<'a>(
-        &'a self,
-        waiter: Waiter,
-        claim: &'a claim::Claim,
-        now: ids::Timestamp,
-    ) -> Vec<&'a claim::Claim> {
-        let order = claim.order(now);
-        let local = self
-            .waiting
-            .iter()
-            .filter_map(|other| Some((Waiter::Local(*other), &self.requests.get(other)?.claim)));
-        let remote = self.claims.iter();
-        let remote = remote.map(|(other, remote)| (Waiter::Remote(*other), &remote.claim));
-        let mut others: Vec<_> = local
-            .chain(remote)
-            .filter(|(other, _)| *other != waiter)
-            .filter(|(_, other)| other.service == claim.service)
-            .collect();
-        if !self.is_shared_fairly(&claim.service, now) {
-            others.retain(|(_, other)| other.order(now) <= order);
-            return others.into_iter().map(|(_, other)| other).collect();
-        }
-        others.push((waiter, claim));
-        others.sort_by_key(|(_, other)| other.order(now));
-        let queue = self.take_turns(others, now);
-        let ahead = queue.into_iter().take_while(|(other, _)| *other != waiter);
-        ahead.map(|(_, other)| other).collect()
+    fn ahead_of(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> Ahead {
+        let mut ahead = Ahead::default();
+        let others = self.waiters().filter(|(_, other)| other.service == claim.service);
+        if self.is_shared_fairly(&claim.service, now) {
+            let queue = self.ranked(others, now);
+            let before = queue.into_iter().take_while(|(other, _)| *other != waiter);
+            before.for_each(|(_, other)| ahead.add(other));
+        } else {
+            let order = claim.order(false, now);
+            let before = others
+                .filter(|(other, _)| *other != waiter)
+                .filter(|(_, other)| other.order(false, now) <= order);
+            before.for_each(|(_, other)| ahead.add(other));
+        }
+        ahead
     }
 
     /// Returns whether a server is listed that may go on with the stream of a claim; `true` for a
@@ -279,16 +378,12 @@
     /// that they need, plus the prefill of the claim's own prompt.
     fn engine_drain_ms(
         &self,
-        waiter: Waiter,
+        ahead: Ahead,
         claim: &claim::Claim,
         engine: catalog::EngineShape,
         now: ids::Timestamp,
     ) -> f64 {
-        let (mut prefill_tokens, mut kv_tokens) = (0.0, 0.0);
-        for other in self.ranked_ahead(waiter, claim, now) {
-            prefill_tokens += f64::from(other.tokens.prompt_tokens);
-            kv_tokens += f64::from(other.tokens.memory_tokens());
-        }
+        let Ahead { prefill_tokens, kv_tokens, .. } = ahead;
         let (mut rate, mut capacity) = (0.0, 0.0);
         for server in self.untried(claim, now) {
             let prompts_per_s =
@@ -309,14 +404,14 @@
     }
 
     /// Returns the time until the plain servers have served the requests ahead.
-    fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
+    fn plain_drain_ms(&self, ahead: Ahead, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
         for server in self.untried(claim, now).filter(|server| claim.binding.allows(server)) {
             let requests_per_s = f64::from(server.entry.slots) * 1_000.0 / server.work_ms;
             slots += server.capped_rate_per_s(requests_per_s) * server.work_ms / 1_000.0;
             work_ms = work_ms.max(server.work_ms);
         }
-        self.ranked_ahead(waiter, claim, now).len() as f64 * work_ms / slots + work_ms / 2.0
+        ahead.requests * work_ms / slots + work_ms / 2.0
     }
 
     /// Sends a queued request to the best placement; returns `false` if there is none now.
@@ -337,26 +432,31 @@
             return false;
         };
         let claim = live.claim.clone();
+        let order = (self.order_of(&claim, now), self.use_share(&claim, now));
+        if let Some(live) = self.requests.get_mut(&request) {
+            live.order = Some(order);
+        }
         self.record_prompt(&claim, &placement, now);
         self.take_allowances(&claim, &placement, now);
         self.use_placement(request, placement, expected_ms, now, effects);
         true
     }
 
-    /// Returns the expected time from placing a request until its answer begins.
+    /// Returns the expected time from placing a request until its answer begins; for a plain request
+    /// a high quantile of it, up to half of its objective. Otherwise, a slow server would make all
+    /// requests late.
     pub(super) fn start_time(
         &self,
         engine: Option<catalog::EngineShape>,
         service: &catalog::ServiceId,
         tokens: call::Tokens,
+        objective: time::Duration,
     ) -> time::Duration {
-        let start_ms = match engine {
-            Some(_) => {
-                let prefill_ms = self.servers.prefill_ms(service, tokens.prompt_tokens);
-                prefill_ms + constants::HANDOVER_MS + constants::OBJECTIVE_MARGIN_MS
-            }
-            None => constants::INITIAL_PLAIN_WORK_MS,
-        };
+        if engine.is_none() {
+            return self.servers.upper_work(service).min(objective / 2);
+        }
+        let prefill_ms = self.servers.prefill_ms(service, tokens.prompt_tokens);
+        let start_ms = prefill_ms + constants::HANDOVER_MS + constants::OBJECTIVE_MARGIN_MS;
         time::Duration::from_secs_f64(start_ms / 1_000.0)
     }
 
@@ -548,6 +648,8 @@
             expected_ms: expected_ms as u64,
             waited_ms: millis(now.saturating_sub(live.arrived)),
             offset: known.entry.offset,
+            order: live.order.map(|(order, _)| order.name()),
+            use_share: live.order.and_then(|(_, share)| share),
             limit_per_s,
             limits,
         }));
