Use plain servers that answer a part of their requests while a service is in overload

Ruled out: no ejection at all (in calm the third server takes the load without losses); a limit on the number of ejected servers (it would send requests to them in calm, too). Change: while a plain service is in overload, servers that are ejected for lost answers may be used if they have answered within 1.5 s and lose at most half. Reported as a fault in review and fixed: a server that cannot be reached is not taken for one that loses answers. The replay in tests/fleet/partial_failures.rs bounds what callers get.

--- a/src/core/fleet/overload.rs
+++ b/src/core/fleet/overload.rs
@@ -134,6 +134,13 @@
         }
     }
 
+    /// Returns whether ejected servers that answer a part of their requests may get a claim: its service
+    /// is in overload, so that other requests would be late or refused. A stream that breaks off is
+    /// lost with its prompt, so engines are not used that way.
+    pub(super) fn accepts_partial_failures(&self, claim: &claim::Claim) -> bool {
+        claim.engine.is_none() && self.overloads.contains(&claim.service)
+    }
+
     /// Returns the requests that the usable servers of a service can take now, and for engines the
     /// KV cache that is free at those that generate answers.
     fn room(&self, service: &catalog::ServiceId, now: ids::Timestamp) -> (u64, Option<u64>) {
@@ -155,7 +162,11 @@
         self.servers.of_service(service).any(|server| {
             let is_plain = server.entry.stage.is_none();
             let is_full = server.load().requests >= server.max_requests();
-            server.is_usable(now) && !(is_plain && is_full)
+            let is_usable = server.is_usable(now)
+                || (is_plain
+                    && self.overloads.contains(service)
+                    && server.is_usable_in_overload(now));
+            is_usable && !(is_plain && is_full)
         })
     }
 }
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -96,13 +96,17 @@
     /// Whether servers without an answer so far get one request at a time: they may have named limits
     /// that this instance does not know.
     pub is_probing: bool,
+    /// Whether ejected servers that answer a part of their requests may be used.
+    pub is_overload: bool,
     /// The current time.
     pub now: ids::Timestamp,
 }
 
 impl Query<'_> {
     fn admits(&self, server: &servers::Server) -> bool {
-        server.is_usable(self.now)
+        let is_usable = server.is_usable(self.now)
+            || (self.is_overload && server.is_usable_in_overload(self.now));
+        is_usable
             && !self.claim.tried.contains(&server.entry.id)
             && server.limit_wait(self.pacing, self.now).is_zero()
             && (!self.is_local || server.is_willing(self.now))
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -17,6 +17,7 @@
 mod failures;
 mod limits;
 mod pace;
+mod partial_failure;
 mod standing;
 
 pub mod entry;
@@ -98,6 +99,10 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: ids::Timestamp,
+    /// The evidence that caused the present or last ejection.
+    ejection: Option<Evidence>,
+    /// When an answer was last reported.
+    last_answer: Option<ids::Timestamp>,
     handover_paused_until: ids::Timestamp,
     /// What the server has asked for in its answers.
     closure: closures::Closure,
@@ -130,6 +135,8 @@
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: ids::Timestamp::ZERO,
+            ejection: None,
+            last_answer: None,
             handover_paused_until: ids::Timestamp::ZERO,
             closure: closures::Closure::default(),
             standing: evacuation::Standing::default(),
@@ -532,6 +539,7 @@
         server.failures.record(evidence != Evidence::Answered, now);
         match evidence {
             Evidence::Answered => {
+                server.last_answer = Some(now);
                 server.consecutive_failures = 0;
                 server.ejections = 0;
                 return None;
@@ -541,6 +549,7 @@
                 // Only a new entry makes the server usable again. The old one expires in the
                 // meantime.
                 server.ejected_until = now + constants::MAX_EJECTION_PAUSE;
+                server.ejection = Some(evidence);
                 return Some(constants::MAX_EJECTION_PAUSE);
             }
             Evidence::Failed => server.consecutive_failures += 1,
@@ -553,6 +562,11 @@
             .min(constants::MAX_EJECTION_PAUSE);
         server.ejections += 1;
         server.consecutive_failures = constants::EJECTION_FAILURES - 1;
+        let is_ejected = now < server.ejected_until;
+        // A request in flight that is lost says less than a server that cannot be reached.
+        if !(is_ejected && evidence == Evidence::Failed) {
+            server.ejection = Some(evidence);
+        }
         server.ejected_until = now + pause;
         Some(pause)
     }
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -141,7 +141,8 @@
     ) -> placement::Query<'a> {
         let pacing = self.pacing(&claim.service, now);
         let is_probing = self.has_joined && now < constants::PROBING_PERIOD;
-        placement::Query { claim, memory_share, pacing, is_local, is_probing, now }
+        let is_overload = self.accepts_partial_failures(claim);
+        placement::Query { claim, memory_share, pacing, is_local, is_probing, is_overload, now }
     }
 
     /// Uses the limits of the servers of a placement for one request.
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -356,8 +356,10 @@
         claim: &'a claim::Claim,
         now: ids::Timestamp,
     ) -> impl Iterator<Item = &'a servers::Server> {
-        let usable =
-            self.servers.of_service(&claim.service).filter(move |server| server.is_usable(now));
+        let accepts_partial_failures = self.accepts_partial_failures(claim);
+        let usable = self.servers.of_service(&claim.service).filter(move |server| {
+            server.is_usable(now) || (accepts_partial_failures && server.is_usable_in_overload(now))
+        });
         usable.filter(|server| !claim.tried.contains(&server.entry.id))
     }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod listing;
 mod notices;
 mod overload;
+mod partial_failures;
 mod retry_budget;
 mod server_limits;
 mod versions;
