Bound the requests to cold servers by the mechanism of server limits

Cause: a server that starts or turns cold crashes well above some requests a second from the whole fleet, and instances sent to it what its slots take. With the bound off, the simulated servers get more than 20 requests in a second where 20 (10 a second x 1.5 + 5) are allowed, and the test that says so stands beside the others. Ruled out: a weight that grows with the age of a server (it bounds a share, not a rate); equal parts of the bound at all instances (most of it unused); reports of the bound as for named limits (1,400 servers times the instances); the position in the owner's digest as the proof that it knows an entry (heartbeats rewrite entries without a change of that position). Change: the limit in force is the lower one of the named limit and, while the server is cold, ColdPerS. Entries, answers (Cold-Ms), ColdStartS and peers state the cold time; each instance ends it by its own clock. Grants carry the entries of their cold servers, which shows the receiver that they are counted; other grants are used within the own part. Readers of the store tell the coordinators of servers that turn cold in use. A KV cache is not released at a cold server whose bound is used up, and a decode that was reserved before its server turned cold is placed anew. Entries for peers state the cold time that remains. The bounds travel in SyncExtension; without them the store is read.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod catalog;
 pub mod claim;
+mod cold;
 pub mod constants;
 pub mod containment;
 pub mod coordination;
@@ -352,6 +353,8 @@
     grants: collections::Map<ledger::Ticket, (placement::Placement, u64)>,
     /// Servers whose limit or use of it is to be reported.
     limit_reports: throttle::DueReports,
+    /// Servers that have turned cold, to be reported.
+    cold_reports: Vec<message::ColdReport>,
     recent_use: fairness::RecentUse,
     charge_responses: collections::Map<ledger::Ticket, (message::ChargeResponse, ids::Timestamp)>,
     ledger: ledger::Ledger,
@@ -377,11 +380,13 @@
 impl Fleet {
     /// Creates the state of an instance that has just started.
     pub fn new(options: Options) -> Self {
+        let mut servers = servers::Directory::default();
+        servers.set_first_start(options.is_first_start);
         Self {
             own: options.own,
             domain: options.domain,
             catalog: None,
-            servers: servers::Directory::default(),
+            servers,
             kept: kept::KeptPrompts::default(),
             origins: streams::Origins::default(),
             containment: containment::Containment::default(),
@@ -397,6 +402,7 @@
             claims: collections::Map::default(),
             grants: collections::Map::default(),
             limit_reports: throttle::DueReports::default(),
+            cold_reports: Vec::new(),
             recent_use: fairness::RecentUse::default(),
             charge_responses: collections::Map::default(),
             ledger: ledger::Ledger::default(),
@@ -491,10 +497,12 @@
     ) {
         let version = catalog.content.version;
         let previous = self.version();
-        if version <= previous {
+        let completes = version == previous && self.lacks_cold_bounds();
+        if version < previous || (version == previous && !completes) {
             return;
         }
         self.quotas.configure(&catalog, now);
+        self.configure_cold(&catalog, now, effects);
         self.catalog = Some(catalog);
         self.load_history(now, effects);
         effects.push(Effect::Log(decision::Decision::Configured { version, previous }));
@@ -536,10 +544,12 @@
         effects: &mut Vec<Effect>,
     ) -> bool {
         let line = decision::Decision::listed(&change);
+        let server = change.id().clone();
         let has_changed = self.servers.apply(change, source, now);
         if has_changed {
             effects.push(Effect::Log(line));
         }
+        self.refresh_cold(&server, now, effects);
         has_changed
     }
 
@@ -554,6 +564,7 @@
             self.ledger.recount(&mut self.servers);
             effects.push(Effect::AnnounceChange);
         }
+        self.report_cold(now, effects);
         self.list_prompts(now, effects);
         self.announce_origins(now, effects);
         self.place_waiting(now, effects);
@@ -602,6 +613,7 @@
         self.resend_charges(now, effects);
         self.resend_reservation_requests(now, effects);
         self.end_lookups(now, effects);
+        self.end_cold_times(now, effects);
         self.report_limits(now, effects);
         self.maintain_containment(now, effects);
         self.return_to_owners(now, effects);
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -72,9 +72,10 @@
         let Some(live) = self.requests.get(&request) else { return };
         let claim = &live.claim;
         let live::Phase::AwaitingGrant(awaiting) = &live.phase else { return };
-        let knows_limits = self.servers.of_service(&claim.service).any(|server| {
-            server.allowance().is_some_and(|allowance| allowance.is_kept_by(awaiting.owner, now))
-        });
+        let knows_limits = self
+            .servers
+            .of_service(&claim.service)
+            .any(|server| server.allowance().is_some() && server.is_kept_by(awaiting.owner, now));
         let workspace = claim.workspace.as_ref().filter(|_| knows_limits);
         let request = message::ReservationRequest {
             ticket: self.ticket(request, live.attempt),
@@ -268,7 +269,7 @@
                 self.answer_stream_query(from, stream, now, effects);
             }
             message::Message::Grant { ticket, placement, expected_ms, entries } => {
-                self.add_granted_servers(entries, now, effects);
+                self.receive_granted_entries(ticket, entries, now, effects);
                 self.receive_grant(from, ticket, placement, expected_ms, now, effects);
             }
             message::Message::Queued { ticket } => self.confirm_queued(ticket, now),
@@ -281,6 +282,9 @@
             message::Message::ServerLimits(limits) => {
                 self.receive_limits(&limits, now, effects);
             }
+            message::Message::ServersCold(reports) => {
+                self.receive_cold_reports(&reports, now, effects);
+            }
             message::Message::ServerCrashed(report) => {
                 self.apply_crash(&report, Some(from), now, effects);
             }
@@ -304,7 +308,7 @@
     }
 
     /// Returns the request that still waits for the response with this ticket.
-    fn pending_request(&self, ticket: ledger::Ticket) -> Option<call::RequestNumber> {
+    pub(super) fn pending_request(&self, ticket: ledger::Ticket) -> Option<call::RequestNumber> {
         let live = self.requests.get(&ticket.request)?;
         let is_awaiting = matches!(live.phase, live::Phase::AwaitingGrant(_));
         let is_own = ticket.holder == self.own.incarnation && ticket.attempt == live.attempt;
@@ -435,15 +439,13 @@
         now: ids::Timestamp,
         effects: &mut Vec<Effect>,
     ) {
-        let servers = placement.servers().filter_map(|server| self.servers.get(server));
-        let new = servers.filter(|server| server.is_recently_listed(now));
-        let entries = new.map(|server| server.entry.clone()).collect();
+        let entries = self.granted_entries(&placement, now);
         let message = message::Message::Grant { ticket, placement, expected_ms, entries };
         effects.push(Effect::SendMessage { to, message });
     }
 
     /// Adds servers of a grant whose entries this instance has not read yet.
-    fn add_granted_servers(
+    pub(super) fn add_granted_servers(
         &mut self,
         entries: Vec<servers::Entry>,
         now: ids::Timestamp,
--- a/src/core/fleet/catalog.rs
+++ b/src/core/fleet/catalog.rs
@@ -59,6 +59,15 @@
     pub memory_tokens: u32,
 }
 
+/// The bound on requests to the cold servers of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ColdBound {
+    /// The time for which a server stays cold after a start.
+    pub start: time::Duration,
+    /// The requests a second that a cold server takes from the whole fleet; 0 for no bound.
+    pub per_s: f64,
+}
+
 /// A service and its kind.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Service {
@@ -66,6 +75,10 @@
     pub name: ServiceId,
     /// The capacity of its engines; `None` for a plain service.
     pub engine: Option<EngineShape>,
+    /// The bound on requests to its cold servers; `None` if the peer that sent the configuration does
+    /// not know it.
+    #[serde(skip)]
+    pub cold_bound: Option<ColdBound>,
 }
 
 /// A workspace with its keys and its limit.
@@ -178,6 +191,12 @@
         self.content.workspaces.is_some()
     }
 
+    /// Returns whether a peer of an older build has sent the configuration, without the bounds on
+    /// requests to cold servers.
+    pub fn lacks_cold_bounds(&self) -> bool {
+        self.content.services.iter().any(|service| service.cold_bound.is_none())
+    }
+
     /// Returns the capacity of a service's engines; `None` for plain services.
     pub fn engine(&self, service: &ServiceId) -> Option<EngineShape> {
         self.engines.get(service).copied()
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -152,6 +152,23 @@
         /// The sum of their limits.
         service_rate_per_s: f64,
     },
+    /// A server of a service that bounds requests to cold servers has turned cold or warm.
+    ServerCold {
+        /// The id of the server.
+        server: String,
+        /// Its service.
+        service: String,
+        /// The bound, in requests a second from the whole fleet; `None` if the server is warm.
+        bound_per_s: Option<f64>,
+        /// The time for which it is still cold.
+        remaining_ms: u64,
+        /// Where the figure comes from.
+        source: servers::ColdSource,
+        /// The time since this instance has read the figure.
+        age_ms: u64,
+        /// The number of cold servers of the service.
+        cold_servers: usize,
+    },
     /// A server states that it leaves: it gets no more requests until it starts again.
     ServerLeaving {
         /// The id of the server.
@@ -268,9 +285,12 @@
         waited_ms: u64,
         /// The position of the server's entry in the store.
         offset: ids::StorePosition,
-        /// The limit that the server names, in requests a second from the whole fleet.
+        /// The limit of the server that is in force, in requests a second from the whole fleet.
         #[serde(skip_serializing_if = "Option::is_none")]
         limit_per_s: Option<f64>,
+        /// The bound on requests to the server while it is cold, in requests a second.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        cold_per_s: Option<f64>,
         /// The limits of the service's servers, if any has one.
         #[serde(skip_serializing_if = "Option::is_none")]
         limits: Option<refusal::LimitView>,
--- a/src/core/fleet/distribution.rs
+++ b/src/core/fleet/distribution.rs
@@ -24,7 +24,9 @@
     /// Returns whether this instance is to read the configuration in the store.
     pub fn should_read_configuration(&mut self, now: ids::Timestamp) -> bool {
         let outdated = self.outdated_time(now);
-        self.should_read_store(now) || outdated.is_some_and(|time| time >= PEERS_HEAD_START)
+        self.should_read_store(now)
+            || self.lacks_cold_bounds()
+            || outdated.is_some_and(|time| time >= PEERS_HEAD_START)
     }
 
     /// Returns the peer to ask for a newer configuration, if there is one and it is time to. It is
--- a/src/core/fleet/ledger/tests.rs
+++ b/src/core/fleet/ledger/tests.rs
@@ -23,6 +23,7 @@
         is_draining: false,
         stage: None,
         cold_ms: 0,
+        lacks_cold_time: false,
         born_ms: 1,
         software_version: Some("v1".into()),
         offset: 1,
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -131,6 +131,17 @@
     pub sends: server_limits::SendCounts,
 }
 
+/// What an instance knows of a cold server.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ColdReport {
+    /// The id of the server.
+    pub server: ids::ServerId,
+    /// The start of its process, in milliseconds of its own clock.
+    pub born_ms: u64,
+    /// The time for which it is still cold.
+    pub remaining_ms: u64,
+}
+
 /// What an instance has observed of the crash of a server.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct CrashReport {
@@ -268,6 +279,8 @@
         /// The start of its process, in milliseconds of its own clock.
         born_ms: u64,
     },
+    /// Servers have turned cold. Older builds ignore it.
+    ServersCold(Vec<ColdReport>),
     /// The level of the protocol that the sender speaks. Older builds ignore it.
     ProtocolLevel {
         /// The incarnation of the sender.
--- a/src/core/fleet/notices.rs
+++ b/src/core/fleet/notices.rs
@@ -24,6 +24,8 @@
     pub is_leaving: bool,
     /// The time for which the server wants no requests of this instance.
     pub pause: Option<time::Duration>,
+    /// The time for which the server is still cold.
+    pub cold: Option<time::Duration>,
 }
 
 impl Fleet {
@@ -46,6 +48,9 @@
             let message = message::Message::ServerLeaving { server, born_ms };
             self.send_to_all(&message, effects);
         }
+        if let Some(remaining) = notice.cold {
+            self.receive_cold_statement(request, remaining, now, effects);
+        }
         if let Some(pause) = notice.pause {
             self.pause_server(request, &at, pause, now, effects);
         }
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -207,6 +207,7 @@
         let binding = self.requests.get(&request).map(|live| &live.claim.binding);
         let reserved = reserved
             .filter(|server| server.is_usable(now) && server.is_willing(now))
+            .filter(|server| server.is_counted_since(at.sent))
             .filter(|server| binding.is_some_and(|binding| binding.allows(server)))
             .map(|server| server.entry.id.clone());
         self.send_to_decode_server(request, reserved, source, handle, now, effects);
@@ -634,6 +635,9 @@
             // The handle expires by itself.
             return;
         }
+        if self.is_cold_bound_used_up(&server, now) {
+            return;
+        }
         self.count_call(&server, now);
         effects.push(Effect::ReleaseKvCache { address, handle });
     }
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -133,7 +133,8 @@
     fn place_penalty_ms(&self, server: &servers::Server) -> f64 {
         let is_near = server.entry.domain == self.claim.domain;
         let domain_ms = if is_near { 0.0 } else { constants::OTHER_DOMAIN_PENALTY_MS };
-        let cold_ms = if server.entry.cold_ms > 0 { constants::INITIAL_PLAIN_WORK_MS } else { 0.0 };
+        let is_cold = server.is_avoided_as_cold(self.now);
+        let cold_ms = if is_cold { constants::INITIAL_PLAIN_WORK_MS } else { 0.0 };
         domain_ms + cold_ms
     }
 }
--- a/src/core/fleet/quarantine/tests.rs
+++ b/src/core/fleet/quarantine/tests.rs
@@ -37,6 +37,7 @@
         is_draining: false,
         stage: None,
         cold_ms: 0,
+        lacks_cold_time: false,
         born_ms: 1,
         software_version: Some(software_version.into()),
         offset: 1,
--- a/src/core/fleet/server_limits/allowance.rs
+++ b/src/core/fleet/server_limits/allowance.rs
@@ -63,6 +63,8 @@
     /// The instances that keep the limit when they grant, with the time of their last report of it.
     keepers: collections::Map<ids::Incarnation, ids::Timestamp>,
     counts: SendCounts,
+    /// When this instance has last counted a request of its own.
+    last_counted: ids::Timestamp,
     /// The requests of each other instance that are known, without those granted by this one.
     others: collections::Map<ids::Incarnation, u64>,
 }
@@ -81,6 +83,7 @@
             last_sent: now,
             keepers: collections::Map::default(),
             counts: Vec::new(),
+            last_counted: ids::Timestamp::ZERO,
             others: collections::Map::default(),
         }
     }
@@ -91,6 +94,11 @@
         *self = Self { counts, others, ..Self::new(rate_per_s, self.phase, now) };
     }
 
+    /// Allows one request at once, of a server to which nothing was sent before.
+    pub fn allow_first(&mut self) {
+        self.tokens = self.tokens.max(1.0);
+    }
+
     /// Changes the limit.
     pub fn set_rate(&mut self, rate_per_s: f64, now: ids::Timestamp) {
         self.tokens = self.tokens_at(now);
@@ -184,6 +192,7 @@
         own: ids::Incarnation,
         now: ids::Timestamp,
     ) {
+        self.last_counted = now;
         if granter.is_some_and(|granter| granter != own) {
             self.debit(1.0, now);
         }
@@ -204,6 +213,11 @@
         self.counts.push((granter, 1));
     }
 
+    /// Returns when this instance has last counted a request of its own.
+    pub fn last_counted(&self) -> ids::Timestamp {
+        self.last_counted
+    }
+
     /// Returns the requests that this instance has sent.
     pub fn counts(&self) -> &SendCounts {
         &self.counts
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -12,12 +12,15 @@
 use crate::core::ids;
 
 mod closures;
+mod cold;
 mod failures;
 mod limits;
 mod pace;
 
 pub mod entry;
 
+pub use cold::ColdChange;
+pub use cold::ColdSource;
 pub use entry::Entry;
 pub use entry::EntryChange;
 pub use entry::Removal;
@@ -92,6 +95,8 @@
     limit_changed: ids::Timestamp,
     /// The use of the limit; kept while the server names none, for the counts in it.
     allowance: Option<server_limits::Allowance>,
+    /// What is known of its cold time.
+    cold: cold::Cold,
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: ids::Timestamp,
@@ -122,6 +127,7 @@
             limit: server_limits::Evidence::default(),
             limit_changed: ids::Timestamp::ZERO,
             allowance: None,
+            cold: cold::Cold::default(),
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: ids::Timestamp::ZERO,
@@ -217,6 +223,10 @@
     removals_known_since: Option<ids::StorePosition>,
     /// Whether a server may have a limit; without one, requests cost no search for limits.
     may_have_limits: bool,
+    /// Whether the whole fleet starts for the first time.
+    is_first_start: bool,
+    /// The services that bound the requests to their cold servers.
+    cold_bounds: collections::Map<catalog::ServiceId, catalog::ColdBound>,
 }
 
 impl Directory {
@@ -274,13 +284,20 @@
             return false;
         }
         self.removed.remove(&entry.id);
+        let (is_start_seen, assumes_cold) = (self.is_start_seen(), self.assumes_cold());
+        let has_cold_bound = self.has_cold_bound(&entry.service);
         let Some(server) = self.servers.get_mut(&entry.id) else {
             self.by_service.entry(entry.service.clone()).or_default().push(entry.id.clone());
             let closure = self.closures.of(&entry, now);
-            self.servers.insert(entry.id.clone(), Server { closure, ..Server::new(entry, now) });
+            let mut server = Server { closure, ..Server::new(entry, now) };
+            server.start_cold(is_start_seen, assumes_cold);
+            self.servers.insert(server.entry.id.clone(), server);
             return true;
         };
         if server.entry.offset >= entry.offset {
+            if server.entry.offset == entry.offset {
+                server.shorten_cold(&entry, now);
+            }
             if server.entry.offset == entry.offset && server.entry.software_version.is_none() {
                 server.entry.software_version = entry.software_version;
             }
@@ -298,8 +315,10 @@
         let is_reassigned = server.entry.service != entry.service
             || server.entry.stage != entry.stage
             || former.is_some();
+        let has_turned_cold = !is_restarted && server.update_cold(&entry, now) && has_cold_bound;
         let changed = is_restarted
             || is_reassigned
+            || has_turned_cold
             || server.entry.is_draining != entry.is_draining
             || server.entry.address != entry.address;
         if is_restarted || is_reassigned {
@@ -309,7 +328,10 @@
             let former = std::mem::replace(server, new);
             // Requests in progress later subtract the load that they added.
             (server.own, server.others) = loads;
-            if !is_restarted {
+            if is_restarted {
+                server.start_cold(true, true);
+            } else {
+                server.keep_cold_of(former.cold.clone());
                 server.keep_limit_of(former);
             }
             self.rebuild_index();
@@ -462,8 +484,8 @@
     }
 
     /// Returns the entries of all servers, for a peer that cannot read the store.
-    pub fn entries(&self) -> Vec<Entry> {
-        self.servers.values().map(|server| server.entry.clone()).collect()
+    pub fn entries(&self, now: ids::Timestamp) -> Vec<Entry> {
+        self.servers.values().map(|server| Self::entry_for_peer(server, now)).collect()
     }
 
     /// Adds load by a request of this instance.
--- a/src/core/fleet/servers/entry.rs
+++ b/src/core/fleet/servers/entry.rs
@@ -43,6 +43,9 @@
     /// The version of its software; `None` if the peer that sent the entry does not know it.
     #[serde(skip)]
     pub software_version: Option<SoftwareVersion>,
+    /// Whether the entry in the store states no cold time. Entries of peers do not tell.
+    #[serde(skip)]
+    pub lacks_cold_time: bool,
     /// The position of the entry in the store; of two entries, the one with the higher position is
     /// newer.
     pub offset: ids::StorePosition,
@@ -75,6 +78,14 @@
 }
 
 impl EntryChange {
+    /// Returns the id of the server.
+    pub fn id(&self) -> &ids::ServerId {
+        match self {
+            Self::Put(entry) => &entry.id,
+            Self::Removed { id, .. } => id,
+        }
+    }
+
     /// Returns the position of the change.
     pub fn offset(&self) -> ids::StorePosition {
         match self {
--- a/src/core/fleet/servers/limits.rs
+++ b/src/core/fleet/servers/limits.rs
@@ -20,20 +20,50 @@
         self.limit
     }
 
+    /// Returns the limit in force: the lower one of the limit that the server names and, while it is
+    /// cold, the bound of its service.
+    pub(super) fn rate_in_force(&self) -> Option<f64> {
+        let named = self.limit.rate_per_s();
+        named.into_iter().chain(self.cold_per_s()).min_by(f64::total_cmp)
+    }
+
+    /// Starts or changes the use of the limit in force, which was `previous` before. `phase` is that of
+    /// a new allowance.
+    pub(super) fn update_allowance<F: FnOnce() -> f64>(
+        &mut self,
+        previous: Option<f64>,
+        phase: F,
+        now: ids::Timestamp,
+    ) {
+        let Some(rate_per_s) = self.rate_in_force() else { return };
+        match &mut self.allowance {
+            Some(allowance) if previous.is_some() => allowance.set_rate(rate_per_s, now),
+            Some(allowance) => allowance.restart(rate_per_s, now),
+            None => {
+                self.allowance = Some(server_limits::Allowance::new(rate_per_s, phase(), now));
+            }
+        }
+    }
+
     /// Returns the use of the limit in force; `None` without a limit.
     pub fn allowance(&self) -> Option<&server_limits::Allowance> {
-        self.allowance.as_ref().filter(|_| self.limit.rate_per_s().is_some())
+        self.allowance.as_ref().filter(|_| self.rate_in_force().is_some())
     }
 
     /// Returns the time until the limit in force allows a request.
     pub fn limit_wait(&self, pacing: server_limits::Pacing, now: ids::Timestamp) -> time::Duration {
-        self.allowance().map_or(time::Duration::ZERO, |allowance| allowance.wait(pacing, now))
+        let Some(allowance) = self.allowance() else { return time::Duration::ZERO };
+        let wait = allowance.wait(pacing, now);
+        // The bound of a cold server ends with its cold time.
+        let is_named = self.limit.rate_per_s().is_some();
+        if is_named { wait } else { wait.min(self.cold_remaining(now)) }
     }
 
-    /// Returns whether the server has a limit and has had no request for so long that it should get
+    /// Returns whether the server names a limit and has had no request for so long that it should get
     /// the next one, which may show that the limit is withdrawn.
     pub fn is_due_for_trickle(&self, now: ids::Timestamp) -> bool {
-        self.allowance().is_some_and(|allowance| allowance.is_idle(now))
+        let named = self.allowance().filter(|_| self.limit.rate_per_s().is_some());
+        named.is_some_and(|allowance| allowance.is_idle(now))
     }
 
     /// Returns whether an answer of the server was received since this instance has started.
@@ -61,23 +91,15 @@
     ) -> Option<(Option<f64>, Option<f64>)> {
         let server = self.servers.get_mut(id).filter(|server| server.entry.born_ms == born_ms)?;
         server.has_answered = true;
-        let previous = server.limit.rate_per_s();
+        let (previous, in_force) = (server.limit.rate_per_s(), server.rate_in_force());
         server.limit.merge(evidence);
         let current = server.limit.rate_per_s();
         if previous == current {
             return None;
         }
         server.limit_changed = now;
-        if let Some(rate_per_s) = current {
-            self.may_have_limits = true;
-            match &mut server.allowance {
-                Some(allowance) if previous.is_some() => allowance.set_rate(rate_per_s, now),
-                Some(allowance) => allowance.restart(rate_per_s, now),
-                None => {
-                    server.allowance = Some(server_limits::Allowance::new(rate_per_s, phase, now));
-                }
-            }
-        }
+        self.may_have_limits |= current.is_some();
+        server.update_allowance(in_force, || phase, now);
         Some((previous, current))
     }
 
@@ -88,7 +110,7 @@
         born_ms: u64,
     ) -> Option<&mut server_limits::Allowance> {
         let server = self.servers.get_mut(id).filter(|server| server.entry.born_ms == born_ms)?;
-        server.limit.rate_per_s()?;
+        server.rate_in_force()?;
         server.allowance.as_mut()
     }
 
@@ -122,11 +144,11 @@
         self.may_have_limits = self.servers.values().any(|server| server.allowance().is_some());
     }
 
-    /// Returns the servers whose limit is in force or was withdrawn after `since`.
+    /// Returns the servers that name a limit which is in force or was withdrawn after `since`.
     pub fn with_limits(&self, since: ids::Timestamp) -> impl Iterator<Item = &servers::Server> {
         let is_reported = move |server: &&servers::Server| {
-            server.allowance().is_some()
-                || (server.allowance.is_some() && server.limit_changed >= since)
+            server.limit.rate_per_s().is_some()
+                || (server.limit.named().is_some() && server.limit_changed >= since)
         };
         self.servers.values().filter(is_reported)
     }
--- a/src/core/fleet/servers/tests.rs
+++ b/src/core/fleet/servers/tests.rs
@@ -59,6 +59,7 @@
         is_draining,
         stage: None,
         cold_ms: 0,
+        lacks_cold_time: false,
         born_ms: 1,
         software_version: Some("v1".into()),
         offset,
--- a/src/core/fleet/throttle.rs
+++ b/src/core/fleet/throttle.rs
@@ -90,7 +90,9 @@
         let Some((previous_per_s, rate_per_s)) = change else { return false };
         let Some(known) = self.servers.get(server) else { return false };
         let service = &known.entry.service;
-        let limits = self.servers.of_service(service).filter_map(servers::Server::allowance);
+        let limits = self.servers.of_service(service);
+        let limits = limits.filter(|server| server.limit().rate_per_s().is_some());
+        let limits = limits.filter_map(servers::Server::allowance);
         let rates: Vec<_> = limits.map(server_limits::Allowance::rate_per_s).collect();
         effects.push(Effect::Log(decision::Decision::ServerLimitChanged {
             server: fleet::text(server),
@@ -169,9 +171,8 @@
         let instances = self.peers.member_count(now);
         let pacing = server_limits::Pacing::Share { instances };
         let known = placement.servers().filter_map(|server| self.servers.get(server));
-        let limited = known.filter_map(|server| Some((server, server.allowance()?)));
-        let ungranted = limited.filter(|(_, allowance)| !allowance.is_kept_by(owner, now));
-        let ungranted: Vec<_> = ungranted.map(|(server, _)| server.entry.id.clone()).collect();
+        let ungranted = known.filter(|server| !server.is_kept_by(owner, now));
+        let ungranted: Vec<_> = ungranted.map(|server| server.entry.id.clone()).collect();
         let is_open = |id: &ids::ServerId| {
             self.servers.get(id).is_some_and(|server| server.limit_wait(pacing, now).is_zero())
         };
@@ -251,7 +252,7 @@
         let granter = match grant {
             // A grant that was given before the owner knew of the limit is not counted there.
             Some(grant) if grant.received >= allowance.since() => {
-                Some(grant.owner).filter(|owner| allowance.is_kept_by(*owner, now))
+                Some(grant.owner).filter(|owner| known.is_kept_by(*owner, now))
             }
             Some(_) => None,
             None if self.pacing(service, now) == server_limits::Pacing::Fleet => {
@@ -298,16 +299,16 @@
         if now >= self.limit_reports.last_repeated + constants::LIMIT_REPORT_INTERVAL {
             self.limit_reports.last_repeated = now;
             self.servers.update_may_have_limits();
-            self.limit_reports.servers.clear();
+            self.limit_reports.servers = self.cold_reports_due(now).into_iter().collect();
             let since = now.saturating_sub(constants::LIMIT_WITHDRAWAL_REPORT_PERIOD);
             let limited = self.servers.with_limits(since);
             let limited: Vec<_> = limited.map(|server| server.entry.id.clone()).collect();
-            if limited.is_empty() {
-                return;
+            if self.servers.may_have_limits() {
+                let live = self.live_incarnations(now);
+                self.servers.retain_limit_holders(|holder| live.contains(&holder));
             }
-            let live = self.live_incarnations(now);
-            self.servers.retain_limit_holders(|holder| live.contains(&holder));
-            return self.send_limit_reports(&limited, now, effects);
+            self.send_limit_reports(&limited, now, effects);
+            self.repeat_cold_reports(now, effects);
         }
         if self.limit_reports.servers.is_empty() {
             return;
@@ -344,7 +345,7 @@
 
     /// Returns the instances that count requests to servers with limits: the coordinators and,
     /// while none is active, those that may become one.
-    fn limit_counters(&self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
+    pub(super) fn limit_counters(&self, now: ids::Timestamp) -> Vec<net::SocketAddr> {
         let mut counters = self.peers.coordinators(now);
         if counters.is_empty() && !self.is_coordinator {
             counters = self.peers.highest_ranked(constants::FALLBACK_STORE_READERS);
@@ -402,13 +403,15 @@
             }
             let own = self.own.incarnation;
             let is_limited = evidence.rate_per_s().is_some();
+            let known = self.servers.get(&report.server);
+            let names_limit = known.is_some_and(|known| known.limit().rate_per_s().is_some());
             match self.servers.allowance_mut(&report.server, report.born_ms) {
                 Some(allowance) => {
                     if is_limited {
                         allowance.record_keeper(limits.from, now);
                     }
                     allowance.apply_counts(limits.from, &report.sends, own, now);
-                    if !is_limited {
+                    if !is_limited && names_limit {
                         self.limit_reports.servers.insert(report.server.clone());
                     }
                 }
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -23,14 +23,18 @@
     }
 
     /// Returns the entries of all servers.
-    pub fn server_entries(&self) -> Vec<servers::Entry> {
-        self.servers.entries()
+    pub fn server_entries(&self, now: ids::Timestamp) -> Vec<servers::Entry> {
+        self.servers.entries(now)
     }
 
     /// Returns the server entries that changed at `position` or later, for a peer that knows all
     /// earlier changes.
-    pub fn server_entries_since(&self, position: ids::StorePosition) -> Vec<servers::Entry> {
-        let mut entries = self.servers.entries();
+    pub fn server_entries_since(
+        &self,
+        position: ids::StorePosition,
+        now: ids::Timestamp,
+    ) -> Vec<servers::Entry> {
+        let mut entries = self.servers.entries(now);
         entries.retain(|entry| entry.offset >= position);
         entries
     }
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -536,6 +536,7 @@
             waited_ms: millis(now.saturating_sub(live.arrived)),
             offset: known.entry.offset,
             limit_per_s,
+            cold_per_s: known.cold_per_s(),
             limits,
         }));
         let may_repeat = step == fleet::Step::Prefill
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -56,6 +56,12 @@
     name: String,
     #[serde(default)]
     engine: Option<Engine>,
+    /// The seconds for which a server stays cold after a start.
+    #[serde(default)]
+    cold_start_s: Option<f64>,
+    /// The requests a second that a cold server takes; unbounded if 0 or missing.
+    #[serde(default)]
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Debug, serde::Deserialize)]
@@ -163,7 +169,11 @@
         slots: engine.slots,
         memory_tokens: engine.kv_capacity,
     });
-    catalog::Service { name: read.name.into(), engine }
+    let cold_bound = catalog::ColdBound {
+        start: millis(read.cold_start_s.unwrap_or(0.0) * 1_000.0),
+        per_s: read.cold_per_s.unwrap_or(0.0).max(0.0),
+    };
+    catalog::Service { name: read.name.into(), engine, cold_bound: Some(cold_bound) }
 }
 
 fn workspace(read: Tenant) -> catalog::Workspace {
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -19,7 +19,7 @@
     #[serde(rename = "Version")]
     software_version: String,
     #[serde(default)]
-    cold_remaining_ms: f64,
+    cold_remaining_ms: Option<f64>,
     #[serde(default)]
     stage: Option<servers::Stage>,
     /// When the server started, in Unix time: milliseconds since 1970.
@@ -53,7 +53,8 @@
         slots: read.slots,
         is_draining: read.state == State::Draining,
         stage: read.stage,
-        cold_ms: read.cold_remaining_ms.max(0.0) as u32,
+        cold_ms: read.cold_remaining_ms.unwrap_or(0.0).max(0.0) as u32,
+        lacks_cold_time: read.cold_remaining_ms.is_none(),
         born_ms: read.born_ms,
         software_version: Some(read.software_version.into()),
         offset,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -49,6 +49,9 @@
 /// Present if the server leaves, with the value 1.
 const SERVER_LEAVING: &str = "server-leaving";
 
+/// The time for which the server is still cold, in milliseconds.
+const COLD_TIME: &str = "cold-ms";
+
 /// Headers that only the router and the servers set; a caller's values are removed.
 const RESERVED_HEADERS: [&str; 12] = [
     TENANT,
@@ -85,7 +88,7 @@
 /// The maximum number of parts of a prompt that are read, besides the last one.
 const MAX_SHARED_PARTS: usize = 32;
 
-/// The longest pause that a server is granted, in seconds.
+/// The longest pause or cold time that is taken from a server, in seconds.
 const MAX_PAUSE_S: f64 = 86_400.0;
 
 /// Translates the platform's HTTP messages.
@@ -209,6 +212,7 @@
             notice: notices::Notice {
                 is_leaving: parse_leaving(&head.headers),
                 pause: parse_pause(head),
+                cold: parse_cold_time(&head.headers),
             },
         }
     }
@@ -299,6 +303,19 @@
     is_leaving
 }
 
+/// Returns the longest time for which a server states that it is still cold.
+fn parse_cold_time(headers: &http::HeaderMap) -> Option<time::Duration> {
+    let values: Vec<_> = headers.get_all(COLD_TIME).iter().collect();
+    let millis = |value: &http::HeaderValue| value.to_str().ok()?.trim().parse::<f64>().ok();
+    let is_valid = |ms: &f64| ms.is_finite() && *ms >= 0.0;
+    let valid: Vec<_> = values.iter().filter_map(|it| millis(it).filter(is_valid)).collect();
+    if valid.len() < values.len() {
+        log::warn!("ignoring an invalid cold time that a server states: {values:?}");
+    }
+    let longest = valid.into_iter().max_by(f64::total_cmp)?;
+    Some(time::Duration::from_secs_f64((longest / 1_000.0).min(MAX_PAUSE_S)))
+}
+
 /// Returns the time for which a server that turns a request away wants none; longer than a day means
 /// a day.
 fn parse_pause(head: &http::response::Parts) -> Option<time::Duration> {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -31,7 +31,7 @@
      "TrafficSplit":[{"Service":"x","Weight":90},{"Service":"y","Weight":10}]}],
     "Services":[{"Name":"huvo11a","HealthPath":"/healthz","MaxConnections":360,
      "Engine":{"Slots":64,"KvCapacity":96426,"KvBytes":18432}},
-     {"Name":"x","HealthPath":"/healthz"},{"Name":"y","HealthPath":"/healthz"}],
+     {"Name":"x","HealthPath":"/healthz","ColdStartS":8,"ColdPerS":12.5},{"Name":"y","HealthPath":"/healthz"}],
     "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
      "IdleTimeoutMs":15000},
     "Tenants":[{"Name":"huka270","ApiKeys":["k"],"Priority":1,"Unit":"token_stream",
@@ -222,6 +222,24 @@
     assert_eq!(twice, Some(ms(2_000)), "the longer one");
 }
 
+#[test]
+fn a_cold_time_that_a_server_states_is_read_and_bad_ones_are_ignored() {
+    let cold = |values: &[&str]| {
+        let headers: Vec<_> = values.iter().map(|value| ("cold-ms", *value)).collect();
+        notice(200, &headers).cold
+    };
+    assert_eq!(cold(&[]), None);
+    assert_eq!(cold(&["2500"]), Some(time::Duration::from_millis(2_500)));
+    assert_eq!(
+        cold(&["10", "2500", "x"]),
+        Some(time::Duration::from_millis(2_500)),
+        "the longest one"
+    );
+    for value in ["", "-1", "inf", "nan", "3 s", "\u{e9}"] {
+        assert_eq!(cold(&[value]), None, "{value}");
+    }
+}
+
 fn stated_limit(values: &[&str]) -> server_limits::Statement {
     let mut response = http::Response::new(());
     for value in values {
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -30,13 +30,16 @@
             metrics::counter!("refused_total", "reason" => reason, "workspace" => workspace)
                 .increment(1);
         }
-        decision::Decision::Sent { step, repeats, waited_ms, limit_per_s, .. } => {
+        decision::Decision::Sent { step, repeats, waited_ms, limit_per_s, cold_per_s, .. } => {
             if *repeats > 0 {
                 metrics::counter!("repeats_total", "step" => *step).increment(1);
             }
             if limit_per_s.is_some() {
                 metrics::counter!("sent_within_server_limits_total", "step" => *step).increment(1);
             }
+            if cold_per_s.is_some() {
+                metrics::counter!("sent_to_cold_servers_total", "step" => *step).increment(1);
+            }
             metrics::counter!("sent_total", "step" => *step).increment(1);
             metrics::histogram!("wait_ms", "step" => *step).record(*waited_ms as f64);
         }
@@ -70,6 +73,13 @@
             metrics::gauge!("server_limit_per_s", &labels).set(*service_rate_per_s);
             metrics::counter!("server_limit_changes_total", &labels).increment(1);
         }
+        decision::Decision::ServerCold { service, bound_per_s, cold_servers, .. } => {
+            let labels = [("service", service.clone())];
+            metrics::gauge!("cold_servers", &labels).set(*cold_servers as f64);
+            let turned = if bound_per_s.is_some() { "cold" } else { "warm" };
+            let labels = [("service", service.clone()), ("turned", turned.to_string())];
+            metrics::counter!("server_cold_changes_total", &labels).increment(1);
+        }
         decision::Decision::ServerLimitInvalid { .. } => {
             metrics::counter!("server_limits_invalid_total").increment(1);
         }
--- a/src/router/mirror.rs
+++ b/src/router/mirror.rs
@@ -78,6 +78,8 @@
 struct SyncExtension {
     /// The software versions of the servers in the response.
     software_versions: Vec<(ids::ServerId, servers::SoftwareVersion)>,
+    /// The bounds on requests to cold servers in the configuration of the response.
+    cold_bounds: Vec<(catalog::ServiceId, catalog::ColdBound)>,
 }
 
 /// Responds to requests of peers.
@@ -109,7 +111,10 @@
         let version = entry.software_version.clone()?;
         Some((entry.id.clone(), version))
     });
-    let extension = SyncExtension { software_versions: versioned.collect() };
+    let services = response.content.iter().flat_map(|content| &content.services);
+    let bounded = services.filter_map(|it| Some((sync::Arc::clone(&it.name), it.cold_bound?)));
+    let extension =
+        SyncExtension { software_versions: versioned.collect(), cold_bounds: bounded.collect() };
     let mut bytes = rmp_serde::to_vec(response)?;
     bytes.extend(rmp_serde::to_vec_named(&extension)?);
     Ok(bytes)
@@ -126,6 +131,10 @@
     for entry in &mut response.entries {
         entry.software_version = versions.remove(&entry.id);
     }
+    let bounds: collections::Map<_, _> = extension.cold_bounds.into_iter().collect();
+    for service in response.content.iter_mut().flat_map(|content| &mut content.services) {
+        service.cold_bound = bounds.get(&service.name).copied();
+    }
     Ok(response)
 }
 
@@ -139,7 +148,7 @@
         SyncResponse {
             age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             content: catalog.map(|catalog| catalog.content.clone()),
-            entries: fleet.server_entries_since(request.servers_position),
+            entries: fleet.server_entries_since(request.servers_position, now),
             removals: fleet.server_removals_since(request.servers_position),
             names: fleet.server_names_unless_removals_known(request.servers_position),
             servers_position: fleet.servers_position(),
--- a/src/router/mirror/tests.rs
+++ b/src/router/mirror/tests.rs
@@ -14,6 +14,7 @@
         is_draining: false,
         stage: None,
         cold_ms: 0,
+        lacks_cold_time: false,
         born_ms: 1,
         software_version: Some(version.into()),
         offset: 7,
@@ -35,6 +36,30 @@
     assert_eq!(decoded.entries, response().entries);
 }
 
+#[test]
+fn the_bounds_on_cold_servers_reach_a_peer_and_older_builds_leave_them_unknown() {
+    let bound = catalog::ColdBound { start: time::Duration::from_secs(8), per_s: 12.5 };
+    let service =
+        catalog::Service { name: "service".into(), engine: None, cold_bound: Some(bound) };
+    let content = catalog::Content {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        workspaces: None,
+        caller_limits: catalog::CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            idle: time::Duration::from_secs(1),
+        },
+    };
+    let response = SyncResponse { content: Some(content), ..response() };
+    let decoded = decode(&encode(&response).expect("it is encoded")).expect("it is decoded");
+    assert_eq!(decoded.content, response.content);
+    let old = rmp_serde::to_vec(&response).expect("it is encoded");
+    let from_old = decode(&old).expect("the response of an older build is decoded").content;
+    assert!(catalog::Catalog::new(from_old.expect("it is sent")).lacks_cold_bounds());
+}
+
 #[test]
 fn a_response_without_an_extension_and_one_with_it_are_read_by_builds_of_both_kinds() {
     let old = rmp_serde::to_vec(&response()).expect("it is encoded");
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Simulated fleets in virtual time: queueing, refusal and placement of requests.
 
+mod cold_servers;
 mod coordination;
 mod crashing_parts;
 mod crashing_requests;
--- a/tests/fleet/notices.rs
+++ b/tests/fleet/notices.rs
@@ -15,7 +15,7 @@
 /// arrives there must not reach that server.
 const DRAIN: Duration = Duration::from_secs(2);
 
-const LEAVING: notices::Notice = notices::Notice { is_leaving: true, pause: None };
+const LEAVING: notices::Notice = notices::Notice { is_leaving: true, pause: None, cold: None };
 
 /// Returns the number of calls that break the rule on a server that leaves.
 fn calls_after_leaving(world: &World, server: &str) -> usize {
@@ -101,7 +101,10 @@
             send_load(&mut world, host, instances, per_s, ms(20_000));
             world.run(ms(2_000));
             let pause = ms(3_000);
-            world.set_notice(server, notices::Notice { is_leaving: false, pause: Some(pause) });
+            world.set_notice(
+                server,
+                notices::Notice { is_leaving: false, pause: Some(pause), cold: None },
+            );
             world.set_health(ms(0), server, world::Health::RejectsRequests);
             world.run(ms(9_000));
             assert!(world.notices.iter().any(|notice| notice.1 == server), "{server} was asked");
@@ -128,7 +131,10 @@
         let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
         let pause = ms(600);
         for server in ["desk-0", "desk-1", "desk-2"] {
-            world.set_notice(server, notices::Notice { is_leaving: false, pause: Some(pause) });
+            world.set_notice(
+                server,
+                notices::Notice { is_leaving: false, pause: Some(pause), cold: None },
+            );
             world.set_health(ms(0), server, world::Health::RejectsRequests);
         }
         send_load(&mut world, "query", instances, 60, ms(4_000));
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -1,6 +1,7 @@
 //! A simulation of instances, engines and plain servers in virtual time, without sockets.
 
 mod backends;
+mod cold;
 mod crashes;
 mod fixtures;
 mod views;
@@ -31,11 +32,11 @@
 pub use fixtures::address;
 pub use fixtures::configuration;
 pub use fixtures::entry;
+pub use fixtures::listed;
 pub use fixtures::new_fleet;
 pub use fixtures::servers;
 pub use fixtures::servers_of_two_versions;
 
-use fixtures::listed;
 use fixtures::member;
 use fixtures::restarted_fleet;
 
@@ -213,6 +214,10 @@
     pub origin_records: usize,
     /// The quarantines in the store.
     pub stored_quarantines: Vec<quarantine::Report>,
+    /// The number of messages on limits and cold servers sent so far, one per receiver.
+    pub limit_messages: usize,
+    /// The number of released KV caches.
+    pub releases: usize,
     /// The calls that reached a server, in their order.
     pub calls: Vec<ServerCall>,
     pub records: Map<(usize, u64), Record>,
@@ -230,6 +235,8 @@
     store_end: u64,
     /// The entries of the servers.
     entries: Map<Bytes, servers::Entry>,
+    /// The configuration in the store.
+    catalog: sync::Arc<catalog::Catalog>,
     /// Instances that cannot connect to a server.
     pub cut_off: Vec<(usize, &'static str)>,
     /// When each instance first received an answer that names a limit, by server.
@@ -280,6 +287,8 @@
             stored_origins: Vec::new(),
             origin_records: 0,
             stored_quarantines: Vec::new(),
+            limit_messages: 0,
+            releases: 0,
             calls: Vec::new(),
             records: Map::default(),
             older: Vec::new(),
@@ -289,6 +298,7 @@
             crashes: Vec::new(),
             store_end: 1,
             entries: entries.iter().map(|entry| (entry.id.clone(), entry.clone())).collect(),
+            catalog: sync::Arc::new(configuration()),
             cut_off: Vec::new(),
             notified: Map::default(),
             notices: Vec::new(),
@@ -299,7 +309,7 @@
         for entry in entries {
             world.backends.insert(entry.id.clone(), Backend::new(entry));
         }
-        let catalog = sync::Arc::new(configuration());
+        let catalog = sync::Arc::clone(&world.catalog);
         for index in 0..instances {
             // The store lists all instances.
             let members = (0..instances).map(|other| member(other, world.addresses[other]));
@@ -403,7 +413,8 @@
             let announced =
                 (0..count).map(|other| if other < index { new(other) } else { old[other].clone() });
             self.apply(index, fleet::Event::MembersDiscovered(announced.collect()));
-            self.apply(index, fleet::Event::Configured(sync::Arc::new(configuration())));
+            let catalog = sync::Arc::clone(&self.catalog);
+            self.apply(index, fleet::Event::Configured(catalog));
             let changes = entries.iter().cloned().map(servers::EntryChange::Put).collect();
             self.apply(index, listed(changes));
             self.apply(index, fleet::Event::SpendingHistory(Vec::new()));
@@ -497,11 +508,14 @@
                                 | message::Message::RequestsSurvived { .. }
                                 | message::Message::Quarantines(_)
                                 | message::Message::ServerLeaving { .. }
+                                | message::Message::ServersCold(_)
                                 | message::Message::ReserveForWorkspace { .. }
                         );
                     let is_muted =
                         |index: Option<usize>| index.is_some_and(|it| self.muted.contains(&it));
-                    is_unknown || is_muted(Some(*index)) || is_muted(from_index)
+                    let is_unsent = from_index.is_some_and(|it| self.older.contains(&it))
+                        && matches!(message, message::Message::ProtocolLevel { .. });
+                    is_unknown || is_unsent || is_muted(Some(*index)) || is_muted(from_index)
                 };
                 if let Some(index) = index.filter(|index| !is_lost(index)) {
                     self.apply(index, fleet::Event::Received { from, message });
@@ -627,6 +641,10 @@
             fleet::Effect::DeliverFailure { request } => self.record(instance, request).ends += 1,
             fleet::Effect::SendMessage { to, message } => {
                 let from = self.addresses[instance];
+                self.limit_messages += usize::from(matches!(
+                    message,
+                    message::Message::ServerLimits(_) | message::Message::ServersCold(_)
+                ));
                 self.schedule(LATENCY, Action::Message { to, from, message });
             }
             fleet::Effect::AnnounceChange => {
@@ -634,6 +652,7 @@
                 self.send_digests(instance);
             }
             fleet::Effect::ListPrompts { server, .. } => {
+                self.note_call(&server, instance);
                 let prompts = self.backends[&server].prompts.clone();
                 let event = fleet::Event::PromptsListed { server, prompts };
                 self.schedule(LATENCY * 2, Action::Apply { instance, event });
@@ -651,10 +670,13 @@
                 let event = fleet::Event::StreamOriginsRead(self.stored_origins.clone());
                 self.schedule(LATENCY * 2, Action::Apply { instance, event });
             }
-            fleet::Effect::Admit { .. }
-            | fleet::Effect::ReleaseKvCache { .. }
-            | fleet::Effect::PublishLoad
-            | fleet::Effect::Log(_) => {}
+            fleet::Effect::ReleaseKvCache { address, .. } => {
+                self.releases += 1;
+                let at_address = |entry: &&servers::Entry| entry.address == address;
+                let server = self.entries.values().find(at_address).map(|entry| entry.id.clone());
+                self.note_call(&server.expect("the server exists"), instance);
+            }
+            fleet::Effect::Admit { .. } | fleet::Effect::PublishLoad | fleet::Effect::Log(_) => {}
         }
     }
 
--- a/tests/fleet/world/fixtures.rs
+++ b/tests/fleet/world/fixtures.rs
@@ -52,13 +52,14 @@
         priority: None,
         limit: None,
     };
+    let cold_bound = Some(catalog::ColdBound::default());
     let engine = catalog::EngineShape { slots: 64, memory_tokens: MEMORY_TOKENS };
     catalog::Catalog::new(catalog::Content {
         version: 1,
         routes: routes.into_iter().map(sync::Arc::new).collect(),
         services: vec![
-            catalog::Service { name: "llm".into(), engine: Some(engine) },
-            catalog::Service { name: "desk".into(), engine: None },
+            catalog::Service { name: "llm".into(), engine: Some(engine), cold_bound },
+            catalog::Service { name: "desk".into(), engine: None, cold_bound },
         ],
         workspaces: Some(
             [workspace, unlimited("busy"), unlimited("quiet")].map(sync::Arc::new).to_vec(),
@@ -72,15 +73,17 @@
 }
 
 pub fn entry(name: &str, service: &str, stage: Option<servers::Stage>) -> servers::Entry {
+    let port = name.bytes().fold(0_u16, |port, byte| port.wrapping_mul(31) ^ u16::from(byte));
     servers::Entry {
         id: Bytes::from(name.to_string()),
         service: service.into(),
-        address: address(1),
+        address: address(port),
         domain: "a".to_string(),
         slots: if stage.is_some() { 64 } else { 6 },
         is_draining: false,
         stage,
         cold_ms: 0,
+        lacks_cold_time: false,
         born_ms: 1,
         software_version: Some("v1".into()),
         offset: 1,
--- a/tests/fleet/world/views.rs
+++ b/tests/fleet/world/views.rs
@@ -91,7 +91,8 @@
     /// `position`.
     pub fn servers_since(&self, instance: usize, position: ids::Offset) -> Vec<servers::Entry> {
         let fleet = self.instances[instance].as_ref();
-        fleet.map(|fleet| fleet.server_entries_since(position)).unwrap_or_default()
+        let now = self.clock(instance);
+        fleet.map(|fleet| fleet.server_entries_since(position, now)).unwrap_or_default()
     }
 
     /// Returns the server ids that an instance sends a peer which knows all changes before
@@ -114,7 +115,8 @@
     /// Returns whether an instance knows a server.
     pub fn knows_server(&self, instance: usize, name: &str) -> bool {
         let name = Bytes::from(name.to_string());
-        let entries = self.instances[instance].as_ref().map(fleet::Fleet::server_entries);
+        let now = self.clock(instance);
+        let entries = self.instances[instance].as_ref().map(|fleet| fleet.server_entries(now));
         entries.unwrap_or_default().iter().any(|entry| entry.id == name)
     }
 }
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -95,7 +95,11 @@
             route("stream", true, catalog::Repeat::Once),
             route("resume", true, catalog::Repeat::Idempotent),
         ],
-        services: vec![catalog::Service { name: "service".into(), engine: None }],
+        services: vec![catalog::Service {
+            name: "service".into(),
+            engine: None,
+            cold_bound: Some(catalog::ColdBound::default()),
+        }],
         workspaces: Some(vec![sync::Arc::new(catalog::Workspace {
             name: "pearl".into(),
             keys: vec![catalog::key_digest(&Bytes::from(KEY))],
@@ -120,6 +124,7 @@
         is_draining: false,
         stage: None,
         cold_ms: 0,
+        lacks_cold_time: false,
         born_ms: 1,
         software_version: Some("v1".into()),
         offset: 1,
