Let servers that come later in the soak start cold

Cause: only the simulation had cold servers; real processes read the store at intervals. Change: servers after the first four are cold for 3 s and take 2 requests a second; the judge counts what reaches them.

--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -153,6 +153,17 @@
         self.state.borrow_mut().servers.note_leaving(server, attempt);
     }
 
+    /// Notes that a server is cold for a while.
+    pub fn note_cold(&self, server: &str, span: time::Duration) {
+        let at = self.start.elapsed();
+        self.state.borrow_mut().servers.note_cold(server, at, span);
+    }
+
+    /// Returns the most requests that reached a cold server within a second.
+    pub fn most_at_a_cold_server(&self) -> usize {
+        self.state.borrow().servers.most_at_a_cold_server()
+    }
+
     /// Notes that a server has turned a request away and asked for a pause.
     pub fn note_pause(&self, server: &str, attempt: &str, span: time::Duration) {
         let at = self.start.elapsed();
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -16,6 +16,7 @@
 use crate::fleet;
 use crate::judge;
 use crate::proxy;
+use crate::servers;
 use crate::store;
 use crate::streams;
 
@@ -31,6 +32,9 @@
 /// The time for which an instance's trouble excuses cuts after it.
 const AFTERMATH: time::Duration = time::Duration::from_millis(3_000);
 
+/// The time for which a server is cold that comes later.
+const COLD: time::Duration = time::Duration::from_millis(3_000);
+
 /// Servers at the start; more come as others leave.
 const SERVERS: usize = 4;
 
@@ -250,6 +254,7 @@
     violations.append(&mut world.excesses);
     let most_of_a_limit = world.judge.most_of_a_limit();
     let most_crashes = world.judge.most_crashes();
+    let most_cold = world.judge.most_at_a_cold_server();
     drop(world);
     let count = faults.len();
     if violations.is_empty() {
@@ -260,7 +265,7 @@
         return Err(RunError::NothingServed(sent));
     }
     let summary = format!(
-        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed, {most_of_a_limit:.2} of a limit used at most, {most_crashes} crashes by one cause"
+        "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed, {most_of_a_limit:.2} of a limit used at most, {most_crashes} crashes by one cause, {most_cold} requests in a second at a cold server"
     );
     Ok(Report { summary, violations, faults })
 }
@@ -332,7 +337,8 @@
         let keys = if self.has_second_key { vec!["key-b"] } else { Vec::new() };
         tenants.push(serde_json::json!({ "Name": "b", "ApiKeys": keys }));
         let configuration = serde_json::json!({
-            "Version": self.version, "RouteTable": routes, "Services": [{ "Name": "desk" }],
+            "Version": self.version, "RouteTable": routes, "Services": [{ "Name": "desk", "ColdStartS": COLD.as_secs_f64(),
+                "ColdPerS": servers::COLD_PER_S }],
             "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536, "HeaderTimeoutMs": 3_000,
                 "IdleTimeoutMs": 15_000 },
             "Tenants": tenants,
@@ -351,9 +357,13 @@
         let (proxied, switch) = proxy::start(any, address).await?;
         let store = rc::Rc::clone(&self.store);
         let id = name.clone();
+        let cold = if self.next_server > SERVERS { COLD } else { time::Duration::ZERO };
+        self.judge.note_cold(&name, cold);
+        let started = tokio::time::Instant::now();
         let beats = tokio::task::spawn_local(async move {
             loop {
-                store.put("keyed.servers", &id, entry(proxied, version, "ready").as_bytes());
+                let cold = cold.saturating_sub(started.elapsed());
+                store.put("keyed.servers", &id, entry(proxied, version, "ready", cold).as_bytes());
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
@@ -550,7 +560,7 @@
         self.store.restore(lost_records);
         self.write_configuration();
         let (left, store) = (self.left.clone(), rc::Rc::clone(&self.store));
-        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
+        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining", time::Duration::ZERO);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(HEARTBEAT).await;
             for name in left {
@@ -570,7 +580,7 @@
         self.add_server().await?;
         let Server { name, beats, .. } = self.servers.remove(server);
         beats.abort();
-        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining");
+        let gone = entry(self.no_server(), streams::VERSIONS[0], "draining", time::Duration::ZERO);
         self.store.put("keyed.servers", &name, gone.as_bytes());
         self.judge.note_left(&name);
         self.left.push(name);
@@ -589,10 +599,10 @@
     }
 }
 
-fn entry(address: net::SocketAddr, version: &str, state: &str) -> String {
+fn entry(address: net::SocketAddr, version: &str, state: &str, cold: time::Duration) -> String {
     serde_json::json!({
         "Service": "desk", "Address": address, "Zone": "z", "Version": version, "Slots": 6,
-        "State": state, "ColdRemainingMs": 0, "Sequence": 0, "born": 1,
+        "State": state, "ColdRemainingMs": cold.as_millis() as u64, "Sequence": 0, "born": 1,
     })
     .to_string()
 }
--- a/soak/src/servers.rs
+++ b/soak/src/servers.rs
@@ -19,6 +19,15 @@
 /// The requests that may reach a server in a pause.
 const PAUSE_ALLOWED: usize = 2;
 
+/// The requests a second that a cold server takes, as the configuration states them.
+pub const COLD_PER_S: f64 = 2.0;
+
+/// The requests that may reach a cold server within a second.
+const COLD_ALLOWED: usize = (1.5 * COLD_PER_S + 5.0) as usize;
+
+/// The window in which requests to a cold server are counted.
+const COLD_WINDOW: time::Duration = time::Duration::from_secs(1);
+
 /// What makes a request crash servers.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -62,6 +71,8 @@
     arrivals: Vec<Arrival>,
     crashes: BTreeMap<Cause, Vec<time::Duration>>,
     pauses: Vec<Pause>,
+    /// The servers that were cold, with the first and the last moment.
+    cold: Vec<(String, time::Duration, time::Duration)>,
     /// The answers of leaving servers, by attempt.
     leaving: BTreeMap<String, String>,
     /// The instance that each attempt was sent to, when, and when its answer was received.
@@ -117,6 +128,29 @@
         self.pauses.push(Pause { server, attempt, at, span });
     }
 
+    /// Notes that a server is cold for a while.
+    pub fn note_cold(&mut self, server: &str, at: time::Duration, span: time::Duration) {
+        self.cold.push((server.to_string(), at, at + span));
+    }
+
+    /// Returns the most requests that reached a cold server within a second.
+    pub fn most_at_a_cold_server(&self) -> usize {
+        self.cold.iter().map(|cold| self.most_while_cold(cold)).max().unwrap_or(0)
+    }
+
+    fn most_while_cold(
+        &self,
+        (server, since, until): &(String, time::Duration, time::Duration),
+    ) -> usize {
+        let arrivals = self.arrivals.iter().filter(|arrival| arrival.server == *server);
+        let arrivals = arrivals.map(|arrival| arrival.at).filter(|at| at >= since && at <= until);
+        let arrivals: Vec<_> = arrivals.collect();
+        let within = |start: &time::Duration| {
+            arrivals.iter().filter(|at| *at >= start && **at < *start + COLD_WINDOW).count()
+        };
+        arrivals.iter().map(within).max().unwrap_or(0)
+    }
+
     /// Notes that an instance, or with `None` all of them, is not in touch for a while.
     pub fn note_disturbance(
         &mut self,
@@ -180,6 +214,12 @@
                 violations.push(format!("{count} requests of {instance} in {pause:?}"));
             }
         }
+        for cold in &self.cold {
+            let most = self.most_while_cold(cold);
+            if most > COLD_ALLOWED {
+                violations.push(format!("{most} requests in 1 s at the cold server {cold:?}"));
+            }
+        }
         violations.extend(self.arrivals.iter().filter_map(|arrival| self.check_leaving(arrival)));
         violations
     }
--- a/soak/tests/judge.rs
+++ b/soak/tests/judge.rs
@@ -157,3 +157,17 @@
     servers.note_disturbance(Some(instance()), ms(500), ms(0));
     assert!(servers.violations().is_empty(), "the instance was restarted");
 }
+
+#[test]
+fn more_requests_than_a_cold_server_takes_are_a_violation() {
+    let ms = std::time::Duration::from_millis;
+    let mut servers = soak::servers::Servers::default();
+    servers.note_cold("s", ms(1_000), ms(3_000));
+    for index in 0..8 {
+        servers.note_arrival("s", "a", None, ms(1_000 + index * 100));
+        servers.note_arrival("s", "a", None, ms(4_100 + index));
+    }
+    assert!(servers.violations().is_empty(), "eight in a second, and more once it is warm");
+    servers.note_arrival("s", "a", None, ms(1_900));
+    assert_eq!(servers.violations().len(), 1, "nine in a second");
+}
