--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod catalog;
 pub mod claim;
+mod cold;
 pub mod constants;
 pub mod containment;
 pub mod coordination;
@@ -385,6 +386,8 @@
     grants: collections::Map<ledger::Ticket, broker::Granted>,
     /// Servers whose limit or use of it is to be reported.
     limit_reports: throttle::DueReports,
+    /// Servers that have turned cold, to be reported.
+    cold_reports: Vec<message::ColdReport>,
     recent_use: fairness::RecentUse,
     overloads: overload::Overloads,
     lower_turns: priorities::LowerTurns,
@@ -412,11 +415,13 @@
 impl Fleet {
     /// Creates the state of an instance that has just started.
     pub fn new(options: Options) -> Self {
+        let mut servers = servers::Directory::default();
+        servers.set_first_start(options.is_first_start);
         Self {
             own: options.own,
             domain: options.domain,
             catalog: None,
-            servers: servers::Directory::default(),
+            servers,
             kept: kept::KeptPrompts::default(),
             origins: streams::Origins::default(),
             containment: containment::Containment::default(),
@@ -434,6 +439,7 @@
             claims: collections::Map::default(),
             grants: collections::Map::default(),
             limit_reports: throttle::DueReports::default(),
+            cold_reports: Vec::new(),
             recent_use: fairness::RecentUse::default(),
             overloads: overload::Overloads::default(),
             lower_turns: priorities::LowerTurns::default(),
@@ -535,10 +541,12 @@
     ) {
         let version = catalog.content.version;
         let previous = self.version();
-        if version <= previous {
+        let completes = version == previous && self.lacks_cold_bounds();
+        if version < previous || (version == previous && !completes) {
             return;
         }
         self.quotas.configure(&catalog, now);
+        self.configure_cold(&catalog, now, effects);
         self.catalog = Some(catalog);
         self.load_history(now, effects);
         effects.push(Effect::Log(decision::Decision::Configured { version, previous }));
@@ -580,10 +588,12 @@
         effects: &mut Vec<Effect>,
     ) -> bool {
         let line = decision::Decision::listed(&change);
+        let server = change.id().clone();
         let has_changed = self.servers.apply(change, source, now);
         if has_changed {
             effects.push(Effect::Log(line));
         }
+        self.refresh_cold(&server, now, effects);
         has_changed
     }
 
@@ -598,6 +608,7 @@
             self.ledger.recount(&mut self.servers);
             effects.push(Effect::AnnounceChange);
         }
+        self.report_cold(now, effects);
         self.list_prompts(now, effects);
         self.announce_origins(now, effects);
         self.place_waiting(now, effects);
@@ -646,6 +657,7 @@
         self.resend_charges(now, effects);
         self.resend_reservation_requests(now, effects);
         self.end_lookups(now, effects);
+        self.end_cold_times(now, effects);
         self.report_limits(now, effects);
         self.maintain_containment(now, effects);
         self.maintain_evacuations(now, effects);
--- a/src/core/fleet/distribution.rs
+++ b/src/core/fleet/distribution.rs
@@ -27,6 +27,7 @@
         let lacks_reports = self.lacks_evacuation_reports(now);
         self.should_read_store(now)
             || lacks_reports
+            || self.lacks_cold_bounds()
             || outdated.is_some_and(|time| time >= PEERS_HEAD_START)
     }
 
--- a/src/core/fleet/servers/entry.rs
+++ b/src/core/fleet/servers/entry.rs
@@ -43,6 +43,9 @@
     /// The version of its software; `None` if the peer that sent the entry does not know it.
     #[serde(skip)]
     pub software_version: Option<SoftwareVersion>,
+    /// Whether the entry in the store states no cold time. Entries of peers do not tell.
+    #[serde(skip)]
+    pub lacks_cold_time: bool,
     /// The position of the entry in the store; of two entries, the one with the higher position is
     /// newer.
     pub offset: ids::StorePosition,
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -653,6 +653,7 @@
             order: live.order.map(|(order, _)| order.name()),
             use_share: live.order.and_then(|(_, share)| share),
             limit_per_s,
+            cold_per_s: known.cold_per_s(),
             limits,
         }));
         let may_repeat = step == fleet::Step::Prefill
