--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -86,7 +86,8 @@
         let knows_limits = self.servers.of_service(&claim.service).any(|server| {
             server.allowance().is_some_and(|allowance| allowance.is_kept_by(awaiting.owner, now))
         });
-        let reads_workspaces = knows_limits || self.peers.speaks(awaiting.owner, 1);
+        let reads_workspaces =
+            knows_limits || self.peers.speaks(awaiting.owner, message::WORKSPACE_LEVEL);
         let workspace = claim.workspace.as_ref().filter(|_| reads_workspaces);
         let request = message::ReservationRequest {
             ticket: self.ticket(request, live.attempt),
--- a/src/core/fleet/fairness.rs
+++ b/src/core/fleet/fairness.rs
@@ -26,6 +26,9 @@
 /// A workspace's use of a service; `None` stands for requests without a known workspace.
 type User = (catalog::ServiceId, Option<quota::WorkspaceName>);
 
+/// A workspace whose requests of one priority wait at a service.
+type Taker<'a> = (&'a catalog::ServiceId, Option<&'a quota::WorkspaceName>, u8);
+
 /// What limits the requests that a service can answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Resource {
@@ -254,7 +257,7 @@
         }
         let mut services: collections::Map<&catalog::ServiceId, Option<Shared>> =
             collections::Map::default();
-        let mut turns: collections::Map<(User, u8), f64> = collections::Map::default();
+        let mut turns: collections::Map<Taker<'_>, f64> = collections::Map::default();
         let mut ranked = Vec::with_capacity(queue.len());
         for (position, (waiter, claim)) in queue.into_iter().enumerate() {
             let shared =
@@ -263,10 +266,11 @@
             let shared = shared.filter(|it| it.resource == Resource::Requests || !is_late);
             let is_behind = is_late && shared.is_none();
             let turn = shared.map_or(0.0, |Shared { resource, work_ms }| {
-                let user = (claim.service.clone(), claim.workspace.clone());
-                let used = || self.recent_use.amount(&user, resource, now);
-                let key = (user.clone(), claim.priority);
-                let turn = turns.entry(key).or_insert_with(used);
+                let taker = (&claim.service, claim.workspace.as_ref(), claim.priority);
+                let turn = turns.entry(taker).or_insert_with(|| {
+                    let user = (claim.service.clone(), claim.workspace.clone());
+                    self.recent_use.amount(&user, resource, now)
+                });
                 *turn += Usage::of(claim, work_ms).amount(resource);
                 *turn
             });
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -19,6 +19,9 @@
 /// before levels count as level 0.
 pub const PROTOCOL_LEVEL: u16 = 1;
 
+/// The level from which on owners read `ReserveForWorkspace` in any case.
+pub const WORKSPACE_LEVEL: u16 = 1;
+
 /// A request for a reservation, sent to the owner of a service.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ReservationRequest {
@@ -214,7 +217,8 @@
         /// The version.
         software_version: servers::SoftwareVersion,
     },
-    /// A reservation is requested at a service with limits, which workspaces share.
+    /// A reservation is requested for a workspace, of an owner that has stated limits or
+    /// `WORKSPACE_LEVEL`.
     ReserveForWorkspace {
         /// The request.
         request: ReservationRequest,
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -163,10 +163,14 @@
         }
         let mut failed: Vec<((catalog::ServiceId, claim::Binding), u32)> = Vec::new();
         let queue = self.queue(now);
-        let mut priorities: collections::Map<catalog::ServiceId, BTreeSet<u8>> =
-            collections::Map::default();
+        let mut priorities: Vec<(catalog::ServiceId, BTreeSet<u8>)> = Vec::new();
         for (_, priority, (service, _)) in &queue {
-            priorities.entry(service.clone()).or_default().insert(*priority);
+            match priorities.iter_mut().find(|(known, _)| known == service) {
+                Some((_, priorities)) => {
+                    priorities.insert(*priority);
+                }
+                None => priorities.push((service.clone(), BTreeSet::from([*priority]))),
+            }
         }
         for (waiter, priority, pool) in queue {
             let service = pool.0.clone();
@@ -182,10 +186,10 @@
                 Waiter::Local(request) => self.try_place(request, now, effects),
                 Waiter::Remote(ticket) => self.try_grant(ticket, now, effects),
             };
-            if is_placed {
-                self.lower_turns.record(&service, priority, &priorities[&service]);
-            } else {
+            if !is_placed {
                 failed[index].1 += 1;
+            } else if let Some((_, waiting)) = priorities.iter().find(|it| it.0 == service) {
+                self.lower_turns.record(&service, priority, waiting);
             }
         }
         let requests = &self.requests;
--- a/tests/fleet/overload.rs
+++ b/tests/fleet/overload.rs
@@ -1,8 +1,13 @@
 //! Bursts of more requests than the servers can answer within their objectives.
 
 use std::collections::BTreeMap;
+use std::sync;
 use std::time::Duration;
 
+use galenayard::core::fleet;
+use galenayard::core::fleet::call;
+use galenayard::core::fleet::servers;
+
 use super::FAST_DIGESTS;
 use super::ms;
 use super::send_load;
@@ -186,3 +191,47 @@
     insta::assert_debug_snapshot!(outcomes);
     assert!(outcomes["quiet"].in_time >= 18, "{outcomes:?}");
 }
+
+/// Applies the arrival of a plain request, or its end, and returns the requests that are sent.
+fn sent_after(instance: &mut fleet::Fleet, event: fleet::Event, now: Duration) -> Vec<u64> {
+    let effects = instance.apply(event, now);
+    let sent = effects.iter().filter_map(|effect| match effect {
+        fleet::Effect::Send { request, .. } => Some(*request),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn a_request_that_most_answers_would_make_late_does_not_take_the_place_of_a_newer_one() {
+    let mut instance = world::new_fleet(0, world::address(1_000));
+    instance.apply(fleet::Event::Configured(sync::Arc::new(world::configuration())), ms(1));
+    let changes = vec![servers::EntryChange::Put(world::entry("desk-0", "desk", None))];
+    let source = servers::Source::Steady;
+    let listed =
+        fleet::Event::ServersChanged { changes, complete: None, source, sender_position: None };
+    instance.apply(listed, ms(2));
+    let arrival = |request: u64| {
+        let (host, path) = ("order".to_string(), "/x".to_string());
+        let call = call::Call { id: request.to_string().into(), host, path, ..Default::default() };
+        fleet::Event::Arrived { request, call }
+    };
+    let end = |request: u64| {
+        let outcome = fleet::Outcome::Finished { status: 200, is_end_marked: true };
+        fleet::Event::RequestProgressed { request, outcome }
+    };
+    // The service takes twice the time that is assumed at first.
+    for request in 0..20 {
+        let now = ms(1_000 + request * 100);
+        assert_eq!(sent_after(&mut instance, arrival(request), now), [request]);
+        sent_after(&mut instance, end(request), now + ms(60));
+    }
+    // Nine requests fill the six slots; two wait, the first of which has 50 of its 150 ms left.
+    for request in 20..29 {
+        assert_eq!(sent_after(&mut instance, arrival(request), ms(5_000)), [request]);
+    }
+    assert!(sent_after(&mut instance, arrival(29), ms(5_000)).is_empty());
+    assert!(sent_after(&mut instance, arrival(30), ms(5_100)).is_empty());
+    assert_eq!(sent_after(&mut instance, end(20), ms(5_100)), [30]);
+    assert_eq!(sent_after(&mut instance, end(21), ms(5_100)), [29]);
+}
