--- a/src/core/fleet/claim.rs
+++ b/src/core/fleet/claim.rs
@@ -72,13 +72,16 @@
 
 impl Claim {
     /// Returns the sort key of the queue: requests that can still meet their objective come first,
-    /// by priority and objective, or in overload the newest of a priority; late ones follow by the
-    /// time at which their callers give up.
+    /// by priority and objective, or in overload of a plain service the newest of a priority; late
+    /// ones follow by the time at which their callers give up.
+    ///
+    /// At engines the newest would not be served more often in time, as the work of a prompt is known
+    /// from its length, and more of the older ones would be refused.
     pub fn order(&self, is_overload: bool, now: ids::Timestamp) -> (bool, u8, ids::Timestamp) {
         let is_late = self.is_late(now);
         let at = if is_late {
             self.begin_by
-        } else if is_overload {
+        } else if is_overload && self.engine.is_none() {
             ids::Timestamp::MAX.saturating_sub(self.arrived)
         } else {
             self.objective_at
--- a/src/core/fleet/overload.rs
+++ b/src/core/fleet/overload.rs
@@ -100,7 +100,7 @@
     pub(super) fn order_of(&self, claim: &claim::Claim, now: ids::Timestamp) -> Order {
         if claim.is_late(now) {
             Order::Late
-        } else if self.overloads.contains(&claim.service) {
+        } else if claim.engine.is_none() && self.overloads.contains(&claim.service) {
             Order::Newest
         } else {
             Order::Earliest
