Choose plain servers by the load that they state in their answers

Cause: plain servers share machines with others, and the time that work takes there changes many times a second. They say so in their answers, with their requests and slots; the header was only removed.

Change: the header is decoded, and the newest statement is kept with its age for one start of the server. The percentage scales the expected work and gives way to the mean of the server's figures; requests that nobody counts add to the backlog. The owner of the service learns figures of other instances by a message of its own, which goes only to owners that state a protocol level. An instance without a grant takes the better one of two drawn servers. Statements that answer times contradict are ignored.

Ruled out: learning the work at the usual speed with the weight of 0.2 that other servers have. Also ruled out: reports at 200 ms from each instance of a large fleet, which would be one for nearly each answer.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -35,6 +35,7 @@
 pub mod refusal;
 pub mod resumption;
 pub mod server_limits;
+pub mod server_load;
 pub mod servers;
 pub mod streams;
 pub mod view;
@@ -179,6 +180,8 @@
         limit: server_limits::Statement,
         /// What the answer states about further requests to its server.
         notice: notices::Notice,
+        /// What the answer states about the load of its server.
+        load: server_load::Reading,
         /// Whether the answer is certainly one to this request.
         is_authentic: bool,
     },
@@ -444,7 +447,8 @@
                 self.log_refusal(&text(&id), refusal, None, None, now, &mut effects);
             }
             Event::Arrived { request, call } => self.arrive(request, call, now, &mut effects),
-            Event::AnswerReceived { request, limit, notice, is_authentic } => {
+            Event::AnswerReceived { request, limit, notice, load, is_authentic } => {
+                self.receive_load(request, load, now, &mut effects);
                 self.receive_notice(request, notice, now, &mut effects);
                 self.receive_statement(request, limit, is_authentic, now, &mut effects);
             }
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -281,6 +281,7 @@
             message::Message::ServerLimits(limits) => {
                 self.receive_limits(&limits, now, effects);
             }
+            message::Message::ServerLoads(reports) => self.receive_load_reports(&reports, now),
             message::Message::ServerCrashed(report) => {
                 self.apply_crash(&report, Some(from), now, effects);
             }
@@ -494,13 +495,17 @@
             }
             message::Progress::Ended { evidence, elapsed_ms } => {
                 self.claims.remove(&ticket);
-                self.grants.remove(&ticket);
+                let granted = self.grants.remove(&ticket);
                 self.ledger.end(ticket, &mut self.servers, now);
                 if let Some((server, evidence)) = evidence {
                     self.servers.record_evidence(&server, evidence, now);
                     if evidence == servers::Evidence::Answered {
                         self.servers.record_answered(&server);
                         let elapsed = time::Duration::from_millis(elapsed_ms);
+                        if let Some((_, expected_ms)) = granted {
+                            let expected_ms = expected_ms as f64;
+                            self.check_stated_load(&server, elapsed, expected_ms, now, effects);
+                        }
                         self.servers.record_work(&server, elapsed, now);
                     }
                 }
--- a/src/core/fleet/decision.rs
+++ b/src/core/fleet/decision.rs
@@ -6,6 +6,7 @@
 use crate::core::fleet::quarantine;
 use crate::core::fleet::refusal;
 use crate::core::fleet::resumption;
+use crate::core::fleet::server_load;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -177,6 +178,27 @@
         /// The limit that stays in force.
         rate_per_s: Option<f64>,
     },
+    /// A server states a load that is not valid, or several; it is ignored.
+    ServerLoadInvalid {
+        /// The id of the server.
+        server: String,
+        /// The caller's id of the request.
+        request: String,
+    },
+    /// A server states that it is empty while its answers take far longer than expected, or no longer
+    /// does so. While it does, what it states is ignored.
+    ServerLoadContradicted {
+        /// The id of the server.
+        server: String,
+        /// Whether its answers contradict it now.
+        is_contradicted: bool,
+        /// Its newest statement.
+        stated_load: Option<server_load::StatedLoad>,
+        /// The time that the last answer took.
+        elapsed_ms: u64,
+        /// The time that was expected for it.
+        expected_ms: u64,
+    },
     /// The spending before the start of this instance was loaded.
     #[serde(rename = "past_learned")]
     HistoryLoaded {
@@ -274,6 +296,9 @@
         /// The limits of the service's servers, if any has one.
         #[serde(skip_serializing_if = "Option::is_none")]
         limits: Option<refusal::LimitView>,
+        /// The load that the server has stated, if it has.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stated_load: Option<server_load::StatedLoad>,
     },
     /// The first event of a stream has arrived.
     Started {
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -28,6 +28,8 @@
     pub load: servers::Load,
     /// When the request was sent.
     pub sent: ids::Timestamp,
+    /// The time that was expected to the first event or to the whole plain answer.
+    pub expected_ms: f64,
     /// The prompt tokens that the server had to prefill up to the end of this prompt.
     pub queued_prefill_tokens: u32,
     /// The decode server at which KV cache is reserved until the prompt is prefilled.
--- a/src/core/fleet/message.rs
+++ b/src/core/fleet/message.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::quota;
 use crate::core::fleet::refusal;
 use crate::core::fleet::server_limits;
+use crate::core::fleet::server_load;
 use crate::core::fleet::servers;
 use crate::core::fleet::streams;
 use crate::core::ids;
@@ -250,6 +251,8 @@
     },
     /// The rate limits that servers name. Older builds ignore them.
     ServerLimits(LimitReports),
+    /// The loads that plain servers state, for the owner of their service. Older builds ignore them.
+    ServerLoads(Vec<server_load::LoadReport>),
     /// A server has crashed. Older builds ignore it, as the two below.
     ServerCrashed(CrashReport),
     /// A server has survived a request, which clears its features of earlier crashes.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -169,7 +169,10 @@
             Outcome::Prefilled { .. } => {
                 self.servers.record_prefill(&at.server, at.queued_prefill_tokens, elapsed);
             }
-            Outcome::Finished { .. } => self.servers.record_work(&at.server, elapsed, now),
+            Outcome::Finished { .. } => {
+                self.check_stated_load(&at.server, elapsed, at.expected_ms, now, effects);
+                self.servers.record_work(&at.server, elapsed, now);
+            }
             _ => {}
         }
         let Some(evidence) = evidence(outcome) else { return };
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -12,6 +12,7 @@
 use crate::core::fleet::constants;
 use crate::core::fleet::ledger;
 use crate::core::fleet::server_limits;
+use crate::core::fleet::server_load;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
@@ -101,6 +102,13 @@
 }
 
 impl Query<'_> {
+    /// Returns whether the choice of a plain server is one of two drawn ones: servers state loads, and
+    /// this instance may not know the newest ones.
+    fn draws_plain_servers(&self, directory: &servers::Directory) -> bool {
+        self.pacing != server_limits::Pacing::Fleet
+            && directory.uses_stated_loads(&self.claim.service, self.now)
+    }
+
     fn admits(&self, server: &servers::Server) -> bool {
         server.is_usable(self.now)
             && !self.claim.tried.contains(&server.entry.id)
@@ -291,12 +299,15 @@
         .map(|server| server.entry.id.clone())
 }
 
-/// Returns the plain server with the earliest expected answer, if any has capacity.
+/// Returns the plain server with the earliest expected answer, of all or of two drawn ones, if any has
+/// capacity.
 pub fn best_plain_server(
     directory: &servers::Directory,
     query: Query<'_>,
 ) -> Option<Candidate<Placement>> {
     let mut best = None;
+    let draws = query.draws_plain_servers(directory);
+    let mut drawn = server_load::Draw::default();
     for server in directory.of_service(&query.claim.service) {
         if !query.admits_generation(server) {
             continue;
@@ -306,17 +317,24 @@
         if requests >= slots * constants::PLAIN_REQUESTS_PER_SLOT {
             continue;
         }
-        let backlog_ms = (requests + 1.0 - slots).max(0.0) / slots * server.work_ms;
+        let work_ms = server.expected_work_ms(query.now);
+        let requests = requests + server.unknown_requests(query.now);
+        let backlog_ms = (requests + 1.0 - slots).max(0.0) / slots * work_ms;
         // Plain servers slow down as their slots fill up.
-        let contention_ms = requests / slots * server.work_ms * 0.5;
-        let expected_ms = server.work_ms + backlog_ms + contention_ms + query.penalty_ms(server);
+        let contention_ms = requests / slots * work_ms * 0.5;
+        let expected_ms = work_ms + backlog_ms + contention_ms + query.penalty_ms(server);
         let placement = Placement::Plain(server.entry.id.clone());
         let is_preferred = server.is_due_for_trickle(query.now);
         let rank = query.rank(server);
-        replace_if_better(
-            &mut best,
-            Candidate { placement, expected_ms, backlog_ms, is_preferred, rank },
-        );
+        let candidate = Candidate { placement, expected_ms, backlog_ms, is_preferred, rank };
+        if draws && !is_preferred {
+            drawn.add(server.entry.domain == query.claim.domain, candidate);
+        } else {
+            replace_if_better(&mut best, candidate);
+        }
+    }
+    for candidate in drawn.into_candidates() {
+        replace_if_better(&mut best, candidate);
     }
     best
 }
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -8,6 +8,7 @@
 use crate::core::fleet::constants;
 use crate::core::fleet::estimate;
 use crate::core::fleet::server_limits;
+use crate::core::fleet::server_load;
 use crate::core::fleet::streams;
 use crate::core::ids;
 
@@ -15,6 +16,7 @@
 mod failures;
 mod limits;
 mod pace;
+mod reported;
 
 pub mod entry;
 
@@ -81,8 +83,11 @@
     failures: failures::Failures,
     /// The prefill speed in prompt tokens per millisecond, learned from completed prefills.
     pub tokens_per_ms: f64,
-    /// The time that a plain request takes, in milliseconds, learned from completed requests.
+    /// The time that a plain request takes, in milliseconds, learned from completed requests; where the
+    /// server states how long work takes, the usual time.
     pub work_ms: f64,
+    /// The load that it states.
+    reported: server_load::Reported,
     /// The time that streams take, learned from completed ones.
     pace: Option<pace::Pace>,
     /// Whether an answer of it was received since this instance has started.
@@ -117,6 +122,7 @@
             failures: failures::Failures::default(),
             tokens_per_ms,
             work_ms: constants::INITIAL_PLAIN_WORK_MS,
+            reported: server_load::Reported::default(),
             pace: None,
             has_answered: false,
             limit: server_limits::Evidence::default(),
@@ -217,6 +223,8 @@
     removals_known_since: Option<ids::StorePosition>,
     /// Whether a server may have a limit; without one, requests cost no search for limits.
     may_have_limits: bool,
+    /// Whether a server has ever stated its load; otherwise, requests cost no search for statements.
+    may_state_loads: bool,
 }
 
 impl Directory {
@@ -583,8 +591,10 @@
         if server.entry.stage.is_some() {
             return self.record_stream(id, elapsed, now);
         }
-        let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
-        server.work_ms += constants::SPEED_SMOOTHING * (elapsed_ms - server.work_ms);
+        // The answer has stated the figure that applied to the request.
+        let elapsed_ms = elapsed.as_secs_f64() * 1_000.0 / server.reported.work_factor(now);
+        let weight = server.reported.next_answer_weight(now);
+        server.work_ms += weight * (elapsed_ms - server.work_ms);
     }
 }
 
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -306,9 +306,10 @@
     fn plain_drain_ms(&self, waiter: Waiter, claim: &claim::Claim, now: ids::Timestamp) -> f64 {
         let (mut slots, mut work_ms) = (0.0, 0.0_f64);
         for server in self.untried(claim, now).filter(|server| claim.binding.allows(server)) {
-            let requests_per_s = f64::from(server.entry.slots) * 1_000.0 / server.work_ms;
-            slots += server.capped_rate_per_s(requests_per_s) * server.work_ms / 1_000.0;
-            work_ms = work_ms.max(server.work_ms);
+            let expected_ms = server.expected_work_ms(now);
+            let requests_per_s = f64::from(server.entry.slots) * 1_000.0 / expected_ms;
+            slots += server.capped_rate_per_s(requests_per_s) * expected_ms / 1_000.0;
+            work_ms = work_ms.max(expected_ms);
         }
         self.ranked_ahead(waiter, claim, now).len() as f64 * work_ms / slots + work_ms / 2.0
     }
@@ -514,6 +515,7 @@
             step: step.clone(),
             load,
             sent: now,
+            expected_ms,
             queued_prefill_tokens: ahead.tokens_to_prefill + load.tokens_to_prefill,
             decode_reservation: None,
             started: None,
@@ -537,6 +539,7 @@
             offset: known.entry.offset,
             limit_per_s,
             limits,
+            stated_load: known.stated_load(now),
         }));
         let may_repeat = step == fleet::Step::Prefill
             || (live.is_idempotent() && live.run_attempts < live.route.attempts);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -12,6 +12,7 @@
 use crate::core::fleet::notices;
 use crate::core::fleet::refusal;
 use crate::core::fleet::server_limits;
+use crate::core::fleet::server_load;
 use crate::core::ids;
 use crate::router::body;
 use crate::router::dialect;
@@ -46,6 +47,10 @@
 /// The requests a second that the server takes from all instances together.
 const SERVER_LIMIT: &str = "server-limit";
 
+/// The requests that the server runs, those that wait there and its slots, separated by commas; after
+/// them, the time that work takes in percent of the usual time, if the server states it.
+const SERVER_LOAD: &str = "server-load";
+
 /// Present if the server leaves, with the value 1.
 const SERVER_LEAVING: &str = "server-leaving";
 
@@ -210,12 +215,13 @@
                 is_leaving: parse_leaving(&head.headers),
                 pause: parse_pause(head),
             },
+            load: parse_load(&head.headers),
         }
     }
 
     fn clean_response_head(&self, head: &mut http::response::Parts) {
         remove_hop_by_hop_headers(&mut head.headers);
-        for name in ["content-length", "server-load", "instance-id"] {
+        for name in ["content-length", SERVER_LOAD, "instance-id"] {
             head.headers.remove(name);
         }
         head.version = http::Version::HTTP_11;
@@ -289,6 +295,28 @@
     }
 }
 
+fn parse_load(headers: &http::HeaderMap) -> server_load::Reading {
+    let mut values = headers.get_all(SERVER_LOAD).iter();
+    let Some(value) = values.next() else { return server_load::Reading::Absent };
+    let statement = value.to_str().ok().and_then(parse_load_figures);
+    match statement.filter(server_load::Statement::is_valid) {
+        Some(statement) if values.next().is_none() => server_load::Reading::Stated(statement),
+        _ => server_load::Reading::Invalid,
+    }
+}
+
+fn parse_load_figures(text: &str) -> Option<server_load::Statement> {
+    let mut figures = text.split(',').map(str::trim);
+    let mut count = || figures.next()?.parse::<u32>().ok();
+    let (running, waiting, slots) = (count()?, count()?, count()?);
+    let work_percent = match figures.next() {
+        Some(percent) => Some(percent.parse::<f64>().ok()?),
+        None => None,
+    };
+    let is_whole = figures.next().is_none();
+    is_whole.then_some(server_load::Statement { running, waiting, slots, work_percent })
+}
+
 fn parse_leaving(headers: &http::HeaderMap) -> bool {
     let values = || headers.get_all(SERVER_LEAVING).iter();
     let is_leaving = values().any(|value| value.as_bytes().trim_ascii() == b"1");
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -9,6 +9,7 @@
 use crate::core::fleet::call;
 use crate::core::fleet::notices;
 use crate::core::fleet::server_limits;
+use crate::core::fleet::server_load;
 use crate::core::fleet::servers;
 use crate::platform::configuration;
 use crate::platform::entries;
@@ -119,6 +120,59 @@
     assert_eq!(read(&named[1..]), None, "the caller has no event of it");
 }
 
+fn read_load(values: &[&[u8]]) -> server_load::Reading {
+    let response = http::Response::builder();
+    let response =
+        values.iter().fold(response, |response, value| response.header("server-load", *value));
+    let (head, ()) = response.body(()).expect("the response is valid").into_parts();
+    headers::PlatformDialect.read_response_head(&head, &read_call(None)).load
+}
+
+#[test]
+fn a_load_that_a_server_states_is_read() {
+    let stated = |work_percent| {
+        let statement = server_load::Statement { running: 5, waiting: 2, slots: 6, work_percent };
+        server_load::Reading::Stated(statement)
+    };
+    assert_eq!(read_load(&[]), server_load::Reading::Absent);
+    assert_eq!(read_load(&[b"5,2,6"]), stated(None));
+    assert_eq!(read_load(&[b"5,2,6,180"]), stated(Some(180.0)));
+    assert_eq!(read_load(&[b" 5, 2 ,6 , 62.5 "]), stated(Some(62.5)));
+    assert_eq!(read_load(&[b"5,2,6,10000"]), stated(Some(10_000.0)));
+}
+
+#[test]
+fn a_load_that_is_not_valid_is_ignored() {
+    let invalid: [&[u8]; 20] = [
+        b"",
+        b"5",
+        b"5,2",
+        b"5,2,",
+        b"5,2,0",
+        b"5,2,0,100",
+        b"-1,2,6",
+        b"5,-2,6",
+        b"5,2,-6",
+        b"5.5,2,6",
+        b"five,2,6",
+        b"5,2,6,",
+        b"5,2,6,0",
+        b"5,2,6,-100",
+        b"5,2,6,10000.1",
+        b"5,2,6,NaN",
+        b"5,2,6,inf",
+        b"5,2,6,100,1",
+        b"4294967296,2,6",
+        b"5,2,6,\xff",
+    ];
+    for value in invalid {
+        let text = String::from_utf8_lossy(value);
+        assert_eq!(read_load(&[value]), server_load::Reading::Invalid, "{text}");
+    }
+    let several: [&[u8]; 2] = [b"5,2,6", b"5,2,6"];
+    assert_eq!(read_load(&several), server_load::Reading::Invalid, "several headers");
+}
+
 #[test]
 fn the_last_part_of_a_prompt_is_its_id() {
     let prompt = |prefix| read_call(Some(prefix)).prompt;
--- a/src/router/dialect.rs
+++ b/src/router/dialect.rs
@@ -11,6 +11,7 @@
 use crate::core::fleet::call;
 use crate::core::fleet::notices;
 use crate::core::fleet::server_limits;
+use crate::core::fleet::server_load;
 use crate::core::ids;
 use crate::router::body;
 
@@ -31,6 +32,8 @@
     pub limit: server_limits::Statement,
     /// What the response states about further requests to its server.
     pub notice: notices::Notice,
+    /// What the response states about the load of its server.
+    pub load: server_load::Reading,
 }
 
 /// A request to the readiness and discovery listener.
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -30,7 +30,14 @@
             metrics::counter!("refused_total", "reason" => reason, "workspace" => workspace)
                 .increment(1);
         }
-        decision::Decision::Sent { step, repeats, waited_ms, limit_per_s, .. } => {
+        decision::Decision::Sent { step, repeats, waited_ms, limit_per_s, stated_load, .. } => {
+            if let Some(load) = stated_load {
+                metrics::histogram!("server_load_age_ms").record(load.age_ms as f64);
+                if let Some(reason) = load.ignored {
+                    let labels = [("reason", reason.name())];
+                    metrics::counter!("server_loads_ignored_total", &labels).increment(1);
+                }
+            }
             if *repeats > 0 {
                 metrics::counter!("repeats_total", "step" => *step).increment(1);
             }
@@ -73,6 +80,13 @@
         decision::Decision::ServerLimitInvalid { .. } => {
             metrics::counter!("server_limits_invalid_total").increment(1);
         }
+        decision::Decision::ServerLoadInvalid { .. } => {
+            metrics::counter!("server_loads_ignored_total", "reason" => "invalid").increment(1);
+        }
+        decision::Decision::ServerLoadContradicted { is_contradicted, .. } => {
+            let change = if *is_contradicted { "contradicted" } else { "confirmed" };
+            metrics::counter!("server_load_trust_changes_total", "change" => change).increment(1);
+        }
         decision::Decision::Configured { version, .. } => {
             metrics::gauge!("configuration_version").set(*version as f64);
         }
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -418,6 +418,7 @@
             request: self.guard.request,
             limit: response_head.limit,
             notice: response_head.notice,
+            load: response_head.load,
             is_authentic,
         });
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod notices;
 mod retry_budget;
 mod server_limits;
+mod server_load;
 mod versions;
 mod world;
 
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod crashes;
 mod fixtures;
+mod machines;
 mod views;
 
 use std::cmp;
@@ -24,6 +25,7 @@
 use galenayard::core::fleet::quarantine;
 use galenayard::core::fleet::refusal;
 use galenayard::core::fleet::server_limits;
+use galenayard::core::fleet::server_load;
 use galenayard::core::fleet::servers;
 use galenayard::core::fleet::streams;
 use galenayard::core::ids;
@@ -34,6 +36,7 @@
 pub use fixtures::new_fleet;
 pub use fixtures::servers;
 pub use fixtures::servers_of_two_versions;
+pub use machines::Stating;
 
 use fixtures::listed;
 use fixtures::member;
@@ -130,6 +133,8 @@
     limit_per_s: Option<f64>,
     /// What else its answers state.
     notice: notices::Notice,
+    /// The machine that it shares with others, if its speed changes.
+    machine: Option<machines::Machine>,
     /// The requests that reached it: when, and from which instance.
     arrivals: Vec<(Duration, usize)>,
 }
@@ -148,6 +153,7 @@
             prompts: Vec::new(),
             limit_per_s: None,
             notice: notices::Notice::default(),
+            machine: None,
             arrivals: Vec::new(),
         }
     }
@@ -208,6 +214,8 @@
     pub most_coordinators: usize,
     /// The number of digests sent so far, one per receiver.
     pub datagrams: usize,
+    /// The reports on loads that servers state: when and by which instance each was sent.
+    pub load_reports: Vec<(Duration, usize, Bytes)>,
     /// The origins of streams in the store, and the number of records that hold them.
     pub stored_origins: Vec<streams::Origin>,
     pub origin_records: usize,
@@ -277,6 +285,7 @@
             next_request: 0,
             most_coordinators: 0,
             datagrams: 0,
+            load_reports: Vec::new(),
             stored_origins: Vec::new(),
             origin_records: 0,
             stored_quarantines: Vec::new(),
@@ -493,6 +502,7 @@
                         && matches!(
                             message,
                             message::Message::ServerLimits(_)
+                                | message::Message::ServerLoads(_)
                                 | message::Message::ServerCrashed(_)
                                 | message::Message::RequestsSurvived { .. }
                                 | message::Message::Quarantines(_)
@@ -626,6 +636,10 @@
             }
             fleet::Effect::DeliverFailure { request } => self.record(instance, request).ends += 1,
             fleet::Effect::SendMessage { to, message } => {
+                if let message::Message::ServerLoads(reports) = &message {
+                    let servers = reports.iter().map(|report| report.server.clone());
+                    self.load_reports.extend(servers.map(|server| (self.now, instance, server)));
+                }
                 let from = self.addresses[instance];
                 self.schedule(LATENCY, Action::Message { to, from, message });
             }
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -84,8 +84,12 @@
             self.schedule(LATENCY, Action::Progress { instance, request, sends, outcome });
             return;
         }
-        backend.free_at[0] = begins + WORK;
-        let after = begins + WORK - now;
+        let work = match &mut backend.machine {
+            Some(machine) => machine.run(begins),
+            None => WORK,
+        };
+        backend.free_at[0] = begins + work;
+        let after = begins + work - now;
         if self.crashes_servers(instance, request) {
             let server = dispatch.server.clone();
             self.record(instance, request).runs += 1;
@@ -204,7 +208,10 @@
         if self.older.contains(&instance) {
             return;
         }
-        let event = fleet::Event::AnswerReceived { request, limit, notice, is_authentic };
+        let now = self.now;
+        let machine = self.backends.get_mut(server).and_then(|backend| backend.machine.as_mut());
+        let load = machine.map(|machine| machine.state(now)).unwrap_or_default();
+        let event = fleet::Event::AnswerReceived { request, limit, notice, load, is_authentic };
         self.apply(instance, event);
     }
 
