--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -310,6 +310,7 @@
             message::Message::ServersCold(reports) => {
                 self.receive_cold_reports(&reports, now, effects);
             }
+            message::Message::ServerLoads(reports) => self.receive_load_reports(&reports, now),
             message::Message::ServerCrashed(report) => {
                 self.apply_crash(&report, Some(from), now, effects);
             }
@@ -549,6 +550,10 @@
                     if evidence == servers::Evidence::Answered {
                         self.servers.record_answered(&server);
                         let elapsed = time::Duration::from_millis(elapsed_ms);
+                        if let Some(granted) = &granted {
+                            let expected_ms = granted.expected_ms as f64;
+                            self.check_stated_load(&server, elapsed, expected_ms, now, effects);
+                        }
                         self.servers.record_work(&server, elapsed, now);
                         if let Some(granted) = granted {
                             self.correct_use(&granted.claim, elapsed, now);
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -294,6 +294,7 @@
             request: self.number,
             limit: response_head.limit,
             notice: response_head.notice,
+            load: response_head.load,
             is_authentic,
         });
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -16,6 +16,7 @@
 mod partial_failures;
 mod retry_budget;
 mod server_limits;
+mod server_load;
 mod versions;
 mod world;
 
--- a/tests/fleet/world/backends.rs
+++ b/tests/fleet/world/backends.rs
@@ -110,9 +110,10 @@
             self.schedule(LATENCY, Action::Progress { instance, request, sends, outcome });
             return;
         }
-        let work = match self.plain_work.as_mut() {
-            Some(rng) => draw_work(rng),
-            None => self.work.next(&dispatch.server),
+        let work = match (&mut backend.machine, self.plain_work.as_mut()) {
+            (Some(machine), _) => machine.run(begins),
+            (None, Some(rng)) => draw_work(rng),
+            (None, None) => self.work.next(&dispatch.server),
         };
         backend.free_at[0] = begins + work;
         let after = begins + work - now;
@@ -234,7 +235,10 @@
         if self.older.contains(&instance) {
             return;
         }
-        let event = fleet::Event::AnswerReceived { request, limit, notice, is_authentic };
+        let now = self.now;
+        let machine = self.backends.get_mut(server).and_then(|backend| backend.machine.as_mut());
+        let load = machine.map(|machine| machine.state(now)).unwrap_or_default();
+        let event = fleet::Event::AnswerReceived { request, limit, notice, load, is_authentic };
         self.apply(instance, event);
     }
 
