--- a/src/core/fleet/fairness.rs
+++ b/src/core/fleet/fairness.rs
@@ -168,13 +168,13 @@
         service: &catalog::ServiceId,
         now: ids::Timestamp,
     ) -> bool {
-        self.overloads.contains(service) || self.is_limited(service, now)
+        self.takes_turns_in_overload(service) || self.is_limited(service, now)
     }
 
     fn shared(&self, service: &catalog::ServiceId, now: ids::Timestamp) -> Option<Shared> {
         let resource = if self.is_limited(service, now) {
             Resource::Requests
-        } else if self.overloads.contains(service) {
+        } else if self.takes_turns_in_overload(service) {
             self.bottleneck(service, now)
         } else {
             return None;
--- a/src/core/fleet/overload.rs
+++ b/src/core/fleet/overload.rs
@@ -13,6 +13,7 @@
 use crate::core::fleet::claim;
 use crate::core::fleet::constants;
 use crate::core::fleet::decision;
+use crate::core::fleet::quota;
 use crate::core::fleet::servers;
 use crate::core::fleet::waiting;
 use crate::core::ids;
@@ -47,6 +48,8 @@
 struct StandingQueue {
     since: ids::Timestamp,
     is_overload: bool,
+    /// Whether requests of several workspaces wait.
+    is_contended: bool,
 }
 
 /// The services with a queue of requests that can still meet their objective.
@@ -61,6 +64,18 @@
         self.queues.get(service).is_some_and(|queue| queue.is_overload)
     }
 
+    /// Returns whether several workspaces compete for a service in overload.
+    pub fn is_contended(&self, service: &catalog::ServiceId) -> bool {
+        self.queues.get(service).is_some_and(|queue| queue.is_overload && queue.is_contended)
+    }
+
+    /// Notes the services for which requests of several workspaces wait.
+    pub fn note_contended(&mut self, contended: &[catalog::ServiceId]) {
+        for (service, queue) in &mut self.queues {
+            queue.is_contended = contended.contains(service);
+        }
+    }
+
     /// Returns whether no queue is known.
     pub fn is_empty(&self) -> bool {
         self.queues.is_empty()
@@ -82,10 +97,11 @@
             is_standing
         });
         for service in standing {
-            let known = self
-                .queues
-                .entry((*service).clone())
-                .or_insert(StandingQueue { since: now, is_overload: false });
+            let known = self.queues.entry((*service).clone()).or_insert(StandingQueue {
+                since: now,
+                is_overload: false,
+                is_contended: false,
+            });
             if !known.is_overload && now.saturating_sub(known.since) >= STANDING_QUEUE {
                 known.is_overload = true;
                 changed.push((*service).clone());
@@ -110,15 +126,27 @@
     /// Detects services that enter or leave overload by the requests that wait after a placement.
     pub(super) fn update_overloads(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
         let mut standing: Vec<&catalog::ServiceId> = Vec::new();
+        let mut first: Vec<(&catalog::ServiceId, Option<&quota::WorkspaceName>)> = Vec::new();
+        let mut contended: Vec<catalog::ServiceId> = Vec::new();
         let claims =
             self.waiting.iter().filter_map(|request| Some(&self.requests.get(request)?.claim));
         let claims = claims.chain(self.claims.values().map(|remote| &remote.claim));
         for claim in claims.filter(|claim| !claim.is_late(now)) {
-            if !standing.contains(&&claim.service) {
-                standing.push(&claim.service);
+            let workspace = claim.workspace.as_ref();
+            match first.iter().find(|(service, _)| *service == &claim.service) {
+                None => {
+                    standing.push(&claim.service);
+                    first.push((&claim.service, workspace));
+                }
+                Some((_, other)) if *other != workspace && !contended.contains(&claim.service) => {
+                    contended.push(claim.service.clone());
+                }
+                Some(_) => {}
             }
         }
-        for service in self.overloads.update(&standing, now) {
+        let changed = self.overloads.update(&standing, now);
+        self.overloads.note_contended(&contended);
+        for service in changed {
             let in_time = self.waiters().map(|(_, claim)| claim);
             let in_time = in_time.filter(|claim| claim.service == service && !claim.is_late(now));
             let waits: Vec<_> = in_time.map(|claim| now.saturating_sub(claim.arrived)).collect();
@@ -134,6 +162,14 @@
         }
     }
 
+    /// Returns whether workspaces take turns at a service as it is in overload. At engines a single
+    /// workspace needs none, and its requests are placed as they arrive.
+    pub(super) fn takes_turns_in_overload(&self, service: &catalog::ServiceId) -> bool {
+        let is_plain =
+            self.catalog.as_ref().is_none_or(|catalog| catalog.engine(service).is_none());
+        self.overloads.contains(service) && (is_plain || self.overloads.is_contended(service))
+    }
+
     /// Returns whether ejected servers that answer a part of their requests may get a claim: its service
     /// is in overload, so that other requests would be late or refused. A stream that breaks off is
     /// lost with its prompt, so engines are not used that way.
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -108,7 +108,7 @@
         }
         let Some(claim) = self.claim_of(waiter) else { return };
         let is_servable = self.has_generator(claim, now);
-        if self.overloads.contains(&claim.service) && !claim.is_late(now) && is_servable {
+        if self.takes_turns_in_overload(&claim.service) && !claim.is_late(now) && is_servable {
             // Its turn is among the first ones. The next tick judges all by one order of the queue.
             return;
         }
