Never hold back reads of the configuration and the servers while the store fails

The circuit breaker let one call at a time through, of whichever topic; one that hung held back the reads whose delay is bounded. Change: these reads are made as before the breaker, and open and close it for the others.

--- a/src/platform/breaker.rs
+++ b/src/platform/breaker.rs
@@ -1,4 +1,5 @@
-//! Holds back calls to the store while it fails: one call at a time finds out whether it answers.
+//! Holds back calls to the store while it fails, but those whose delay is bounded: one call at a time
+//! finds out whether it answers.
 //!
 //! Load pattern: all instances start at the same time while the store is unavailable. Each follows
 //! several topics, and would repeat a call for each of them four times a second.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -114,13 +114,24 @@
     /// The highest era of a response so far.
     era: u64,
     breaker: rc::Rc<breaker::Breaker>,
+    /// Whether calls are made while the breaker is open.
+    ignores_breaker: bool,
 }
 
 impl Store {
     /// Creates a client, which connects at its first call. The clients of an instance share the
     /// breaker.
     pub fn new(address: net::SocketAddr, breaker: rc::Rc<breaker::Breaker>) -> Self {
-        Self { address, connection: None, era: 0, breaker }
+        Self { address, connection: None, era: 0, breaker, ignores_breaker: false }
+    }
+
+    /// Creates a client for reads whose delay is bounded: a call of another topic that hangs must not
+    /// hold them back. What they find opens and closes the breaker for the others.
+    pub fn new_for_bounded_reads(
+        address: net::SocketAddr,
+        breaker: rc::Rc<breaker::Breaker>,
+    ) -> Self {
+        Self { ignores_breaker: true, ..Self::new(address, breaker) }
     }
 
     /// Reads the newest record of each key.
@@ -222,7 +233,7 @@
         body: Bytes,
         timeout: time::Duration,
     ) -> Result<Bytes, StoreError> {
-        let is_probe = self.breaker.admitted().await;
+        let is_probe = !self.ignores_breaker && self.breaker.admitted().await;
         let is_read = method == http::Method::GET;
         let result = self.exchange(method, path, body, timeout).await;
         let has_answered = match &result {
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -67,8 +67,9 @@
     let address = node.platform.address;
     let breaker = breaker::Breaker::new();
     let new_store = || store::Store::new(address, rc::Rc::clone(&breaker));
-    tokio::task::spawn_local(follow_configuration(new_store(), rc::Rc::clone(&context)));
-    tokio::task::spawn_local(follow_servers(new_store(), rc::Rc::clone(&context)));
+    let bounded = || store::Store::new_for_bounded_reads(address, rc::Rc::clone(&breaker));
+    tokio::task::spawn_local(follow_configuration(bounded(), rc::Rc::clone(&context)));
+    tokio::task::spawn_local(follow_servers(bounded(), rc::Rc::clone(&context)));
     tokio::task::spawn_local(maintain_spending_history(new_store(), rc::Rc::clone(&context)));
     origins::start(new_store, &context);
     quarantines::start(new_store(), &context);
