Close the second leg of a hedge in one place

Cause: a second leg without a server was given up by two functions with the same steps, and the mark on its request was written three times. Behaviour is unchanged.

--- a/src/core/fleet/hedging.rs
+++ b/src/core/fleet/hedging.rs
@@ -555,10 +555,8 @@
         self.requests.remove(&second);
         if let Some(live) = self.requests.get_mut(&request) {
             live.count_arrival(&at, outcome);
-            if let Some(hedge) = &mut live.hedge {
-                hedge.is_open = false;
-            }
         }
+        self.mark_hedge_closed(request);
         self.note_failed_leg(request, &at, outcome);
         self.place_waiting(now, effects);
     }
@@ -591,51 +589,37 @@
         let second = second_leg(request);
         let Some(leg) = self.requests.get(&second) else { return };
         let live::Phase::AtServer(at) = leg.phase.clone() else {
-            let service = leg.claim.service.clone();
-            self.hedging.bucket(&service).refund();
-            return self.close_unsent_leg(second, Obstacle::FirstEnded, effects);
+            return self.drop_second_leg(second, Obstacle::FirstEnded, effects);
         };
         self.log_hedge_end(request, end, now, effects);
         self.release_cancelled(&at, now);
         if let Some(leg) = self.requests.remove(&second) {
             self.report_end(second, &leg, effects);
         }
-        if let Some(hedge) =
-            self.requests.get_mut(&request).and_then(|live| live.hedge.as_deref_mut())
-        {
-            hedge.is_open = false;
-        }
+        self.mark_hedge_closed(request);
         effects.push(Effect::PublishLoad);
     }
 
-    /// Gives up a second leg that has no server.
-    pub(super) fn drop_second_leg(
-        &mut self,
-        second: call::RequestNumber,
-        obstacle: Obstacle,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(leg) = self.requests.get(&second) else { return };
-        let service = leg.claim.service.clone();
-        self.hedging.bucket(&service).refund();
-        self.close_unsent_leg(second, obstacle, effects);
+    /// Notes that a request has one leg again.
+    fn mark_hedge_closed(&mut self, request: call::RequestNumber) {
+        let live = self.requests.get_mut(&request);
+        if let Some(hedge) = live.and_then(|live| live.hedge.as_deref_mut()) {
+            hedge.is_open = false;
+        }
     }
 
-    /// Removes a second leg that was not sent and gives back what was paid for it.
-    fn close_unsent_leg(
+    /// Gives up a second leg that has no server, and gives back what was paid for it.
+    pub(super) fn drop_second_leg(
         &mut self,
         second: call::RequestNumber,
         obstacle: Obstacle,
         effects: &mut Vec<Effect>,
     ) {
         let Some(leg) = self.requests.remove(&second) else { return };
+        self.hedging.bucket(&leg.claim.service).refund();
         self.report_end(second, &leg, effects);
         self.budget.refund(&leg.claim.service, leg.prepaid_repeats);
-        if let Some(hedge) =
-            self.requests.get_mut(&first_leg(second)).and_then(|live| live.hedge.as_deref_mut())
-        {
-            hedge.is_open = false;
-        }
+        self.mark_hedge_closed(first_leg(second));
         log_obstacle(&leg, obstacle, effects);
     }
 
