Compute the quantile of recent times in one function

Cause: the times of plain work and those that hedges rest on had a nearest rank each. Behaviour is unchanged; what they keep, and for how long, still differs by purpose.

--- a/src/core/fleet/estimate.rs
+++ b/src/core/fleet/estimate.rs
@@ -10,6 +10,17 @@
     0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
 }
 
+/// Returns the duration that the share `quantile` of some durations do not exceed, by the nearest rank.
+pub fn nearest_rank(
+    durations: impl Iterator<Item = time::Duration>,
+    quantile: f64,
+) -> Option<time::Duration> {
+    let mut durations: Vec<_> = durations.collect();
+    let rank = (quantile * durations.len() as f64).ceil() as usize;
+    let index = rank.clamp(1, durations.len().max(1)) - 1;
+    (index < durations.len()).then(|| *durations.select_nth_unstable(index).1)
+}
+
 /// The mean of a duration and its mean deviation, both as exponential moving averages.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Estimate {
--- a/src/core/fleet/hedging/times.rs
+++ b/src/core/fleet/hedging/times.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time;
 
+use crate::core::fleet::estimate;
 use crate::core::ids;
 
 /// The time for which a request's time counts.
@@ -57,19 +58,15 @@
             return None;
         }
         let fresh = self.computed.filter(|(at, _)| now.saturating_sub(*at) < REFRESH_INTERVAL);
-        let delay = fresh.map_or_else(|| self.compute(quantile), |(_, delay)| delay);
+        let times = self.times.iter().map(|(_, elapsed)| *elapsed);
+        let delay = match fresh {
+            Some((_, delay)) => delay,
+            None => estimate::nearest_rank(times, quantile)?,
+        };
         if fresh.is_none() {
             self.computed = Some((now, delay));
         }
         let newest = self.times.back().map_or(now, |(at, _)| *at);
         Some(Basis { delay, quantile, sample, age: now.saturating_sub(newest) })
     }
-
-    /// Returns the quantile by the nearest rank.
-    fn compute(&self, quantile: f64) -> time::Duration {
-        let mut sorted: Vec<_> = self.times.iter().map(|(_, elapsed)| *elapsed).collect();
-        let rank = (quantile * sorted.len() as f64).ceil() as usize;
-        let index = rank.clamp(1, sorted.len()) - 1;
-        *sorted.select_nth_unstable(index).1
-    }
 }
--- a/src/core/fleet/work_times.rs
+++ b/src/core/fleet/work_times.rs
@@ -8,6 +8,7 @@
 
 use crate::core::collections;
 use crate::core::fleet::catalog;
+use crate::core::fleet::estimate;
 use crate::core::ids;
 
 /// The share of requests that take no longer than the quantile.
@@ -50,7 +51,9 @@
         {
             times.recent.pop_front();
         }
-        times.quantile = quantile(&times.recent);
+        let is_known = times.recent.len() >= MIN_TIMES;
+        let recent = times.recent.iter().map(|(_, elapsed)| *elapsed);
+        times.quantile = is_known.then(|| estimate::nearest_rank(recent, QUANTILE)).flatten();
     }
 
     /// Returns the time that most requests of a service do not exceed; `None` if too few are known.
@@ -59,14 +62,5 @@
     }
 }
 
-fn quantile(recent: &VecDeque<(ids::Timestamp, time::Duration)>) -> Option<time::Duration> {
-    if recent.len() < MIN_TIMES {
-        return None;
-    }
-    let mut times: Vec<_> = recent.iter().map(|(_, elapsed)| *elapsed).collect();
-    let rank = ((times.len() as f64 * QUANTILE).ceil() as usize).clamp(1, times.len()) - 1;
-    Some(*times.select_nth_unstable(rank).1)
-}
-
 #[cfg(test)]
 mod tests;
