Decide in one function whether a server may take a request in overload

Cause: placement, the estimate of waits and the check for room each joined the two conditions, of which one contains the other. Behaviour is unchanged.

--- a/src/core/fleet/overload.rs
+++ b/src/core/fleet/overload.rs
@@ -198,11 +198,8 @@
         self.servers.of_service(service).any(|server| {
             let is_plain = server.entry.stage.is_none();
             let is_full = server.load().requests >= server.max_requests();
-            let is_usable = server.is_usable(now)
-                || (is_plain
-                    && self.overloads.contains(service)
-                    && server.is_usable_in_overload(now));
-            is_usable && !(is_plain && is_full)
+            let accepts_partial_failures = is_plain && self.overloads.contains(service);
+            server.may_take(accepts_partial_failures, now) && !(is_plain && is_full)
         })
     }
 }
--- a/src/core/fleet/placement.rs
+++ b/src/core/fleet/placement.rs
@@ -112,9 +112,7 @@
     }
 
     fn admits(&self, server: &servers::Server) -> bool {
-        let is_usable = server.is_usable(self.now)
-            || (self.is_overload && server.is_usable_in_overload(self.now));
-        is_usable
+        server.may_take(self.is_overload, self.now)
             && !self.claim.tried.contains(&server.entry.id)
             && server.limit_wait(self.pacing, self.now).is_zero()
             && (!self.is_local || server.is_willing(self.now))
--- a/src/core/fleet/servers/partial_failure.rs
+++ b/src/core/fleet/servers/partial_failure.rs
@@ -17,9 +17,13 @@
 const ANSWER_VALIDITY: time::Duration = time::Duration::from_millis(1_500);
 
 impl servers::Server {
-    /// Returns whether the server may get requests that the usable servers cannot answer in time: it
-    /// is reachable, has answered recently, and answers more requests than it loses.
-    pub fn is_usable_in_overload(&self, now: ids::Timestamp) -> bool {
+    /// Returns whether the server may get a request. With `accepts_partial_failures`, one that the usable
+    /// servers cannot answer in time: the server may be ejected then, if it is reachable, has answered
+    /// recently, and answers more requests than it loses.
+    pub fn may_take(&self, accepts_partial_failures: bool, now: ids::Timestamp) -> bool {
+        if !accepts_partial_failures {
+            return self.is_usable(now);
+        }
         let has_answered_recently =
             self.last_answer.is_some_and(|at| now.saturating_sub(at) <= ANSWER_VALIDITY);
         let fails_partially = self.ejection == Some(servers::Evidence::Failed)
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -361,9 +361,10 @@
         now: ids::Timestamp,
     ) -> impl Iterator<Item = &'a servers::Server> {
         let accepts_partial_failures = self.accepts_partial_failures(claim);
-        let usable = self.servers.of_service(&claim.service).filter(move |server| {
-            server.is_usable(now) || (accepts_partial_failures && server.is_usable_in_overload(now))
-        });
+        let usable = self
+            .servers
+            .of_service(&claim.service)
+            .filter(move |server| server.may_take(accepts_partial_failures, now));
         usable.filter(|server| !claim.tried.contains(&server.entry.id))
     }
 
