--- a/src/core/fleet/overload.rs
+++ b/src/core/fleet/overload.rs
@@ -125,26 +125,19 @@
 
     /// Detects services that enter or leave overload by the requests that wait after a placement.
     pub(super) fn update_overloads(&mut self, now: ids::Timestamp, effects: &mut Vec<Effect>) {
-        let mut standing: Vec<&catalog::ServiceId> = Vec::new();
-        let mut first: Vec<(&catalog::ServiceId, Option<&quota::WorkspaceName>)> = Vec::new();
-        let mut contended: Vec<catalog::ServiceId> = Vec::new();
-        let claims =
-            self.waiting.iter().filter_map(|request| Some(&self.requests.get(request)?.claim));
-        let claims = claims.chain(self.claims.values().map(|remote| &remote.claim));
-        for claim in claims.filter(|claim| !claim.is_late(now)) {
-            let workspace = claim.workspace.as_ref();
-            match first.iter().find(|(service, _)| *service == &claim.service) {
-                None => {
-                    standing.push(&claim.service);
-                    first.push((&claim.service, workspace));
-                }
-                Some((_, other)) if *other != workspace && !contended.contains(&claim.service) => {
-                    contended.push(claim.service.clone());
-                }
-                Some(_) => {}
+        // Each service with its first workspace, and whether others wait, too.
+        let mut standing: Vec<(catalog::ServiceId, Option<quota::WorkspaceName>, bool)> =
+            Vec::new();
+        for (_, claim) in self.waiters().filter(|(_, claim)| !claim.is_late(now)) {
+            match standing.iter_mut().find(|(service, ..)| *service == claim.service) {
+                Some((_, first, is_contended)) => *is_contended |= *first != claim.workspace,
+                None => standing.push((claim.service.clone(), claim.workspace.clone(), false)),
             }
         }
-        let changed = self.overloads.update(&standing, now);
+        let services: Vec<_> = standing.iter().map(|(service, ..)| service).collect();
+        let changed = self.overloads.update(&services, now);
+        let contended = standing.into_iter().filter(|(.., is_contended)| *is_contended);
+        let contended: Vec<_> = contended.map(|(service, ..)| service).collect();
         self.overloads.note_contended(&contended);
         for service in changed {
             let in_time = self.waiters().map(|(_, claim)| claim);
