Show that a stopped instance drops the requests in its queue (case 2)

An instance that gets SIGTERM ends after 0.95 of the grace period and closes the connections of requests that still wait, without an answer.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,6 +12,7 @@
 mod store;
 mod world;
 
+mod leaving_queue;
 mod lost_capacity;
 
 use std::env;
@@ -38,6 +39,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(folder);
     let result = match name.as_str() {
+        "leaving-queue" => leaving_queue::run(folder, has_trouble),
         "lost-capacity" => lost_capacity::run(folder, has_trouble),
         _ => Err(format!("no case {name}").into()),
     };
