--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,6 +14,7 @@
 
 mod leaving_queue;
 mod lost_capacity;
+mod uploads;
 
 use std::env;
 use std::path::Path;
@@ -41,6 +42,7 @@
     let result = match name.as_str() {
         "leaving-queue" => leaving_queue::run(folder, has_trouble),
         "lost-capacity" => lost_capacity::run(folder, has_trouble),
+        "uploads" => uploads::run(folder, has_trouble),
         _ => Err(format!("no case {name}").into()),
     };
     match result {
