--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,6 +12,7 @@
 mod store;
 mod world;
 
+mod carriage_returns;
 mod leaving_queue;
 mod lost_capacity;
 mod uploads;
@@ -43,6 +44,7 @@
         "leaving-queue" => leaving_queue::run(folder, has_trouble),
         "lost-capacity" => lost_capacity::run(folder, has_trouble),
         "uploads" => uploads::run(folder, has_trouble),
+        "carriage-returns" => carriage_returns::run(folder, has_trouble),
         _ => Err(format!("no case {name}").into()),
     };
     match result {
