Report the departure of every caller that the fleet state still serves

Callers saw: after some resets of connections, nearly all streams were refused with 503 by all instances until a restart, while the engines were idle.

Cause: the task of a request kept its own copy of "the fleet state has ended this request" (has_ended). The relay set it whenever a stream was not resumed, also when its caller had closed the connection in the meantime. The fleet state then kept the request, its place in the queue or its reservation for good.

Change: the copy is gone. A task that ends always reports that nobody awaits the answer; the fleet state ignores that for requests that it has ended. New gauges requests_in_progress and caller_connections, which tell such requests from reservations that an owner keeps.

Ruled out: lost messages to the owner of a service (the fault shows with a single instance), ejected engines (plain requests were served, and the engines had no work), second legs of hedges (they end with their request). `serve` has no such copy: each way out of its tasks reports the departure.

Tests: both of tests/router/departures.rs fail before (a request stays in progress without a connection for 10 s, after a deadline of 3 s) and pass now; the other 30 tests of tests/router pass.

--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -6,11 +6,21 @@
 use crate::core::fleet::Fleet;
 use crate::core::fleet::catalog;
 use crate::core::fleet::constants;
+use crate::core::fleet::live;
 use crate::core::fleet::peers;
 use crate::core::fleet::quota;
 use crate::core::fleet::servers;
 use crate::core::ids;
 
+/// The requests in progress at this instance.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct InProgress {
+    /// Those that are at no server.
+    pub waiting: usize,
+    /// Those that are at a server.
+    pub at_servers: usize,
+}
+
 impl Fleet {
     /// Returns the version of the configuration in force; 0 if there is none.
     pub fn version(&self) -> u64 {
@@ -49,6 +59,14 @@
         self.requests.len()
     }
 
+    /// Returns the numbers of requests in progress.
+    pub fn in_progress(&self) -> InProgress {
+        let is_at_server =
+            |live: &&live::LiveRequest| matches!(live.phase, live::Phase::AtServer(_));
+        let at_servers = self.requests.values().filter(is_at_server).count();
+        InProgress { waiting: self.requests.len() - at_servers, at_servers }
+    }
+
     /// Returns the ids of all servers if some removals at `position` or later may be unknown.
     pub fn server_names_unless_removals_known(
         &self,
--- a/src/router.rs
+++ b/src/router.rs
@@ -118,5 +118,7 @@
     loop {
         interval.tick().await;
         context.apply(fleet::Event::Ticked);
+        let in_progress = context.read(|fleet| fleet.in_progress());
+        meters::record_in_progress(in_progress, context.caller_connections.get());
     }
 }
--- a/src/router/meters.rs
+++ b/src/router/meters.rs
@@ -1,6 +1,7 @@
 //! Metrics of this instance, derived from its logged decisions.
 
 use crate::core::fleet::decision;
+use crate::core::fleet::view;
 
 /// Renders all metrics.
 pub trait Exposition {
@@ -17,6 +18,15 @@
     metrics::gauge!("evacuated_requests", &labels).set(f64::from(requests));
 }
 
+/// Updates the gauges of requests in progress and of callers' connections. Requests that stay in
+/// progress without a connection have lost their callers.
+pub fn record_in_progress(in_progress: view::InProgress, connections: usize) {
+    let view::InProgress { waiting, at_servers } = in_progress;
+    metrics::gauge!("requests_in_progress", "phase" => "waiting").set(waiting as f64);
+    metrics::gauge!("requests_in_progress", "phase" => "at_server").set(at_servers as f64);
+    metrics::gauge!("caller_connections").set(connections as f64);
+}
+
 /// Updates the metrics that depend on a decision.
 pub fn record_decision(decision: &decision::Decision) {
     match decision {
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -35,20 +35,17 @@
 /// The HTTP response to a caller.
 pub type Response = http::Response<body::Body>;
 
-/// Closes a request's mailbox when dropped, and reports that the caller has disconnected unless the
-/// request has ended.
+/// Closes a request's mailbox when dropped, and reports that nobody awaits its answer any more. The
+/// fleet state alone knows whether the request has ended already, and ignores the report then.
 struct RequestGuard {
     context: rc::Rc<context::Context>,
     request: call::RequestNumber,
-    has_ended: bool,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.context.close_mailbox(self.request);
-        if !self.has_ended {
-            self.context.apply(fleet::Event::CallerDisconnected { request: self.request });
-        }
+        self.context.apply(fleet::Event::CallerDisconnected { request: self.request });
     }
 }
 
@@ -88,7 +85,7 @@
         &body,
     ]));
     let (request, mailbox) = context.open_mailbox();
-    let guard = RequestGuard { context: rc::Rc::clone(&context), request, has_ended: false };
+    let guard = RequestGuard { context: rc::Rc::clone(&context), request };
     let task = Task {
         guard,
         mailbox,
@@ -198,8 +195,7 @@
         exchange::log_too_long(&self.guard.context, &self.call, server, part, limit_bytes);
     }
 
-    fn refuse(mut self, refusal: refusal::Refusal) -> Response {
-        self.guard.has_ended = true;
+    fn refuse(self, refusal: refusal::Refusal) -> Response {
         self.guard.context.dialect.write_refusal(refusal)
     }
 
@@ -211,20 +207,16 @@
             .take()
             .filter(|failed| !exchange::NOT_RUN_STATUSES.contains(&failed.status().as_u16()));
         match failed {
-            Some(response) => {
-                self.guard.has_ended = true;
-                self.to_caller_response(response)
-            }
+            Some(response) => self.to_caller_response(response),
             None => self.refuse(refusal::Refusal::new(refusal::Reason::OutcomeUnknown)),
         }
     }
 
-    fn finish(mut self, response: http::Response<Bytes>) -> Response {
+    fn finish(self, response: http::Response<Bytes>) -> Response {
         let status = response.status().as_u16();
         let is_end_marked =
             exchange::framing(response.headers()) != decision::Framing::ConnectionClose;
         self.report_outcome(fleet::Outcome::Finished { status, is_end_marked });
-        self.guard.has_ended = true;
         self.to_caller_response(response)
     }
 
@@ -262,7 +254,7 @@
                 decision::StreamEnd::Finished => {
                     return self.finish_stream(200, framing, &chunks).await;
                 }
-                // Dropping the task reports that the caller has disconnected.
+                // Dropping the guard reports that the caller has disconnected.
                 decision::StreamEnd::CallerDisconnected => return,
                 decision::StreamEnd::Expired => self.report_expired(),
                 decision::StreamEnd::Interrupted | decision::StreamEnd::InsideEvent => {
@@ -272,7 +264,6 @@
             }
             stream = self.next_stream(&chunks).await;
         }
-        self.guard.has_ended = true;
         tokio::time::sleep(FLUSH_PAUSE).await;
     }
 
@@ -284,7 +275,6 @@
     ) {
         let is_end_marked = framing != decision::Framing::ConnectionClose;
         self.report_outcome(fleet::Outcome::Finished { status, is_end_marked });
-        self.guard.has_ended = true;
         if chunks.send(body::Chunk::End).await.is_err() {
             log::debug!("the caller disconnected before the end of its stream was sent");
         }
@@ -306,7 +296,8 @@
         });
     }
 
-    /// Waits until the stream is resumed at another server; returns `None` if it is not.
+    /// Waits until the stream is resumed at another server; returns `None` if it is not, or if the
+    /// caller disconnects.
     async fn next_stream(
         &mut self,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
@@ -363,7 +354,6 @@
             }
             decision::StreamEnd::Endless => self.report_outcome(fleet::Outcome::Endless),
         }
-        self.guard.has_ended = true;
     }
 
     async fn relay_body(
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -22,12 +22,16 @@
 use tokio::io::AsyncWriteExt as _;
 
 mod broken_streams;
+mod departures;
 mod endless_answers;
 mod hedging;
 mod shutdown;
 
 const KEY: &str = "the-key";
 
+/// The number of requests that a server runs at a time.
+const SLOTS: u32 = 4;
+
 struct NoMetrics;
 
 impl meters::Exposition for NoMetrics {
@@ -121,7 +125,7 @@
         service: "service".into(),
         address,
         domain: "a".to_string(),
-        slots: 4,
+        slots: SLOTS,
         is_draining: false,
         stage: None,
         cold_ms: 0,
