Bound what waits at a stopping instance by when it can end, and answer the rest

Callers saw: requests that waited at an instance which got SIGTERM had their connections closed without an answer when its process ended, with seconds of their deadlines left.

Cause: streams that might not end before the process does were refused when they arrived, but those that had arrived before could wait for longer than the whole drain (eight times their objective). Plain requests had no bound at all, and nothing answered what was left at the end of the drain.

Change: core/fleet/shutdown.rs. A shutdown has a time until which streams are sent to servers and one at which the last answers are given. The latest time to send a request follows from them and bounds arrivals and, through the claim's begin_by, what waits here or at the owner of the service. Requests that another instance can still serve are refused as leaving (Retry-After 10 ms), others as no_capacity. At 0.94 of the grace period each request without an answer gets 503, or 502 if it may have run. The waits of the drain follow the clock that counts suspended time.

Ruled out: responses that were not written (the process reported 8 requests in progress), lost messages of the owner (shown with a single instance). `serve` refuses settings whose drain is shorter than a request.

Tests, on the code before: 54 streams are sent after the bound by a single instance and a plain request runs that would outlast the process (tests/fleet/shutdown.rs); the callers of a waiting stream and of a request at a slow server have no response when the drain is over (tests/router/shutdown.rs). All pass now.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -42,6 +42,7 @@
 pub mod server_limits;
 pub mod server_load;
 pub mod servers;
+pub mod shutdown;
 pub mod streams;
 pub mod view;
 pub mod work_times;
@@ -254,10 +255,7 @@
         quota_window: time::Duration,
     },
     /// This instance shuts down.
-    ShutdownStarted {
-        /// The time from which streams are refused, as they might not end before the process does.
-        streams_until: ids::Timestamp,
-    },
+    ShutdownStarted(shutdown::Shutdown),
     /// A periodic tick; timeouts are checked on it.
     Ticked,
 }
@@ -410,8 +408,7 @@
     reads_store: bool,
     sequence: u64,
     last_tick: ids::Timestamp,
-    is_shutting_down: bool,
-    streams_until: ids::Timestamp,
+    shutdown: Option<shutdown::Shutdown>,
     rng: rand_chacha::ChaCha8Rng,
 }
 
@@ -458,8 +455,7 @@
             reads_store: false,
             sequence: 0,
             last_tick: ids::Timestamp::ZERO,
-            is_shutting_down: false,
-            streams_until: ids::Timestamp::MAX,
+            shutdown: None,
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(options.seed),
         }
     }
@@ -526,11 +522,8 @@
                 self.budget.set_bounds(retries);
                 self.quotas.set_window(quota_window);
             }
-            Event::ShutdownStarted { streams_until } => {
-                self.is_shutting_down = true;
-                self.streams_until = streams_until;
-                self.update_coordinator_role(now, &mut effects);
-                effects.push(Effect::AnnounceChange);
+            Event::ShutdownStarted(shutdown) => {
+                self.start_shutdown(shutdown, now, &mut effects);
             }
             Event::Ticked => self.tick(now, &mut effects),
         }
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -19,6 +19,7 @@
 use crate::core::fleet::hedging;
 use crate::core::fleet::live;
 use crate::core::fleet::refusal;
+use crate::core::fleet::shutdown;
 use crate::core::fleet::waiting;
 use crate::core::ids;
 
@@ -83,10 +84,6 @@
             .route(&call.host, &call.path)
             .cloned()
             .ok_or_else(|| refuse(refusal::Reason::NoRoute))?;
-        if route.is_stream && now >= self.streams_until {
-            let reason = refusal::Reason::Leaving;
-            return Err(refusal::Refusal::retry_after(reason, constants::SHUTDOWN_RETRY_AFTER));
-        }
         let workspace = if catalog.has_keys() && !route.is_open {
             let key = call.key.as_ref().ok_or_else(|| refuse(refusal::Reason::UnknownKey))?;
             let digest = catalog::key_digest(key);
@@ -97,10 +94,12 @@
         };
         let service =
             self.choose_service(&route).ok_or_else(|| refuse(refusal::Reason::NoRoute))?;
+        let latest_send = self.latest_send(&route, &service);
+        if now >= latest_send {
+            return Err(shutdown::leaving());
+        }
         let time_allowed = call.deadline.unwrap_or(route.timeout).min(route.timeout);
         let expires = now + time_allowed.saturating_sub(constants::ANSWER_MARGIN);
-        let begin_by =
-            if route.is_stream { expires.min(now + route.first_event_timeout) } else { expires };
         let engine = catalog.engine(&service);
         let tokens = call.tokens.unwrap_or_default();
         let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
@@ -116,7 +115,7 @@
                 priority: priority.unwrap_or(route.priority),
                 arrived: now,
                 objective_at: now + route.objective,
-                begin_by,
+                begin_by: route.begin_by(now, expires).min(latest_send),
                 tried: Vec::new(),
                 domain: self.domain.clone(),
                 binding: claim::Binding::Any,
--- a/src/core/fleet/broker.rs
+++ b/src/core/fleet/broker.rs
@@ -18,7 +18,6 @@
 use crate::core::fleet::message;
 use crate::core::fleet::placement;
 use crate::core::fleet::quota;
-use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
 use crate::core::fleet::waiting;
 use crate::core::ids;
@@ -300,9 +299,10 @@
                 if self.refuse_if_evacuated(request, now, effects) {
                     return;
                 }
+                let Some(live) = self.requests.get(&request) else { return };
                 let wait = time::Duration::from_millis(retry_after_ms);
-                let reason = refusal::Reason::NoCapacity;
-                self.refuse(request, refusal::Refusal::retry_after(reason, wait), now, effects);
+                let refusal = self.no_capacity(live, wait, now);
+                self.refuse(request, refusal, now, effects);
             }
             message::Message::ServerLimits(limits) => {
                 self.receive_limits(&limits, now, effects);
--- a/src/core/fleet/catalog.rs
+++ b/src/core/fleet/catalog.rs
@@ -50,6 +50,13 @@
     pub is_open: bool,
 }
 
+impl Route {
+    /// Returns the time by which the caller of a request awaits the beginning of the answer.
+    pub fn begin_by(&self, arrived: ids::Timestamp, expires: ids::Timestamp) -> ids::Timestamp {
+        if self.is_stream { expires.min(arrived + self.first_event_timeout) } else { expires }
+    }
+}
+
 /// The capacity of the engines of a service.
 #[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct EngineShape {
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -207,6 +207,11 @@
         self.route.repeat == catalog::Repeat::Idempotent
     }
 
+    /// Returns the time by which its caller awaits the beginning of its answer.
+    pub fn begin_by(&self) -> ids::Timestamp {
+        self.route.begin_by(self.arrived, self.expires)
+    }
+
     /// Returns whether its answer is a stream that may be resumed.
     pub fn is_resumable(&self) -> bool {
         self.route.is_stream && self.is_idempotent()
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -18,6 +18,7 @@
 use crate::core::fleet::placement;
 use crate::core::fleet::refusal;
 use crate::core::fleet::servers;
+use crate::core::fleet::shutdown;
 use crate::core::fleet::waiting;
 use crate::core::ids;
 
@@ -577,13 +578,17 @@
         let Some(live) = self.requests.get(&request) else { return };
         let is_at_server =
             matches!(&live.phase, live::Phase::AtServer(at) if at.step != Step::Prefill);
+        let is_cut_short = self.ends_before(live, now);
         if !is_at_server && !live.may_have_run {
             let reason = refusal::Reason::NoCapacity;
             let wait = constants::MIN_RETRY_AFTER;
-            let refusal = refusal::Refusal::retry_after(reason, wait);
+            let no_capacity = || refusal::Refusal::retry_after(reason, wait);
+            let refusal = if is_cut_short { shutdown::leaving() } else { no_capacity() };
             return self.refuse(request, refusal, now, effects);
         }
-        let refusal = refusal::Refusal::new(refusal::Reason::TimedOut);
+        let reason =
+            if is_cut_short { refusal::Reason::OutcomeUnknown } else { refusal::Reason::TimedOut };
+        let refusal = refusal::Refusal::new(reason);
         self.release_unused_kv_cache(request, now, effects);
         if let Some(live) = self.requests.get_mut(&request) {
             live.may_have_run = true;
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -51,7 +51,7 @@
 
     /// Returns whether callers may be sent to this instance.
     pub fn is_ready(&self) -> bool {
-        self.catalog.is_some() && !self.is_shutting_down
+        self.catalog.is_some() && self.shutdown.is_none()
     }
 
     /// Returns the number of requests in progress.
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -136,12 +136,12 @@
         }
         let Some(live) = self.requests.get(&request) else { return };
         let max_wait = live.expires.saturating_sub(now) / 3;
-        let reason = if self.has_generator(&live.claim, now) {
-            refusal::Reason::NoCapacity
+        let wait = wait.min(max_wait);
+        let refusal = if self.has_generator(&live.claim, now) {
+            self.no_capacity(live, wait, now)
         } else {
-            refusal::Reason::NotResumable
+            refusal::Refusal::retry_after(refusal::Reason::NotResumable, wait)
         };
-        let refusal = refusal::Refusal::retry_after(reason, wait.min(max_wait));
         self.refuse(request, refusal, now, effects);
     }
 
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -73,6 +73,8 @@
     pub stopping: tokio::sync::watch::Sender<bool>,
     /// Whether this instance takes no requests any more; connections end after the one in progress.
     pub closing: tokio::sync::watch::Sender<bool>,
+    /// Whether this instance ends: requests without an answer get their final one.
+    pub ending: tokio::sync::watch::Sender<bool>,
     /// The number of open connections of callers.
     pub caller_connections: cell::Cell<usize>,
     /// When the store's servers were last read, by this instance or by a peer that it asked.
@@ -106,6 +108,7 @@
             origin_lookup: tokio::sync::Notify::new(),
             stopping: tokio::sync::watch::Sender::new(false),
             closing: tokio::sync::watch::Sender::new(false),
+            ending: tokio::sync::watch::Sender::new(false),
             caller_connections: cell::Cell::new(0),
             store_read_at: cell::Cell::new(None),
             servers_end: cell::Cell::new(0),
@@ -121,6 +124,12 @@
         self.clock.now()
     }
 
+    /// Waits until this instance ends.
+    pub async fn wait_for_end(&self) {
+        // The sender lives as long as this state.
+        let _ = self.ending.subscribe().wait_for(|is_ending| *is_ending).await;
+    }
+
     /// Assigns a request its number and creates its mailbox.
     pub fn open_mailbox(&self) -> (call::RequestNumber, Mailbox) {
         let request = self.next_request.get();
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -133,16 +133,21 @@
         }
     }
 
-    /// Waits for the next command other than `Admit`, whose values it stores; reports when the
-    /// request's deadline has passed.
+    /// Waits for the next command other than `Admit`, whose values it stores; reports when the time
+    /// for an answer has passed.
     async fn next_command(&mut self) -> Option<context::Command> {
+        let mut has_expired = false;
         loop {
-            let remaining = self.remaining();
-            let Ok(command) = tokio::time::timeout(remaining, self.mailbox.recv()).await else {
-                self.report_expired();
-                // Reporting the expiry put the final command into the mailbox.
-                self.expires = ids::Timestamp::MAX;
-                continue;
+            let expiry = expiry(rc::Rc::clone(&self.guard.context), self.expires);
+            let command = tokio::select! {
+                biased;
+                command = self.mailbox.recv() => command,
+                () = expiry, if !has_expired => {
+                    // Reporting the expiry puts the final command into the mailbox.
+                    self.report_expired();
+                    has_expired = true;
+                    continue;
+                }
             };
             if let Some(context::Command::Admit { expires, is_stream }) = command {
                 self.expires = expires;
@@ -172,8 +177,17 @@
     }
 
     /// Sends the request to a server, and to a second one if that is due; returns `None` if the
-    /// request's deadline passes first.
+    /// request's deadline passes or this instance ends first.
     async fn attempt(&mut self, dispatch: &fleet::Dispatch) -> Option<exchange::Attempt> {
+        let context = rc::Rc::clone(&self.guard.context);
+        tokio::select! {
+            biased;
+            result = self.exchange(dispatch) => result,
+            () = context.wait_for_end() => None,
+        }
+    }
+
+    async fn exchange(&mut self, dispatch: &fleet::Dispatch) -> Option<exchange::Attempt> {
         let exchange = exchange::Exchange {
             context: &self.guard.context,
             number: self.leg,
@@ -471,3 +485,11 @@
         }
     }
 }
+
+/// Waits until the deadline of a request has passed or this instance ends.
+async fn expiry(context: rc::Rc<context::Context>, expires: ids::Timestamp) {
+    tokio::select! {
+        () = tokio::time::sleep(expires.saturating_sub(context.now())) => {}
+        () = context.wait_for_end() => {}
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod retry_budget;
 mod server_limits;
 mod server_load;
+mod shutdown;
 mod versions;
 mod world;
 
@@ -296,24 +297,6 @@
     assert!(refused.count() > 0, "rejected requests are not retried");
 }
 
-#[test]
-fn an_instance_that_shuts_down_refuses_streams_that_would_outlast_it() {
-    let mut world = World::new(2, FAST_DIGESTS, &world::servers());
-    let streams_until = world.now + ms(2_800);
-    world.leave(0, streams_until);
-    world.arrive(ms(2_000), 0, "stream", Some(world::PROMPT));
-    world.arrive(ms(3_000), 0, "stream", Some(world::PROMPT));
-    world.arrive(ms(3_000), 0, "query", None);
-    world.run(ms(12_000));
-    let mut records: Vec<_> = world.records.values().collect();
-    records.sort_by_key(|record| (record.arrived, record.host));
-    let finished: Vec<_> = records.iter().map(|record| record.finished).collect();
-    assert_eq!(finished, [true, true, false], "the first stream, the query, the second stream");
-    let refusal = records[2].refused.expect("it is refused");
-    assert_eq!(refusal.reason, refusal::Reason::Leaving);
-    assert!(refusal.retry_after.is_some_and(|wait| wait < ms(100)));
-}
-
 #[test]
 fn an_invalid_request_is_logged_with_its_id() {
     let mut instance = world::new_fleet(0, world::address(1_000));
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -30,6 +30,7 @@
 use galenayard::core::fleet::server_limits;
 use galenayard::core::fleet::server_load;
 use galenayard::core::fleet::servers;
+use galenayard::core::fleet::shutdown;
 use galenayard::core::fleet::streams;
 use galenayard::core::ids;
 
@@ -450,8 +451,8 @@
     }
 
     /// Starts the shutdown of an instance.
-    pub fn leave(&mut self, instance: usize, streams_until: Duration) {
-        self.apply(instance, fleet::Event::ShutdownStarted { streams_until });
+    pub fn leave(&mut self, instance: usize, shutdown: shutdown::Shutdown) {
+        self.apply(instance, fleet::Event::ShutdownStarted(shutdown));
     }
 
     /// Applies an event at every instance.
--- a/tests/router/departures.rs
+++ b/tests/router/departures.rs
@@ -11,14 +11,11 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::sync::watch;
 
+use super::FIRST_EVENT;
 use super::request;
 use super::run;
 use super::start;
 
-const FIRST_EVENT: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
-    Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
-    f\r\nid: 1\ndata: a\n\n\r\n";
-
 /// Far longer than the deadline of a request: what is left then is left for good.
 const PATIENCE: Duration = Duration::from_secs(10);
 
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -32,6 +32,11 @@
 /// The number of requests that a server runs at a time.
 const SLOTS: u32 = 4;
 
+/// The beginning of a stream.
+const FIRST_EVENT: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
+    Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+    f\r\nid: 1\ndata: a\n\n\r\n";
+
 struct NoMetrics;
 
 impl meters::Exposition for NoMetrics {
--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -4,14 +4,17 @@
 use std::rc;
 use std::time::Duration;
 
+use galenayard::core::fleet::view;
 use galenayard::router::context;
 use galenayard::router::stop;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
 use super::COMPLETE_RESPONSE;
+use super::FIRST_EVENT;
 use super::request;
 use super::run;
+use super::send_owned;
 use super::start;
 
 /// How long the server takes for an answer.
@@ -66,6 +69,68 @@
     });
 }
 
+/// Starts a server that begins a stream for each request, or stays silent, and never ends either.
+async fn endless_server(begin: &'static [u8]) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await;
+                let _ = stream.write_all(begin).await;
+                while matches!(stream.read(&mut request).await, Ok(1..)) {}
+            });
+        }
+    });
+    address
+}
+
+/// Sends requests to an instance with one server until one of them is where `is_there` says, stops
+/// the instance, and returns the response that the caller of that one has by then, if any.
+async fn response_at_the_end<C>(begin: &'static [u8], route: &str, is_there: C) -> Option<String>
+where
+    C: Fn(view::InProgress) -> bool,
+{
+    let (callers, context) = start(&[endless_server(begin).await]).await;
+    let mut sent = Vec::new();
+    while !is_there(context.read(|fleet| fleet.in_progress())) {
+        sent.push(tokio::task::spawn_local(send_owned(callers, request(route))));
+        while context.read(|fleet| fleet.request_count()) < sent.len() {
+            tokio::task::yield_now().await;
+        }
+    }
+    stop::drain(&context, GRACE).await;
+    let last = sent.pop().filter(tokio::task::JoinHandle::is_finished)?;
+    Some(last.await.expect("the response is read"))
+}
+
+/// Before the fix the process ended while the request waited, without an answer to it.
+#[test]
+fn a_stream_that_waits_when_the_instance_stops_is_refused_in_time() {
+    run(async {
+        let is_there = |it: view::InProgress| it.waiting > 0;
+        let response = response_at_the_end(FIRST_EVENT, "stream", is_there).await;
+        let response = response.expect("the caller has a response");
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(
+            response.contains("retry-after: 0.01"),
+            "another instance can serve it: {response}"
+        );
+    });
+}
+
+/// Before the fix the process ended while the server was at work, without an answer to its caller.
+#[test]
+fn a_request_whose_server_outlasts_the_stop_gets_an_answer() {
+    run(async {
+        let is_there = |it: view::InProgress| it.at_servers > 0;
+        let response = response_at_the_end(b"", "order", is_there).await;
+        let response = response.expect("the caller has a response");
+        assert!(response.starts_with("HTTP/1.1 502"), "it may have run: {response}");
+    });
+}
+
 /// Starts an instance before a slow server, and connects to it without a request.
 async fn connect_to_instance() -> (tokio::net::TcpStream, rc::Rc<context::Context>) {
     let (callers, context) = start(&[slow_server().await]).await;
