Drop a needless return in the relay of long answers

Cause: since the task's flag is gone, a match at the end of relay_bytes ends with a return that clippy rejects. Change: arms without return; no change of behaviour. clippy passes.

--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -358,10 +358,9 @@
         let end = self.relay_body(stream, &chunks).await;
         self.log_stream_end(&server, framing, end);
         match end {
-            decision::StreamEnd::Finished => {
-                return self.finish_stream(status, framing, &chunks).await;
-            }
-            decision::StreamEnd::CallerDisconnected => return,
+            decision::StreamEnd::Finished => self.finish_stream(status, framing, &chunks).await,
+            // Dropping the guard reports that the caller has disconnected.
+            decision::StreamEnd::CallerDisconnected => {}
             decision::StreamEnd::Expired => self.report_expired(),
             decision::StreamEnd::Interrupted | decision::StreamEnd::InsideEvent => {
                 self.report_outcome(fleet::Outcome::Truncated);
