Name the software versions of each service in the store, for streams after a total loss

Cause: a stream of unknown origin was taken for one of the only version that is listed. An instance that has just started concluded that from the present list, also when the servers had been replaced during the loss or just before it, as streams of a single version leave no record. An instance that was cut off with others concluded it from an outdated list.

Change: core/fleet/versions.rs and the topic keyed.software-versions. The first coordinator keeps the versions of each service at which a running stream may have begun, and appends each change at the offset that it has read (At), so that a late write replaces nothing newer. Lookups read it with the origins; a stream of unknown origin goes on only if record, list and own observation name a single version. Without a reader of the store an instance needs more than half of the known instances. Lookups of a single version that did not change go on as before.

--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -111,9 +111,13 @@
                 self.read(&topic, from.unwrap_or(0), wait.unwrap_or(0)).await
             }
             "/-/log-append" => {
+                let at = http::parameter(&request, "At").and_then(|it| it.parse::<usize>().ok());
                 let Ok(body) = request.into_body().collect().await else {
                     return http::response(400, "");
                 };
+                if at.is_some_and(|at| at != self.end(&topic)) {
+                    return http::response(412, "{}");
+                }
                 self.append(&topic, &body.to_bytes());
                 http::response(200, "{}")
             }
@@ -121,6 +125,11 @@
         }
     }
 
+    /// Returns the offset of the next record of a topic.
+    fn end(&self, topic: &str) -> usize {
+        self.topics.borrow().get(topic).map_or(0, |topic| topic.records.len())
+    }
+
     fn append(&self, topic: &str, mut body: &[u8]) {
         let mut topics = self.topics.borrow_mut();
         let records = &mut topics.entry(topic.to_string()).or_default().records;
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -44,6 +44,7 @@
 pub mod servers;
 pub mod shutdown;
 pub mod streams;
+pub mod versions;
 pub mod view;
 pub mod work_times;
 
@@ -245,7 +246,9 @@
         /// The state of the store from which the changes were read.
         source: servers::Source,
     },
-    /// All origins of streams in the store were read.
+    /// The software versions of services in the store were read, or written.
+    SoftwareVersionsRead(Vec<versions::ServiceVersions>),
+    /// All origins of streams in the store were read, after the software versions.
     StreamOriginsRead(Vec<streams::Origin>),
     /// The settings were reloaded.
     SettingsChanged {
@@ -322,8 +325,10 @@
         /// The address of the server.
         address: net::SocketAddr,
     },
-    /// Read the origins of streams in the store.
+    /// Read the software versions of services and the origins of streams in the store.
     ReadStreamOrigins,
+    /// Write the software versions of services to the store.
+    StoreVersions,
     /// Send peers the changed load with the next digest that is due.
     PublishLoad,
     /// Send peers a change that affects all instances immediately.
@@ -369,6 +374,7 @@
     servers: servers::Directory,
     kept: kept::KeptPrompts,
     origins: streams::Origins,
+    stored_versions: versions::StoredVersions,
     containment: containment::Containment,
     evacuation: evacuation::Operation,
     /// Whether engines may hold prompts that this instance does not know of.
@@ -424,6 +430,7 @@
             servers,
             kept: kept::KeptPrompts::default(),
             origins: streams::Origins::default(),
+            stored_versions: versions::StoredVersions::default(),
             containment: containment::Containment::default(),
             evacuation: evacuation::Operation::default(),
             has_unlisted_prompts: !options.is_first_start,
@@ -515,6 +522,7 @@
             Event::EvacuationsRead { changes, complete, source } => {
                 self.read_evacuations(&changes, complete, source, now, &mut effects);
             }
+            Event::SoftwareVersionsRead(stored) => self.read_versions(&stored, now),
             Event::StreamOriginsRead(origins) => {
                 self.apply_stored_origins(origins, now, &mut effects);
             }
@@ -608,6 +616,7 @@
         self.report_cold(now, effects);
         self.list_prompts(now, effects);
         self.announce_origins(now, effects);
+        self.store_versions(now, effects);
         self.place_waiting(now, effects);
     }
 
--- a/src/core/fleet/catalog.rs
+++ b/src/core/fleet/catalog.rs
@@ -51,6 +51,11 @@
 }
 
 impl Route {
+    /// Returns whether its answers are streams that may be resumed.
+    pub fn is_resumable(&self) -> bool {
+        self.is_stream && self.repeat == Repeat::Idempotent
+    }
+
     /// Returns the time by which the caller of a request awaits the beginning of the answer.
     pub fn begin_by(&self, arrived: ids::Timestamp, expires: ids::Timestamp) -> ids::Timestamp {
         if self.is_stream { expires.min(arrived + self.first_event_timeout) } else { expires }
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -214,7 +214,7 @@
 
     /// Returns whether its answer is a stream that may be resumed.
     pub fn is_resumable(&self) -> bool {
-        self.route.is_stream && self.is_idempotent()
+        self.route.is_resumable()
     }
 
     /// Returns its features that others may share, which tell requests that crash servers from sound
--- a/src/core/fleet/resumption.rs
+++ b/src/core/fleet/resumption.rs
@@ -4,7 +4,8 @@
 //! While a service runs several versions, the instance that relays the first event of a resumable
 //! stream sends its origin to the coordinators, and one of these writes it to the store. An instance
 //! that does not know the origin of a stream asks both. A stream of unknown origin is resumed only if
-//! its service has run a single version recently.
+//! its service has run a single version recently. The store names the versions that served before this
+//! instance started (`versions`).
 
 use std::net;
 use std::time;
@@ -247,11 +248,7 @@
         let Some(live) = self.requests.get(&request) else { return };
         let live::Phase::AwaitingOrigin(awaiting) = live.phase else { return };
         let (service, stream) = (live.claim.service.clone(), live.stream_key());
-        // An instance that has just started knows former versions from the store only, and an isolated
-        // one does not learn of new ones.
-        let knows_versions =
-            awaiting.is_store_read || (now >= streams::RETENTION && !self.is_isolated(now));
-        let version = self.single_version(&service, now).filter(|_| knows_versions);
+        let version = self.single_version(&service, awaiting, now);
         let Some(software_version) = version else {
             let source = OriginSource::Unknown;
             return self.finish_lookup(request, None, source, now, effects);
@@ -309,24 +306,30 @@
         true
     }
 
-    /// Returns the software version of a service if it has run no other one recently, as far as this
-    /// instance knows.
+    /// Returns the software version of a service if it has certainly run no other one recently.
     fn single_version(
         &self,
         service: &catalog::ServiceId,
+        awaiting: live::AwaitingOrigin,
         now: ids::Timestamp,
     ) -> Option<servers::SoftwareVersion> {
+        // An instance that has just started knows former versions from the store only.
+        let is_named = awaiting.is_store_read && self.stored_versions.has_service(service);
+        let has_observed = now >= streams::RETENTION && !self.may_miss_changes(now);
         let mut listed = self.servers.of_service(service);
-        if listed.any(|server| server.entry.software_version.is_none()) {
+        let lacks_version = listed.any(|server| server.entry.software_version.is_none());
+        if lacks_version || !(is_named || has_observed) {
             return None;
         }
-        let mut versions = self.recent_versions(service, now);
+        let stored = self.stored_versions.of_service(service).filter(|_| awaiting.is_store_read);
+        let read_before = self.stored_versions.recent(service, now);
+        let mut versions = self.recent_versions(service, now).chain(read_before).chain(stored);
         let first = versions.next()?.clone();
         versions.all(|version| *version == first).then_some(first)
     }
 
     /// Returns the versions of a service that serve or have served recently; some more than once.
-    fn recent_versions(
+    pub(super) fn recent_versions(
         &self,
         service: &catalog::ServiceId,
         now: ids::Timestamp,
--- a/src/core/fleet/servers.rs
+++ b/src/core/fleet/servers.rs
@@ -489,6 +489,11 @@
         listed.chain(self.former_versions.of_service(service, now))
     }
 
+    /// Returns whether the whole fleet starts for the first time.
+    pub fn is_first_start(&self) -> bool {
+        self.is_first_start
+    }
+
     /// Returns whether a server is listed whose software version is not known, although peers have had
     /// the time to send it.
     pub fn lacks_versions(&self, now: ids::Timestamp) -> bool {
--- a/src/core/fleet/view.rs
+++ b/src/core/fleet/view.rs
@@ -134,10 +134,12 @@
         self.peers.newest_version(now)
     }
 
-    /// Returns whether this instance reaches neither the store nor any of its known peers.
-    pub(super) fn is_isolated(&self, now: ids::Timestamp) -> bool {
-        let has_peers = self.peers.known().next().is_some();
-        !self.reads_store && has_peers && self.peers.live(now).next().is_none()
+    /// Returns whether servers may have changed unnoticed: neither this instance nor a coordinator that
+    /// it reaches reads the store, and the instances that it does not reach may be as many as the others.
+    pub(super) fn may_miss_changes(&self, now: ids::Timestamp) -> bool {
+        let known = self.peers.known().count() + 1;
+        let reached = self.peers.live(now).count() + 1;
+        !self.reads_store && !self.peers.has_store_reader(now) && reached * 2 <= known
     }
 
     /// Sets whether this instance can read the store; its digests report this.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,6 +13,7 @@
 pub mod quarantines;
 pub mod settings;
 pub mod store;
+pub mod versions;
 pub mod watch;
 
 use crate::router;
--- a/src/platform/origins.rs
+++ b/src/platform/origins.rs
@@ -8,6 +8,7 @@
 use crate::core::fleet::streams;
 use crate::core::ids;
 use crate::platform::store;
+use crate::platform::versions;
 use crate::platform::watch;
 use crate::router::context;
 
@@ -17,6 +18,7 @@
 /// Starts the tasks that write and read origins.
 pub fn start<F: Fn() -> store::Store>(new_store: F, context: &rc::Rc<context::Context>) {
     tokio::task::spawn_local(write(new_store(), rc::Rc::clone(context)));
+    tokio::task::spawn_local(versions::write(new_store(), rc::Rc::clone(context)));
     tokio::task::spawn_local(answer_lookups(new_store(), rc::Rc::clone(context)));
 }
 
@@ -52,14 +54,24 @@
     let mut reader = Reader { store, next: 0, era: None };
     loop {
         context.origin_lookup.notified().await;
-        match reader.read().await {
-            Ok(origins) => context.apply(fleet::Event::StreamOriginsRead(origins)),
+        if let Err(failure) = answer_lookup(&mut reader, &context).await {
             // The fleet state asks again while a request waits.
-            Err(failure) => log::warn!("cannot read the origins of streams: {failure}"),
+            log::warn!("cannot read the origins of streams: {failure}");
         }
     }
 }
 
+async fn answer_lookup(
+    reader: &mut Reader,
+    context: &context::Context,
+) -> Result<(), store::StoreError> {
+    let (stored, _) = versions::read(&mut reader.store).await?;
+    let origins = reader.read().await?;
+    context.apply(fleet::Event::SoftwareVersionsRead(stored));
+    context.apply(fleet::Event::StreamOriginsRead(origins));
+    Ok(())
+}
+
 struct Reader {
     store: store::Store,
     /// The offset of the next record.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -196,6 +196,32 @@
     ///
     /// Fails if the store does not confirm the append; the record may have been appended.
     pub async fn append(&mut self, topic: &str, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        self.append_record(topic, key, value, String::new()).await
+    }
+
+    /// Appends a record if the topic ends at an offset, so that it certainly follows the records that
+    /// were read before. That holds also if the store carries the call out late.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not confirm the append; the record may have been appended.
+    pub async fn append_at(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        end: ids::Offset,
+    ) -> Result<(), StoreError> {
+        self.append_record(topic, key, value, format!("&At={end}")).await
+    }
+
+    async fn append_record(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        condition: String,
+    ) -> Result<(), StoreError> {
         let key_length =
             u8::try_from(key.len()).map_err(|_| StoreError::Unreadable("key too long"))?;
         let length = u32::try_from(1 + key.len() + value.len())
@@ -205,7 +231,7 @@
         record.put_u8(key_length);
         record.put_slice(key.as_bytes());
         record.put_slice(value);
-        let path = format!("/-/log-append?Topic={topic}&part=0");
+        let path = format!("/-/log-append?Topic={topic}&part=0{condition}");
         self.call(http::Method::POST, &path, record.freeze(), TIMEOUT).await?;
         Ok(())
     }
--- a/src/router/context.rs
+++ b/src/router/context.rs
@@ -67,6 +67,8 @@
     load_change: tokio::sync::Notify,
     /// Notified of a change that peers should receive immediately.
     urgent_change: tokio::sync::Notify,
+    /// Notified when the software versions of services are to be written to the store.
+    pub version_change: tokio::sync::Notify,
     /// Notified when the origins of streams in the store are to be read.
     pub origin_lookup: tokio::sync::Notify,
     /// Whether this instance is stopping; responses then close their connections.
@@ -105,6 +107,7 @@
             clock: clock::Clock::start(),
             load_change: tokio::sync::Notify::new(),
             urgent_change: tokio::sync::Notify::new(),
+            version_change: tokio::sync::Notify::new(),
             origin_lookup: tokio::sync::Notify::new(),
             stopping: tokio::sync::watch::Sender::new(false),
             closing: tokio::sync::watch::Sender::new(false),
@@ -190,6 +193,7 @@
             fleet::Effect::ProbeServer { server, born_ms, address } => {
                 self.probe(server, born_ms, address);
             }
+            fleet::Effect::StoreVersions => self.version_change.notify_one(),
             fleet::Effect::ReadStreamOrigins => self.origin_lookup.notify_one(),
             fleet::Effect::PublishLoad => self.load_change.notify_one(),
             fleet::Effect::AnnounceChange => self.urgent_change.notify_one(),
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -235,3 +235,126 @@
         assert!(world.origin_records > 0, "the store holds them");
     }
 }
+
+/// The servers of a single version, which has replaced the usual one.
+fn servers_of_the_next_version() -> Vec<servers::Entry> {
+    let mut entries = world::servers();
+    for entry in &mut entries {
+        entry.software_version = Some("v2".into());
+    }
+    entries
+}
+
+/// Starts resumable streams at servers of a single version and runs them until all have begun.
+fn world_of_a_single_version(instances: usize) -> World {
+    let mut world = World::new(instances, FAST_DIGESTS, &world::servers());
+    begin_streams(&mut world, instances, 0);
+    world
+}
+
+fn begin_streams(world: &mut World, instances: usize, after_ms: u64) {
+    for index in 0..STREAMS {
+        world.arrive_resumable(ms(after_ms + index * 40), index as usize % instances, None);
+    }
+    world.run(ms(after_ms + 2_000));
+}
+
+/// Before the fix all of these streams went on at the other version.
+#[test]
+fn streams_are_not_resumed_at_a_version_that_replaced_theirs_while_all_instances_were_lost() {
+    for instances in [3, 20] {
+        let mut world = world_of_a_single_version(instances);
+        world.restart_all(&servers_of_the_next_version());
+        for index in 0..STREAMS {
+            // Half of the callers do not name their stream.
+            let id = if index % 2 == 0 { index.to_string() } else { String::new() };
+            world.arrive_resumable(ms(50), index as usize % instances, Some(Bytes::from(id)));
+        }
+        world.run(ms(14_000));
+        let resumed = world.records.values().filter(|record| record.resumes.is_some());
+        assert_eq!(resumed.clone().count() as u64, STREAMS);
+        resumed.for_each(assert_refused_at_once);
+    }
+}
+
+/// Before the fix streams of unknown origin went on at the version that was left.
+#[test]
+fn streams_are_not_resumed_at_a_version_whose_predecessor_left_just_before_the_loss() {
+    for instances in [3, 20] {
+        let mut world = world_of_a_single_version(instances);
+        for mut entry in servers_of_the_next_version() {
+            entry.offset += 1;
+            world.list(ms(0), servers::EntryChange::Put(entry));
+        }
+        world.run(ms(100));
+        // The origins of the streams are lost with the instances.
+        world.stored_origins.clear();
+        world.restart_all(&servers_of_the_next_version());
+        let all: Vec<_> = (0..instances).collect();
+        let resumed = resume_streams_of(&mut world, &all, instances);
+        assert_eq!((resumed.continued, resumed.refused), (0, STREAMS as usize), "{resumed:?}");
+    }
+}
+
+#[test]
+fn streams_of_a_version_that_has_replaced_another_one_for_a_while_continue() {
+    for instances in [3, 20] {
+        let mut world = world_of_a_single_version(instances);
+        world.restart_all(&servers_of_the_next_version());
+        begin_streams(&mut world, instances, 25_000);
+        let begun = world.now - ms(10_000);
+        world.restart_all(&servers_of_the_next_version());
+        let streams = world.records.iter().filter(|(_, record)| record.arrived > begun);
+        let streams: Vec<_> = streams.map(|((_, request), _)| request.to_string()).collect();
+        assert_eq!(streams.len() as u64, STREAMS);
+        for (index, stream) in streams.into_iter().enumerate() {
+            world.arrive_resumable(ms(50), index % instances, Some(Bytes::from(stream)));
+        }
+        world.run(ms(14_000));
+        let resumed = world.records.values().filter(|record| record.resumes.is_some());
+        let continued = resumed.filter(|record| record.finished).count();
+        assert_eq!(continued as u64, STREAMS, "{instances} instances");
+    }
+}
+
+/// An older build leaves no versions in the store.
+#[test]
+fn streams_are_refused_after_a_loss_of_all_instances_if_the_store_names_no_versions() {
+    let mut world = world_of_a_single_version(3);
+    world.stored_versions.clear();
+    world.restart_all(&world::servers());
+    world.arrive_resumable(ms(50), 0, Some(Bytes::from("0")));
+    world.run(ms(1_000));
+    let mut resumed = world.records.values().filter(|record| record.resumes.is_some());
+    assert_refused_at_once(resumed.next().expect("the request has arrived"));
+}
+
+/// Before the fix the stream went on at the version that this part of the fleet still knows.
+#[test]
+fn a_stream_is_not_resumed_by_instances_that_were_cut_off_before_its_version_appeared() {
+    let mut world = World::new(5, FAST_DIGESTS, &world::servers());
+    let (others, cut_off) = ([0, 1, 2], [3, 4]);
+    world.set_reads_store(&others, true);
+    world.run(ms(25_000));
+    world.muted = others.to_vec();
+    world.without_store = cut_off.to_vec();
+    // Both have found each other by then.
+    world.run(ms(10_000));
+    for mut entry in servers_of_the_next_version() {
+        entry.offset += 1;
+        for instance in others {
+            world.list_at(instance, servers::EntryChange::Put(entry.clone()));
+        }
+    }
+    world.arrive_resumable(ms(0), 0, None);
+    world.run(ms(2_000));
+    let ((_, stream), _) = world.records.iter().next().expect("the stream has arrived");
+    let stream = Bytes::from(stream.to_string());
+    world.arrive_resumable(ms(0), 3, Some(stream));
+    world.run(ms(1_000));
+    let mut resumed = world.records.values().filter(|record| record.resumes.is_some());
+    let resumed = resumed.next().expect("the caller has returned");
+    let refusal = resumed.refused.expect("the request is refused");
+    assert_eq!(refusal.reason, refusal::Reason::NotResumable);
+    assert_eq!(resumed.runs, 0);
+}
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -32,6 +32,7 @@
 use galenayard::core::fleet::servers;
 use galenayard::core::fleet::shutdown;
 use galenayard::core::fleet::streams;
+use galenayard::core::fleet::versions;
 use galenayard::core::ids;
 
 pub use fixtures::address;
@@ -227,6 +228,8 @@
     pub datagrams: usize,
     /// The reports on loads that servers state: when and by which instance each was sent.
     pub load_reports: Vec<(Duration, usize, Bytes)>,
+    /// The software versions in the store.
+    pub stored_versions: Vec<versions::ServiceVersions>,
     /// The origins of streams in the store, and the number of records that hold them.
     pub stored_origins: Vec<streams::Origin>,
     pub origin_records: usize,
@@ -245,6 +248,8 @@
     pub older: Vec<usize>,
     /// Instances whose messages are lost in both directions.
     pub muted: Vec<usize>,
+    /// The instances that do not reach the store.
+    pub without_store: Vec<usize>,
     /// The parts of prompts that end each server that begins to answer them.
     pub crashing_parts: Vec<call::PartId>,
     /// The requests that end each server that begins to run them.
@@ -342,6 +347,7 @@
             most_coordinators: 0,
             datagrams: 0,
             load_reports: Vec::new(),
+            stored_versions: Vec::new(),
             stored_origins: Vec::new(),
             origin_records: 0,
             stored_quarantines: Vec::new(),
@@ -352,6 +358,7 @@
             plain_work: None,
             older,
             muted: Vec::new(),
+            without_store: Vec::new(),
             crashing_parts: Vec::new(),
             crashing_contents: Vec::new(),
             crashes: Vec::new(),
@@ -607,6 +614,7 @@
             Action::Tick { instance } => {
                 self.apply(instance, fleet::Event::Ticked);
                 self.read_evacuations(instance);
+                self.store_versions(instance);
                 self.store_origins(instance);
                 self.store_quarantines(instance);
                 self.schedule(TICK, Action::Tick { instance });
@@ -764,10 +772,15 @@
                 let event = fleet::Event::ServerProbed { server, born_ms, reachability };
                 self.schedule(LATENCY * 2, Action::Apply { instance, event });
             }
+            fleet::Effect::ReadStreamOrigins if self.without_store.contains(&instance) => {}
             fleet::Effect::ReadStreamOrigins => {
-                let event = fleet::Event::StreamOriginsRead(self.stored_origins.clone());
-                self.schedule(LATENCY * 2, Action::Apply { instance, event });
+                let versions = fleet::Event::SoftwareVersionsRead(self.stored_versions.clone());
+                let origins = fleet::Event::StreamOriginsRead(self.stored_origins.clone());
+                for event in [versions, origins] {
+                    self.schedule(LATENCY * 2, Action::Apply { instance, event });
+                }
             }
+            fleet::Effect::StoreVersions => self.store_versions(instance),
             fleet::Effect::Admit { .. } | fleet::Effect::PublishLoad | fleet::Effect::Log(_) => {}
         }
     }
@@ -783,6 +796,22 @@
         }
     }
 
+    /// Writes the software versions to the store, if the instance is to do so. It reads them first.
+    fn store_versions(&mut self, instance: usize) {
+        let now = self.clock(instance);
+        let is_writer = |fleet: &fleet::Fleet| {
+            fleet.is_limit_coordinator(now) && !self.without_store.contains(&instance)
+        };
+        if self.instances[instance].as_ref().is_some_and(is_writer) {
+            let stored = fleet::Event::SoftwareVersionsRead(self.stored_versions.clone());
+            self.apply(instance, stored);
+            let fleet = self.instances[instance].as_ref();
+            if let Some(versions) = fleet.and_then(|fleet| fleet.versions_to_store(now)) {
+                self.stored_versions = versions;
+            }
+        }
+    }
+
     /// Writes the quarantines to the store, if the instance is to do so.
     fn store_quarantines(&mut self, instance: usize) {
         let now = self.clock(instance);
