Read events and their ids with one decoder, and never resume a stream without a position

Callers saw: a resumable stream whose lines end with CR began anew within the same answer after its server had broken off.

Cause: ends of events were found with LF, CRLF and CR, the id of the last event in lines split at LF only. The id that was found could not stand in a header, was left out, and the next server began with the first event.

Change: EventBuffer reads lines once, for all line ends, comments and a byte order mark, with chunk borders anywhere, and keeps the id as a header value. After an event without such an id the fleet state is told (Outcome::PositionLost), and the stream is broken off instead of resumed.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -109,6 +109,8 @@
     Started,
     /// Events still arrive some time after the first one.
     Continued,
+    /// An event was forwarded after which no other server can go on with the stream.
+    PositionLost,
     /// The whole answer has arrived and was forwarded.
     Finished {
         /// The HTTP status of the answer.
--- a/src/core/fleet/admission.rs
+++ b/src/core/fleet/admission.rs
@@ -139,6 +139,7 @@
             prefill_server: None,
             held: None,
             may_have_run: false,
+            is_position_lost: false,
             has_failed_answer: false,
             hedge: None,
             route,
--- a/src/core/fleet/hedging.rs
+++ b/src/core/fleet/hedging.rs
@@ -432,7 +432,10 @@
             Some(other) => {
                 let is_answer = matches!(
                     outcome,
-                    Outcome::Started | Outcome::Continued | Outcome::Finished { .. }
+                    Outcome::Started
+                        | Outcome::Continued
+                        | Outcome::PositionLost
+                        | Outcome::Finished { .. }
                 );
                 if is_answer {
                     self.cancel_other(other, now, effects);
--- a/src/core/fleet/live.rs
+++ b/src/core/fleet/live.rs
@@ -195,6 +195,8 @@
     pub held: Option<HeldPrompt>,
     /// Whether a server may have run it. If so, no answer promises that it has not run.
     pub may_have_run: bool,
+    /// Whether an event was forwarded after which no other server can go on with its stream.
+    pub is_position_lost: bool,
     /// Whether a server's failed answer is stored for it.
     pub has_failed_answer: bool,
     /// Its second leg, if it got one.
--- a/src/core/fleet/outcomes.rs
+++ b/src/core/fleet/outcomes.rs
@@ -50,11 +50,17 @@
         match outcome {
             Outcome::Started => return self.record_started(request, &at, now, effects),
             Outcome::Continued => return self.record_survival(request, &at, now, effects),
+            Outcome::PositionLost => {
+                if let Some(live) = self.requests.get_mut(&request) {
+                    live.is_position_lost = true;
+                }
+                return;
+            }
             _ => {}
         }
         self.end_at_server(request, &at, &outcome, now, effects);
         match outcome {
-            Outcome::Started | Outcome::Continued => {}
+            Outcome::Started | Outcome::Continued | Outcome::PositionLost => {}
             Outcome::Prefilled { handle } => self.hand_over(request, &at, handle, now, effects),
             Outcome::Finished { .. } => self.finish(request, now, effects),
             Outcome::Failed { .. } => self.retry_failed(request, &at, now, effects),
@@ -379,10 +385,13 @@
             live.may_have_run = true;
         }
         // Only streams go on after a part of their answer was forwarded.
-        let is_stream = self.requests.get(&request).is_some_and(|live| live.route.is_stream);
+        let can_go_on = self
+            .requests
+            .get(&request)
+            .is_some_and(|live| live.route.is_stream && !live.is_position_lost);
         let may_crash_servers =
             self.requests.get(&request).is_some_and(|live| self.may_crash_servers(live, at, now));
-        let is_allowed = (is_stream || !at.is_started())
+        let is_allowed = (can_go_on || !at.is_started())
             && !may_crash_servers
             && self.may_run_again(request, now);
         if is_allowed {
@@ -679,7 +688,7 @@
 /// Returns the evidence that an outcome gives about the server's health.
 fn evidence(outcome: &Outcome) -> Option<servers::Evidence> {
     match outcome {
-        Outcome::Started | Outcome::Continued | Outcome::Rejected => None,
+        Outcome::Started | Outcome::Continued | Outcome::PositionLost | Outcome::Rejected => None,
         Outcome::Misdirected => Some(servers::Evidence::Replaced),
         Outcome::Prefilled { .. } | Outcome::Finished { .. } => Some(servers::Evidence::Answered),
         Outcome::Failed { .. } => Some(servers::Evidence::Erred),
@@ -695,6 +704,7 @@
         Outcome::Prefilled { .. } => "prefilled".to_string(),
         Outcome::Started => "started".to_string(),
         Outcome::Continued => "continued".to_string(),
+        Outcome::PositionLost => "position lost".to_string(),
         Outcome::Finished { status, .. } => format!("finished {status}"),
         Outcome::Failed { status } => format!("failed {status}"),
         Outcome::Rejected => "rejected".to_string(),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -164,7 +164,7 @@
         body: Bytes,
         dispatch: &fleet::Dispatch,
         remaining: time::Duration,
-        after_event: Option<&str>,
+        after_event: Option<&http::HeaderValue>,
     ) -> http::Request<Full<Bytes>> {
         let mut headers = head.headers.clone();
         remove_hop_by_hop_headers(&mut headers);
@@ -180,7 +180,7 @@
             set_header(&mut headers, TENANT, workspace);
         }
         if let Some(id) = after_event {
-            set_header(&mut headers, LAST_EVENT_ID, id);
+            headers.insert(LAST_EVENT_ID, id.clone());
         }
         match &dispatch.step {
             fleet::Step::Run | fleet::Step::Resume => {}
--- a/src/router/dialect.rs
+++ b/src/router/dialect.rs
@@ -67,7 +67,7 @@
         body: Bytes,
         dispatch: &fleet::Dispatch,
         remaining: time::Duration,
-        after_event: Option<&str>,
+        after_event: Option<&http::HeaderValue>,
     ) -> http::Request<Full<Bytes>>;
 
     /// Reads the head of a server's response to a call.
--- a/src/router/exchange.rs
+++ b/src/router/exchange.rs
@@ -97,7 +97,7 @@
     /// Whether the answer is a stream of events.
     pub is_stream: bool,
     /// The id of the event after which a stream is resumed.
-    pub after_event: Option<&'a str>,
+    pub after_event: Option<&'a http::HeaderValue>,
     /// The deadline.
     pub expires: ids::Timestamp,
 }
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -195,7 +195,7 @@
             body: &self.body,
             call: &self.call,
             is_stream: self.is_stream,
-            after_event: self.events.last_id(),
+            after_event: self.events.position().last_id(),
             expires: self.expires,
         };
         let Some(after) = dispatch.hedge_after else { return exchange.attempt(dispatch).await };
@@ -305,7 +305,11 @@
             server: String::from_utf8_lossy(server).into_owned(),
             framing,
             end,
-            last_event: self.events.last_id().map(str::to_string),
+            last_event: self
+                .events
+                .position()
+                .last_id()
+                .map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned()),
             partial_bytes: self.events.partial().len(),
         });
     }
@@ -442,15 +446,26 @@
         frame.map_err(|_| decision::StreamEnd::Expired)
     }
 
+    /// Adds bytes of a stream and returns all events that are complete now; reports the first one
+    /// after which the stream cannot be resumed.
+    fn complete_events(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let was_lost = *self.events.position() == relay::Position::Unknown;
+        let events = self.events.push(bytes);
+        if !was_lost && *self.events.position() == relay::Position::Unknown {
+            self.report_outcome(fleet::Outcome::PositionLost);
+        }
+        events
+    }
+
     async fn relay_events(
         &mut self,
         stream: exchange::Stream,
         chunks: &tokio::sync::mpsc::Sender<body::Chunk>,
     ) -> decision::StreamEnd {
         let exchange::Stream { server, mut body, first, connection: _connection, .. } = stream;
-        self.events.discard_partial();
+        self.events.begin_stream();
         let mut held = self.guard.context.memory.hold();
-        let mut next = self.events.push(&first);
+        let mut next = self.complete_events(&first);
         let mut survival_at = Some(self.guard.context.now() + crashes::CRASH_DELAY);
         loop {
             if let Some(events) = next.take()
@@ -474,7 +489,7 @@
                 Ok(None) => return decision::StreamEnd::Finished,
                 Ok(Some(Err(_))) => return decision::StreamEnd::Interrupted,
                 Ok(Some(Ok(frame))) => {
-                    next = frame.data_ref().and_then(|bytes| self.events.push(bytes));
+                    next = frame.data_ref().and_then(|bytes| self.complete_events(bytes));
                     if survival_at.is_some_and(|at| self.guard.context.now() >= at) {
                         survival_at = None;
                         self.report_outcome(fleet::Outcome::Continued);
--- a/tests/router/broken_streams.rs
+++ b/tests/router/broken_streams.rs
@@ -131,3 +131,37 @@
         });
     }
 }
+
+/// Before the fix the second server began the stream anew, and its caller got the first event twice.
+#[test]
+fn a_stream_whose_lines_end_with_cr_is_resumed_after_its_last_event() {
+    const BROKEN_OFF: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
+        Content-Type: text/event-stream\r\n\r\nid: 1\rdata: a\r\rid: 2\rdat";
+    const REMAINDER: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: t\r\n\
+        Content-Type: text/event-stream\r\n\r\nid: 2\rdata: b\r\r";
+    run(async {
+        let (got, requests) = run_request("resume", &[BROKEN_OFF, REMAINDER]).await;
+        assert_eq!(requests.len(), 2);
+        assert!(requests[1].contains("last-event-id: 1"), "{}", requests[1]);
+        assert!(got.contains("id: 1\rdata: a\r\r") && got.contains("id: 2\rdata: b\r\r"), "{got}");
+        assert!(is_framed_as_complete(&got), "{got}");
+    });
+}
+
+/// Before the fix the second server began the stream anew behind the events before.
+#[test]
+fn a_stream_is_not_resumed_after_an_event_that_no_header_can_name() {
+    for event in ["data: a\n\n", "id: \u{1}\ndata: a\n\n"] {
+        let response = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
+             Content-Type: text/event-stream\r\n\r\n{event}id: 2\ndat"
+        );
+        let response: &'static [u8] = response.into_bytes().leak();
+        run(async move {
+            let (got, arrivals) = run_request("resume", &[response, UNFRAMED_REMAINDER]).await;
+            assert!(got.contains("data: a") && !got.contains("data: b"), "{got}");
+            assert!(!is_framed_as_complete(&got), "{got}");
+            assert_eq!(arrivals.len(), 1);
+        });
+    }
+}
