Remove the caller's key on routes that need none, too

Cause: Authorization was removed only from requests with a workspace. A request on an open route has none.

Change: a dispatch says whether the configuration has keys; if so, no server gets Authorization on any route. Looked for in spellings, second headers, trailers, repeats, resumed streams and `serve`: nothing more.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -88,6 +88,9 @@
     pub step: Step,
     /// The workspace that the request runs for.
     pub workspace: Option<sync::Arc<str>>,
+    /// Whether callers have keys, which servers must not receive. A caller may send its key on a route
+    /// that needs none, too.
+    pub hides_keys: bool,
     /// The time until the request's deadline.
     pub remaining: time::Duration,
     /// The time after which an unresponsive server is abandoned; `None` if the step must not be
--- a/src/core/fleet/waiting.rs
+++ b/src/core/fleet/waiting.rs
@@ -675,6 +675,7 @@
             response_timeout: may_repeat.then_some(response_timeout),
             step,
             workspace: live.workspace.as_ref().map(|workspace| sync::Arc::clone(&workspace.name)),
+            hides_keys: self.catalog.as_ref().is_none_or(|catalog| catalog.has_keys()),
             remaining: live.expires.saturating_sub(now),
             hedge_after,
         };
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -171,7 +171,7 @@
         for name in RESERVED_HEADERS {
             headers.remove(name);
         }
-        if dispatch.workspace.is_some() {
+        if dispatch.hides_keys {
             headers.remove("authorization");
         }
         set_header(&mut headers, EXPECT_INSTANCE, &String::from_utf8_lossy(&dispatch.server));
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -22,6 +22,7 @@
 use tokio::io::AsyncWriteExt as _;
 
 mod broken_streams;
+mod credentials;
 mod departures;
 mod endless_answers;
 mod hedging;
@@ -96,6 +97,12 @@
     })
 }
 
+fn open_route(name: &str, is_stream: bool) -> sync::Arc<catalog::Route> {
+    let mut route = route(name, is_stream, catalog::Repeat::Idempotent);
+    sync::Arc::make_mut(&mut route).is_open = true;
+    route
+}
+
 fn content() -> catalog::Content {
     catalog::Content {
         version: 1,
@@ -104,6 +111,8 @@
             route("query", false, catalog::Repeat::Idempotent),
             route("stream", true, catalog::Repeat::Once),
             route("resume", true, catalog::Repeat::Idempotent),
+            open_route("open-query", false),
+            open_route("open-resume", true),
         ],
         services: vec![catalog::Service {
             name: "service".into(),
@@ -245,12 +254,16 @@
 /// Sends one request to an instance with two servers that give these responses one after another;
 /// returns the caller's response and the requests that reached a server.
 async fn run_request(route: &str, responses: &[&'static [u8]]) -> (String, Vec<String>) {
+    run_request_with(&request(route), responses).await
+}
+
+async fn run_request_with(request: &str, responses: &[&'static [u8]]) -> (String, Vec<String>) {
     let responses = rc::Rc::new(cell::RefCell::new(responses.iter().copied().collect()));
     let received = ReceivedRequests::default();
     let one = server(rc::Rc::clone(&responses), rc::Rc::clone(&received)).await;
     let other = server(responses, rc::Rc::clone(&received)).await;
     let (callers, _context) = start(&[one, other]).await;
-    let response = send(callers, &request(route)).await;
+    let response = send(callers, request).await;
     let requests = received.borrow().clone();
     (response, requests)
 }
