Append spending and quarantines only where the store was last seen to end

Cause (one of two): the spending was written with a plain append. One without an answer may be carried out seconds later, and was the newest record from then on; instances that started read it, and granted again what was spent since. Quarantines were written in the same way.

Change: platform/keeper.rs appends at the end of the topic (At), as read or left by the write before. A write that the store refuses because the topic has gone on is repeated at the end that it names. Software versions use the same mechanism. The test of their append moved to the keeper's tests, which also cover late writes and two writers; the soak's store keeps to the condition.

Tests: without the condition two of src/platform/keeper/tests.rs fail (the late value is read); all pass now.

--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -116,7 +116,8 @@
                     return http::response(400, "");
                 };
                 if at.is_some_and(|at| at != self.end(&topic)) {
-                    return http::response(412, "{}");
+                    let end = self.end(&topic);
+                    return http::response(412, format!("{{\"EndOffset\":{end}}}"));
                 }
                 self.append(&topic, &body.to_bytes());
                 http::response(200, "{}")
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod entries;
 pub mod headers;
+pub mod keeper;
 pub mod origins;
 pub mod quarantines;
 pub mod settings;
--- a/src/platform/origins.rs
+++ b/src/platform/origins.rs
@@ -7,6 +7,7 @@
 use crate::core::fleet::constants;
 use crate::core::fleet::streams;
 use crate::core::ids;
+use crate::platform::keeper;
 use crate::platform::store;
 use crate::platform::versions;
 use crate::platform::watch;
@@ -19,7 +20,7 @@
 pub fn start<F: Fn() -> store::Store>(new_store: F, context: &rc::Rc<context::Context>) {
     tokio::task::spawn_local(write(new_store(), rc::Rc::clone(context)));
     tokio::task::spawn_local(versions::write(new_store(), rc::Rc::clone(context)));
-    tokio::task::spawn_local(answer_lookups(new_store(), rc::Rc::clone(context)));
+    tokio::task::spawn_local(answer_lookups(new_store(), new_store(), rc::Rc::clone(context)));
 }
 
 /// Writes new origins while this instance is the coordinator that writes to the store.
@@ -50,11 +51,16 @@
 }
 
 /// Reads the origins that were added since the last lookup, whenever a lookup needs them.
-async fn answer_lookups(store: store::Store, context: rc::Rc<context::Context>) {
-    let mut reader = Reader { store, next: 0, era: None };
+async fn answer_lookups(
+    versions: store::Store,
+    origins: store::Store,
+    context: rc::Rc<context::Context>,
+) {
+    let mut keeper = versions::keeper(versions);
+    let mut reader = Reader { store: origins, next: 0, era: None };
     loop {
         context.origin_lookup.notified().await;
-        if let Err(failure) = answer_lookup(&mut reader, &context).await {
+        if let Err(failure) = answer_lookup(&mut keeper, &mut reader, &context).await {
             // The fleet state asks again while a request waits.
             log::warn!("cannot read the origins of streams: {failure}");
         }
@@ -62,10 +68,11 @@
 }
 
 async fn answer_lookup(
+    keeper: &mut keeper::Keeper,
     reader: &mut Reader,
     context: &context::Context,
 ) -> Result<(), store::StoreError> {
-    let (stored, _) = versions::read(&mut reader.store).await?;
+    let stored = versions::read(keeper).await?;
     let origins = reader.read().await?;
     context.apply(fleet::Event::SoftwareVersionsRead(stored));
     context.apply(fleet::Event::StreamOriginsRead(origins));
--- a/src/platform/quarantines.rs
+++ b/src/platform/quarantines.rs
@@ -4,9 +4,12 @@
 use std::rc;
 use std::time;
 
+use bytes::Bytes;
+
 use crate::core::fleet;
 use crate::core::fleet::constants;
 use crate::core::fleet::quarantine;
+use crate::platform::keeper;
 use crate::platform::store;
 use crate::platform::watch;
 use crate::router::clock;
@@ -34,13 +37,14 @@
     tokio::task::spawn_local(maintain(store, rc::Rc::clone(context)));
 }
 
-async fn maintain(mut store: store::Store, context: rc::Rc<context::Context>) {
+async fn maintain(store: store::Store, context: rc::Rc<context::Context>) {
+    let mut keeper = keeper::Keeper::new(store, QUARANTINES_TOPIC, QUARANTINES_KEY);
     let mut has_failed = false;
     // What is written replaces what is stored, so it has to be known first.
     loop {
-        match store.newest(QUARANTINES_TOPIC).await {
-            Ok(records) => {
-                apply(&context, &records.records);
+        match keeper.read().await {
+            Ok(value) => {
+                apply(&context, value.as_ref());
                 break;
             }
             Err(failure) if !std::mem::replace(&mut has_failed, true) => {
@@ -61,11 +65,11 @@
             repeats_at = now + REPEAT_INTERVAL;
             context.read(|fleet| fleet.put_back_quarantines());
         }
-        write(&mut store, &context).await;
+        write(&mut keeper, &context).await;
     }
 }
 
-async fn write(store: &mut store::Store, context: &context::Context) {
+async fn write(keeper: &mut keeper::Keeper, context: &context::Context) {
     let now = context.now();
     let Some(mut quarantines) = context.read(|fleet| fleet.take_unstored_quarantines(now)) else {
         return;
@@ -77,7 +81,7 @@
         Ok(value) => value,
         Err(failure) => return log::error!("cannot encode the quarantines: {failure}"),
     };
-    if let Err(failure) = store.append(QUARANTINES_TOPIC, QUARANTINES_KEY, &value).await {
+    if let Err(failure) = keeper.replace(&value).await {
         log::warn!("cannot write the quarantines yet: {failure}");
         context.read(|fleet| fleet.put_back_quarantines());
         tokio::time::sleep(watch::RETRY_PAUSE).await;
@@ -85,8 +89,8 @@
 }
 
 /// Applies the stored quarantines, with the time that has passed since they were written.
-fn apply(context: &context::Context, records: &[store::Record]) {
-    let Some(value) = records.iter().find_map(|record| record.value.as_ref()) else { return };
+fn apply(context: &context::Context, value: Option<&Bytes>) {
+    let Some(value) = value else { return };
     match serde_json::from_slice::<Record>(value) {
         Ok(mut record) => {
             let passed_ms = clock::unix_ms().saturating_sub(record.written_ms);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -45,6 +45,12 @@
         /// The offset of the oldest stored record, if the store has returned it.
         first: Option<ids::Offset>,
     },
+    /// The topic does not end at the offset of a conditional append, which was not carried out.
+    #[error("the topic ends at offset {end}; read what others have written")]
+    NotAtEnd {
+        /// The end of the topic.
+        end: ids::Offset,
+    },
     /// The response comes from before the store was restored.
     #[error("the response of era {0} is outdated; era {1} was read before")]
     OutdatedEra(u64, u64),
@@ -107,6 +113,13 @@
     first_offset: ids::Offset,
 }
 
+/// The end of a topic, returned for an append at another offset.
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct TopicEnd {
+    end_offset: ids::Offset,
+}
+
 /// A client of the store with one connection, which is replaced after each failure.
 pub struct Store {
     address: net::SocketAddr,
@@ -263,7 +276,12 @@
         let is_read = method == http::Method::GET;
         let result = self.exchange(method, path, body, timeout).await;
         let has_answered = match &result {
-            Ok(_) | Err(StoreError::Deleted { .. } | StoreError::OutdatedEra(..)) => true,
+            Ok(_)
+            | Err(
+                StoreError::Deleted { .. }
+                | StoreError::OutdatedEra(..)
+                | StoreError::NotAtEnd { .. },
+            ) => true,
             Err(StoreError::Refused(status)) => !UNAVAILABLE_STATUSES.contains(status),
             Err(_) => false,
         };
@@ -315,6 +333,10 @@
                 let range = serde_json::from_slice::<StoredRange>(response.body());
                 Err(StoreError::Deleted { first: range.ok().map(|range| range.first_offset) })
             }
+            412 => match serde_json::from_slice::<TopicEnd>(response.body()) {
+                Ok(TopicEnd { end_offset: end }) => Err(StoreError::NotAtEnd { end }),
+                Err(_) => Err(StoreError::Refused(412)),
+            },
             status => Err(StoreError::Refused(status)),
         }
     }
--- a/src/platform/versions/tests.rs
+++ b/src/platform/versions/tests.rs
@@ -33,26 +33,8 @@
     tokio::task::LocalSet::new().block_on(&runtime.expect("the runtime starts"), test);
 }
 
-/// Without the condition, a write that the store carries out late would take the place of a newer one.
 #[test]
-fn versions_are_appended_only_after_the_record_that_they_were_derived_from() {
-    for (status, is_appended) in [("200 OK", true), ("412 Precondition Failed", false)] {
-        run(async {
-            let (address, serving) = store_with(status, "{\"EndOffset\":9}").await;
-            let mut store = store::Store::new(address, breaker::Breaker::new());
-            let result = store.append_at(VERSIONS_TOPIC, VERSIONS_KEY, b"[]", 7).await;
-            assert_eq!(result.is_ok(), is_appended, "{result:?}");
-            let request = serving.await.expect("the store is called");
-            assert_eq!(
-                request,
-                "POST /-/log-append?Topic=keyed.software-versions&part=0&At=7 HTTP/1.1"
-            );
-        });
-    }
-}
-
-#[test]
-fn versions_are_read_with_the_end_of_the_topic_and_invalid_ones_count_as_none() {
+fn invalid_versions_in_the_store_count_as_none() {
     let valid = r#"[{"service":"llm","versions":["v1","v2"]}]"#;
     let versions = ["v1", "v2"].map(servers::SoftwareVersion::from).to_vec();
     let of_llm = versions::ServiceVersions { service: "llm".into(), versions };
@@ -63,8 +45,8 @@
             let item = format!(r#"{{"Key":"fleet","Value":"{value}","Offset":3}}"#);
             let body = format!(r#"{{"items":[{item}],"HasMore":false,"EndOffset":4}}"#);
             let (address, _serving) = store_with("200 OK", &body).await;
-            let mut store = store::Store::new(address, breaker::Breaker::new());
-            assert_eq!(read(&mut store).await.expect("the store answers"), (expected, 4));
+            let mut keeper = keeper(store::Store::new(address, breaker::Breaker::new()));
+            assert_eq!(read(&mut keeper).await.expect("the store answers"), expected);
         });
     }
 }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -4,6 +4,8 @@
 use std::sync;
 use std::time;
 
+use bytes::Bytes;
+
 use crate::core::collections;
 use crate::core::fleet;
 use crate::core::fleet::catalog;
@@ -16,6 +18,7 @@
 use crate::platform::breaker;
 use crate::platform::configuration;
 use crate::platform::entries;
+use crate::platform::keeper;
 use crate::platform::origins;
 use crate::platform::quarantines;
 use crate::platform::settings;
@@ -417,8 +420,9 @@
 
 /// Reads the spending history; then, while this instance is the limit coordinator, writes the
 /// fleet's spending to the store.
-async fn maintain_spending_history(mut store: store::Store, context: rc::Rc<context::Context>) {
-    read_spending_history(&mut store, &context).await;
+async fn maintain_spending_history(store: store::Store, context: rc::Rc<context::Context>) {
+    let mut keeper = keeper::Keeper::new(store, SPENDING_TOPIC, SPENDING_KEY);
+    read_spending_history(&mut keeper, &context).await;
     let mut last = Vec::new();
     loop {
         tokio::time::sleep(constants::SPENDING_WRITE_INTERVAL).await;
@@ -427,7 +431,7 @@
             continue;
         }
         if !context.read(|fleet| fleet.knows_history()) {
-            read_spending_history(&mut store, &context).await;
+            read_spending_history(&mut keeper, &context).await;
             continue;
         }
         let spending = context.read(|fleet| fleet.spending(now));
@@ -438,7 +442,7 @@
         match serde_json::to_vec(&record) {
             // After a failure, the next record replaces the one that was not written.
             Ok(value) => {
-                if let Err(failure) = store.append(SPENDING_TOPIC, SPENDING_KEY, &value).await {
+                if let Err(failure) = keeper.replace(&value).await {
                     log::debug!("cannot write the spending to the store: {failure}");
                 }
             }
@@ -449,13 +453,13 @@
 }
 
 /// Reads what was spent before this instance started; gives up after a number of attempts.
-async fn read_spending_history(store: &mut store::Store, context: &context::Context) {
+async fn read_spending_history(keeper: &mut keeper::Keeper, context: &context::Context) {
     for _ in 0..SPENDING_HISTORY_ATTEMPTS {
         if context.read(|fleet| fleet.knows_history()) {
             return;
         }
-        match store.newest(SPENDING_TOPIC).await {
-            Ok(records) => return apply_spending_history(context, &records.records),
+        match keeper.read().await {
+            Ok(value) => return apply_spending_history(context, value.as_ref()),
             Err(failure) => log::warn!("cannot read the spending history yet: {failure}"),
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -463,8 +467,8 @@
 }
 
 /// Applies the stored spending, with ages increased by the time since it was written.
-fn apply_spending_history(context: &context::Context, records: &[store::Record]) {
-    let Some(value) = records.iter().find_map(|record| record.value.as_ref()) else {
+fn apply_spending_history(context: &context::Context, value: Option<&Bytes>) {
+    let Some(value) = value else {
         // Spending is stored as soon as there is any, so none means no history.
         return context.apply(fleet::Event::SpendingHistory(Vec::new()));
     };
