--- a/src/platform/keeper/tests.rs
+++ b/src/platform/keeper/tests.rs
@@ -15,7 +15,7 @@
 /// A record to be appended, and the condition of the append.
 type Append = (Option<usize>, Vec<u8>);
 
-/// A store that may give no answer to appends and carry them out when it is told to.
+/// A store that may leave appends without an answer and carry them out on demand.
 #[derive(Default)]
 struct LateStore {
     records: cell::RefCell<Vec<Vec<u8>>>,
--- a/src/router/relay/tests.rs
+++ b/src/router/relay/tests.rs
@@ -70,7 +70,7 @@
 }
 
 proptest! {
-    /// Before the fix a stream with CR as the line end was begun anew when it was resumed.
+    /// Before the fix a stream with CR as the line end restarted at its first event when it was resumed.
     #[test]
     fn any_stream_that_is_broken_off_anywhere_is_joined_with_each_event_once(
         line_ends in prop::collection::vec(0..3_usize, 24),
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -35,8 +35,8 @@
 /// The HTTP response to a caller.
 pub type Response = http::Response<body::Body>;
 
-/// Closes a request's mailbox when dropped, and reports that nobody awaits its answer any more. The
-/// fleet state alone knows whether the request has ended already, and ignores the report then.
+/// Closes a request's mailbox when dropped, and reports that its answer is not awaited any more.
+/// The fleet state alone knows whether the request has ended already, and ignores the report then.
 struct RequestGuard {
     context: rc::Rc<context::Context>,
     request: call::RequestNumber,
--- a/tests/router/broken_streams.rs
+++ b/tests/router/broken_streams.rs
@@ -132,7 +132,7 @@
     }
 }
 
-/// Before the fix the second server began the stream anew, and its caller got the first event twice.
+/// Before the fix the second server restarted the stream, and its caller got the first event twice.
 #[test]
 fn a_stream_whose_lines_end_with_cr_is_resumed_after_its_last_event() {
     const BROKEN_OFF: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
@@ -148,7 +148,7 @@
     });
 }
 
-/// Before the fix the second server began the stream anew behind the events before.
+/// Before the fix the second server restarted the stream behind the events before.
 #[test]
 fn a_stream_is_not_resumed_after_an_event_that_no_header_can_name() {
     for event in ["data: a\n\n", "id: \u{1}\ndata: a\n\n"] {
--- a/tests/router/departures.rs
+++ b/tests/router/departures.rs
@@ -107,7 +107,7 @@
     });
 }
 
-/// Before the fix the request was placed for nobody as soon as a server had room.
+/// Before the fix the request was placed as soon as a server had room, though its caller had left.
 #[test]
 fn a_caller_that_leaves_while_its_stream_waits_for_another_server_leaves_the_queue() {
     run(async {
