Use one streaming server for the tests of departures and of shutdown

Cause: tests/router/shutdown.rs had a server of its own that begins a stream and never ends it, which the one of departures.rs does too if it is not cut. Change: tests only; the assertions are as they were.

--- a/tests/router/departures.rs
+++ b/tests/router/departures.rs
@@ -20,15 +20,15 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// A server that begins each stream with the same bytes and breaks it off on demand.
-struct StreamingServer {
-    address: net::SocketAddr,
+pub struct StreamingServer {
+    pub address: net::SocketAddr,
     /// The number of requests that it has received.
     arrivals: rc::Rc<cell::Cell<u32>>,
     is_cut: watch::Sender<bool>,
 }
 
 impl StreamingServer {
-    async fn start(begin: &'static [u8]) -> Self {
+    pub async fn start(begin: &'static [u8]) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("an address");
         let (arrivals, is_cut) = (rc::Rc::new(cell::Cell::new(0)), watch::Sender::new(false));
--- a/tests/router/shutdown.rs
+++ b/tests/router/shutdown.rs
@@ -12,6 +12,7 @@
 
 use super::COMPLETE_RESPONSE;
 use super::FIRST_EVENT;
+use super::departures::StreamingServer;
 use super::request;
 use super::run;
 use super::send_owned;
@@ -69,30 +70,14 @@
     });
 }
 
-/// Starts a server that begins a stream for each request, or stays silent, and never ends either.
-async fn endless_server(begin: &'static [u8]) -> std::net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("an address");
-    tokio::task::spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(async move {
-                let mut request = [0; 4_096];
-                let _ = stream.read(&mut request).await;
-                let _ = stream.write_all(begin).await;
-                while matches!(stream.read(&mut request).await, Ok(1..)) {}
-            });
-        }
-    });
-    address
-}
-
 /// Sends requests to an instance with one server until one of them is where `is_there` says, stops
 /// the instance, and returns the response that the caller of that one has by then, if any.
 async fn response_at_the_end<C>(begin: &'static [u8], route: &str, is_there: C) -> Option<String>
 where
     C: Fn(view::InProgress) -> bool,
 {
-    let (callers, context) = start(&[endless_server(begin).await]).await;
+    let server = StreamingServer::start(begin).await;
+    let (callers, context) = start(&[server.address]).await;
     let mut sent = Vec::new();
     while !is_there(context.read(|fleet| fleet.in_progress())) {
         sent.push(tokio::task::spawn_local(send_owned(callers, request(route))));
