--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -167,24 +167,38 @@
 impl Store {
     pub fn start(address: SocketAddr) -> Arc<Self> {
         let store = Arc::new(Self::default());
+        store.listen(address);
+        store
+    }
+
+    /// Serves the store at an address until the returned flag is set.
+    pub fn listen(self: &Arc<Self>, address: SocketAddr) -> Arc<AtomicBool> {
+        let is_closed = Arc::new(AtomicBool::new(false));
         let listener = TcpListener::bind(address).expect("store address");
-        let shared = Arc::clone(&store);
+        listener.set_nonblocking(true).expect("store address");
+        let (store, flag) = (Arc::clone(self), Arc::clone(&is_closed));
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = Arc::clone(&shared);
+            while !flag.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let (store, flag) = (Arc::clone(&store), Arc::clone(&flag));
                 thread::spawn(move || {
                     let mut connection = Connection::new(stream);
                     while let Ok(request) = connection.read() {
                         let (status, body) = store.answer(&request);
                         thread::sleep(STORE_ANSWER);
-                        if respond(&mut connection, status, &body).is_err() {
+                        let is_closed = flag.load(Ordering::Relaxed);
+                        if is_closed || respond(&mut connection, status, &body).is_err() {
                             return;
                         }
                     }
                 });
             }
         });
-        store
+        is_closed
     }
 
     /// Writes a record as the operator or a server does; the return is the acknowledgement.
@@ -420,6 +434,11 @@
         self.address(node, 4)
     }
 
+    /// Returns the address to which the store moves.
+    pub fn next_store(&self) -> SocketAddr {
+        format!("127.{}.9.2:{}", self.net, self.port).parse().unwrap()
+    }
+
     pub fn server(&self, index: usize) -> SocketAddr {
         format!("127.{}.64.{}:{}", self.net, index + 1, self.port).parse().unwrap()
     }
