--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -293,12 +293,15 @@
     pub id: String,
     pub at: Instant,
     pub server: String,
+    pub service: String,
+    pub path: String,
     pub tenant: String,
 }
 
 /// A plain server: it runs `slots` requests at once, queues some and rejects the rest.
 pub struct PlainServer {
     pub id: String,
+    service: String,
     slots: usize,
     queue: usize,
     work: Duration,
@@ -315,10 +318,11 @@
         address: SocketAddr,
         work: Duration,
         runs: &Arc<Mutex<Vec<Run>>>,
-    ) {
+    ) -> (String, u128) {
         let id = format!("i-{:08x}", draw() as u32);
         let server = Arc::new(Self {
             id: id.clone(),
+            service: service.to_string(),
             slots: 6,
             queue: 24,
             work,
@@ -342,17 +346,16 @@
         });
         let (store, service, zone) = (Arc::clone(store), service.to_string(), zone.to_string());
         let born = unix_ms();
+        let key = id.clone();
         thread::spawn(move || {
-            for sequence in 0.. {
-                let entry = format!(
-                    "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-                     \"Version\":\"v1\",\"Slots\":6,\"State\":\"ready\",\"ColdRemainingMs\":0,\
-                     \"Sequence\":{sequence},\"born\":{born}}}"
-                );
-                store.put("keyed.servers", &id, &entry);
+            // A server without orders has accepted none: its `Sequence` stays 0.
+            let entry = entry(&service, address, &zone, born, Some(0));
+            loop {
+                store.put("keyed.servers", &key, &entry);
                 thread::sleep(HEARTBEAT);
             }
         });
+        (id, born)
     }
 
     fn serve(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
@@ -378,7 +381,15 @@
             load.0 += 1;
         }
         let tenant = request.header("tenant").unwrap_or("").to_string();
-        let run = Run { id: attempt.clone(), at: Instant::now(), server: self.id.clone(), tenant };
+        let path = request.first_line.split(' ').nth(1).unwrap_or("").to_string();
+        let run = Run {
+            id: attempt.clone(),
+            at: Instant::now(),
+            server: self.id.clone(),
+            service: self.service.clone(),
+            path,
+            tenant,
+        };
         self.runs.lock().unwrap().push(run);
         thread::sleep(self.work);
         let (running, waiting) = {
@@ -396,6 +407,22 @@
     }
 }
 
+/// Returns the entry of a plain server; without `sequence` that field is missing.
+pub fn entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    born: u128,
+    sequence: Option<u32>,
+) -> String {
+    let sequence = sequence.map_or(String::new(), |it| format!(",\"Sequence\":{it}"));
+    format!(
+        "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
+         \"Version\":\"v1\",\"Slots\":6,\"State\":\"ready\",\"ColdRemainingMs\":0{sequence},\
+         \"born\":{born}}}"
+    )
+}
+
 /// The figures of a deployment that the settings of its processes name.
 pub struct Site {
     pub port: u16,
