--- a/review/standins-2/writer.rs
+++ b/review/standins-2/writer.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 const NODES: usize = 2;
-const CLIENTS: usize = 40;
+const CLIENTS: usize = 80;
 const GRACE_S: u32 = 8;
 const WORK: Duration = Duration::from_millis(15);
 const PAUSE: Duration = Duration::from_millis(30);
