--- a/review/standins-2/moved.rs
+++ b/review/standins-2/moved.rs
@@ -112,8 +112,7 @@
     for (it, key) in &sent {
         let run = ran(&it.id).map_or("-".to_string(), |it| format!("{:.3}", seconds(start, it.at)));
         let (at, end) = (seconds(start, it.sent), seconds(start, it.answered));
-        let _ =
-            writeln!(text, "{} {key} {} {at:.3} {end:.3} {} {run}", it.id, it.node, it.status);
+        let _ = writeln!(text, "{} {key} {} {at:.3} {end:.3} {} {run}", it.id, it.node, it.status);
     }
     std::fs::write(record, text).expect("the record");
     std::process::exit(i32::from(is_broken));
