Encode the key after which a listing of the store goes on

Cause: the key was put into the query as it is. The store read an empty key after `&` and `#` and another one after `+`, and returned the same page without end; with a blank the call could not be made; after `%7E` the listing ended early without an error. A running instance follows the changes, whose keys are bytes, so only a start showed it.

Ruled out: the entry's value, which is ignored with a log line; the same entries on a single page.

Whatever the key is, the store reads it back unchanged.

--- a/soak/src/http.rs
+++ b/soak/src/http.rs
@@ -55,11 +55,11 @@
     Ok(bound)
 }
 
-/// Returns the value of a parameter of the query.
+/// Returns the value of a parameter of the query, decoded like that of a form.
 pub fn parameter(request: &hyper::Request<Incoming>, name: &str) -> Option<String> {
     let pairs = request.uri().query()?.split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value.to_string())
+    pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| {
+        let value = value.replace('+', " ");
+        percent_encoding::percent_decode_str(&value).decode_utf8_lossy().into_owned()
+    })
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -28,7 +28,8 @@
     let instances = number(&mut arguments, "--instances", 4);
     let mut failed = 0;
     for seed in first..first + seeds {
-        let options = run::Options { program: program.clone(), seed, seconds, instances };
+        let faults = run::Faults::Drawn;
+        let options = run::Options { program: program.clone(), seed, seconds, instances, faults };
         match run::run(&options) {
             Ok(report) => {
                 println!("seed {seed}: {}", report.summary);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -36,6 +36,13 @@
 /// The time for which a server is cold that comes later.
 const COLD: time::Duration = time::Duration::from_millis(3_000);
 
+/// The keys of entries that another writer has put into the store; they are of no use to anyone.
+const FOREIGN_KEYS: [&str; 10] =
+    ["&x", "#x", "+x", "a b", "%", "%7Ex", "\"x\"", "\u{e9}", "server-0&b=1", "server-0%41"];
+
+/// The topics in which they stand.
+const FOREIGN_TOPICS: [&str; 3] = ["keyed.op", "keyed.servers", "keyed.members"];
+
 /// Servers at the start; more come as others leave.
 const SERVERS: usize = 4;
 
@@ -123,6 +130,16 @@
 /// The prefix of the paths whose streams may be resumed.
 const RESUMABLE_PATH: &str = "/resume/";
 
+/// Which faults a run has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Faults {
+    /// Those drawn from the seed.
+    Drawn,
+    /// Another writer puts entries into the store after a third of the time, and all instances are
+    /// killed.
+    KillAll,
+}
+
 /// What to run.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -134,6 +151,8 @@
     pub seconds: u64,
     /// Instances.
     pub instances: u64,
+    /// The faults.
+    pub faults: Faults,
 }
 
 /// What has come out.
@@ -145,6 +164,8 @@
     pub violations: Vec<String>,
     /// The faults in their order, with the time since the start.
     pub faults: Vec<String>,
+    /// How many requests were served and sent after all instances were killed, if only that was a fault.
+    pub after_kill: (usize, usize),
 }
 
 /// A run could not be carried out.
@@ -218,12 +239,13 @@
         fleet::Machine::new(options.program.clone(), &folder, ip)
     };
     let machines: Vec<_> = (0..options.instances).map(machine).collect();
+    let (store, store_address) = store::Store::start(store_address).await?;
     let mut world = World {
         rng: rand_chacha::ChaCha8Rng::seed_from_u64(options.seed),
         evacuation_rng: rand_chacha::ChaCha8Rng::seed_from_u64(!options.seed),
         evacuations: rc::Rc::default(),
         judge: rc::Rc::default(),
-        store: store::Store::start(store_address).await?,
+        store,
         store_address,
         seeds: machines.iter().take(3).map(|machine| machine.ip).collect(),
         machines,
@@ -240,6 +262,9 @@
         faults: Vec::new(),
         excesses: Vec::new(),
     };
+    if options.faults == Faults::Drawn {
+        world.put_foreign_entries();
+    }
     world.configure();
     for _ in 0..SERVERS {
         world.add_server().await?;
@@ -251,19 +276,32 @@
     let callers: Vec<_> = (0..6)
         .map(|index| world.caller(options.seed * 100 + index, &KINDS, callers::PAUSE))
         .collect();
-    let end = tokio::time::Instant::now() + time::Duration::from_secs(options.seconds);
+    let started = tokio::time::Instant::now();
+    let end = started + time::Duration::from_secs(options.seconds);
+    let mut before_kill = None;
     while tokio::time::Instant::now() < end {
         let pause = world.rng.random_range(200..900);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
         world.check_memory();
         world.restart_ended()?;
         world.replace_crashed().await?;
-        world.draw_fault().await?;
-        world.draw_evacuation();
+        match options.faults {
+            Faults::Drawn => {
+                world.draw_fault().await?;
+                world.draw_evacuation();
+            }
+            Faults::KillAll if before_kill.is_none() && started.elapsed() * 3 >= end - started => {
+                before_kill = Some(world.judge.counts());
+                world.put_foreign_entries();
+                world.kill_all();
+            }
+            Faults::KillAll => {}
+        }
     }
     tokio::time::sleep(COOL_DOWN).await;
     callers.iter().chain(&world.crashing).for_each(tokio::task::JoinHandle::abort);
     let (served, sent) = world.judge.counts();
+    let after_kill = before_kill.map_or((0, 0), |before| (served - before.0, sent - before.1));
     let faults = std::mem::take(&mut world.faults);
     let (completed, resumed) = world.judge.resumed();
     world.check_memory();
@@ -284,7 +322,7 @@
     let summary = format!(
         "{served} of {sent} requests served under {count} faults, {completed} of {resumed} streams resumed, {most_of_a_limit:.2} of a limit used at most, {most_crashes} crashes by one cause, {most_cold} requests in a second at a cold server"
     );
-    Ok(Report { summary, violations, faults })
+    Ok(Report { summary, violations, faults, after_kill })
 }
 
 impl World {
@@ -328,6 +366,12 @@
         Ok(())
     }
 
+    fn put_foreign_entries(&self) {
+        for topic in FOREIGN_TOPICS {
+            FOREIGN_KEYS.iter().for_each(|key| self.store.put(topic, key, b"{\"Foreign\":true}"));
+        }
+    }
+
     fn configure(&mut self) {
         self.version += 1;
         self.write_configuration();
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -14,6 +14,9 @@
 
 use crate::http;
 
+/// The most records in a page of a listing, so that most listings have several pages.
+const PAGE_RECORDS: usize = 2;
+
 /// How the store answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -36,6 +39,7 @@
     mode: cell::Cell<Mode>,
     /// How often it was restored from a copy.
     era: cell::Cell<u64>,
+    page_records: cell::Cell<usize>,
     appended: tokio::sync::Notify,
 }
 
@@ -47,25 +51,31 @@
 }
 
 impl Store {
-    /// Starts the store.
+    /// Starts the store; returns its address too.
     ///
     /// # Errors
     ///
     /// Fails if the address is taken.
-    pub async fn start(address: net::SocketAddr) -> io::Result<rc::Rc<Self>> {
+    pub async fn start(address: net::SocketAddr) -> io::Result<(rc::Rc<Self>, net::SocketAddr)> {
         let store = rc::Rc::new(Self {
             topics: cell::RefCell::default(),
             mode: cell::Cell::new(Mode::Up),
             era: cell::Cell::new(1),
+            page_records: cell::Cell::new(PAGE_RECORDS),
             appended: tokio::sync::Notify::new(),
         });
         let serving = rc::Rc::clone(&store);
-        http::serve(address, move |request| {
+        let bound = http::serve(address, move |request| {
             let store = rc::Rc::clone(&serving);
             async move { store.answer(request).await }
         })
         .await?;
-        Ok(store)
+        Ok((store, bound))
+    }
+
+    /// Changes the most records in a page of a listing.
+    pub fn set_page_records(&self, records: usize) {
+        self.page_records.set(records);
     }
 
     /// Changes how it answers.
@@ -104,7 +114,10 @@
     async fn respond(&self, request: hyper::Request<Incoming>) -> http::Response {
         let topic = http::parameter(&request, "Topic").unwrap_or_default();
         match request.uri().path() {
-            "/-/log-newest" => http::response(200, self.newest(&topic)),
+            "/-/log-newest" => {
+                let after = http::parameter(&request, "after");
+                http::response(200, self.newest(&topic, after.as_deref()))
+            }
             "/-/log-read" => {
                 let from = http::parameter(&request, "Source").and_then(|it| it.parse().ok());
                 let wait = http::parameter(&request, "WaitMs").and_then(|it| it.parse().ok());
@@ -143,7 +156,8 @@
         self.appended.notify_waiters();
     }
 
-    fn newest(&self, topic: &str) -> Bytes {
+    /// Returns a page of the newest record of each key, in the order of their keys.
+    fn newest(&self, topic: &str, after: Option<&str>) -> Bytes {
         let topics = self.topics.borrow();
         let empty = Topic::default();
         let topic = topics.get(topic).unwrap_or(&empty);
@@ -153,9 +167,13 @@
             let (key, value) = rest.split_at(usize::from(*length).min(rest.len()));
             items.insert(key.to_vec(), (offset, value.to_vec()));
         }
-        let items: Vec<_> = items
+        let mut items = items
             .into_iter()
             .filter(|(_, (_, value))| !value.is_empty())
+            .filter(|(key, _)| after.is_none_or(|after| key.as_slice() > after.as_bytes()));
+        let page: Vec<_> = items
+            .by_ref()
+            .take(self.page_records.get())
             .map(|(key, (offset, value))| {
                 serde_json::json!({
                     "Key": String::from_utf8_lossy(&key),
@@ -165,7 +183,7 @@
             })
             .collect();
         let answer = serde_json::json!({
-            "items": items, "HasMore": false, "EndOffset": topic.records.len(),
+            "items": page, "HasMore": items.next().is_some(), "EndOffset": topic.records.len(),
         });
         Bytes::from(answer.to_string())
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,6 +26,11 @@
 /// The maximum size of a response: a page of records as text, and some more.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
+/// The bytes of a key that a query contains unencoded (RFC 3986, section 2.3). Any writer may choose
+/// the key of an entry.
+const UNRESERVED: &percent_encoding::AsciiSet =
+    &percent_encoding::NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
 /// Statuses with which the store turns a caller away.
 const UNAVAILABLE_STATUSES: [u16; 2] = [429, 503];
 
@@ -157,9 +162,9 @@
         let mut next = None;
         let mut era = None;
         loop {
-            let after = records.last().map(|record: &Record| record.key.clone());
-            let after = after
-                .map_or(String::new(), |key| format!("&after={}", String::from_utf8_lossy(&key)));
+            let after = records.last().map_or(String::new(), |record: &Record| {
+                format!("&after={}", percent_encoding::percent_encode(&record.key, UNRESERVED))
+            });
             let path = format!("/-/log-newest?Topic={topic}&part=0{after}");
             let body = self.call(http::Method::GET, &path, Bytes::new(), TIMEOUT).await?;
             let page: NewestPage =
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -1,16 +1,23 @@
-//! Tests of decoding the store's records.
+//! Tests of reading the store's records.
+
+use std::rc;
+use std::time::Duration;
 
 use bytes::BufMut as _;
 use bytes::Bytes;
 use bytes::BytesMut;
 use hyper::http;
 use proptest::prelude::*;
+use tokio::time;
 
 use super::ERA;
 use super::Store;
 use super::parse;
 use crate::platform::breaker;
 
+/// The time after which a test fails whose listing does not end.
+const HANG_GUARD: Duration = Duration::from_secs(10);
+
 fn records(parts: &[&[u8]]) -> Bytes {
     let mut body = BytesMut::new();
     body.put_u64(12);
@@ -58,6 +65,42 @@
     assert!(store.check_era(&http::HeaderMap::new()).is_ok());
 }
 
+fn run<F: std::future::Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("the runtime starts"), test);
+}
+
+async fn start_store() -> (rc::Rc<soak::store::Store>, Store) {
+    let any = ([127, 0, 0, 1], 0).into();
+    let (stand_in, address) = soak::store::Store::start(any).await.expect("a port is free");
+    (stand_in, Store::new(address, breaker::Breaker::new()))
+}
+
+const TOPIC: &str = "keyed.topic";
+
+/// Before the fix a listing began anew after `&`, `#` and `+`, without end, could not go on after a
+/// blank and ended early after `%7E`.
+#[test]
+fn a_listing_goes_on_after_a_key_of_any_characters() {
+    let odd =
+        ["&x", "&after=z", "#x", "+x", "a b", " ", "%", "%7Ex", "%41", "?", "\"x\"", "\u{e9}"];
+    let keys = [&odd[..], &["server-0", "server-0&b=1", "server-1"]].concat();
+    for page_records in [1, 2, 5] {
+        run(async {
+            let (stand_in, mut store) = start_store().await;
+            stand_in.set_page_records(page_records);
+            keys.iter().for_each(|key| stand_in.put(TOPIC, key, b"value"));
+            let listing = time::timeout(HANG_GUARD, store.newest(TOPIC)).await;
+            let listing = listing.expect("it ends").expect("it is read");
+            let mut listed: Vec<_> = listing.records.into_iter().map(|record| record.key).collect();
+            listed.sort_unstable();
+            let mut expected: Vec<_> = keys.iter().map(|key| Bytes::from(*key)).collect();
+            expected.sort_unstable();
+            assert_eq!(listed, expected, "pages of {page_records}");
+        });
+    }
+}
+
 proptest! {
     #[test]
     fn no_input_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
