Decode the items of a listing of the store one by one

Callers would see: 503 from every instance that starts, as it never learns the servers or the configuration. No caller has been seen to; found while looking for like places of the entry of another writer.

Cause: a page of a listing was decoded as a whole, so one item with a key or value of another type, a value that is not base64 or bytes that are not UTF-8 made the page unreadable. The listing was then repeated without end.

Evidence: on the code before, `an_item_of_a_listing_that_cannot_be_decoded_does_not_hide_the_others` failed at its first item with Unreadable("newest"). With the change it passes for nine such items.

Change: a page keeps its items as raw JSON, and each is decoded by itself; one that cannot be is logged and left out. The key is decoded first: the listing goes on after it, whatever the rest is. The tests get a stand-in that sends given bytes.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,7 +4,6 @@
 use std::rc;
 use std::time;
 
-use base64::Engine as _;
 use bytes::Buf as _;
 use bytes::BufMut as _;
 use bytes::Bytes;
@@ -16,6 +15,8 @@
 use crate::platform::breaker;
 use crate::router::upstream;
 
+mod listing;
+
 /// The timeout of a call, in addition to the requested wait: twice the response time of a slow
 /// store.
 pub(crate) const TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -26,11 +27,6 @@
 /// The maximum size of a response: a page of records as text, and some more.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
-/// The bytes of a key that a query contains unencoded (RFC 3986, section 2.3). Any writer may choose
-/// the key of an entry.
-const UNRESERVED: &percent_encoding::AsciiSet =
-    &percent_encoding::NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
-
 /// Statuses with which the store turns a caller away.
 const UNAVAILABLE_STATUSES: [u16; 2] = [429, 503];
 
@@ -92,25 +88,6 @@
 /// The response header with the era of the store.
 const ERA: &str = "store-era";
 
-/// One page of the newest records.
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct NewestPage {
-    #[serde(rename = "items")]
-    items: Vec<Item>,
-    #[serde(default)]
-    has_more: bool,
-    end_offset: ids::Offset,
-}
-
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Item {
-    key: String,
-    value: String,
-    offset: ids::Offset,
-}
-
 /// The range of the stored records of a topic, returned for a deleted offset.
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -158,33 +135,17 @@
     ///
     /// Fails if a call fails or its response is invalid.
     pub async fn newest(&mut self, topic: &str) -> Result<Records, StoreError> {
-        let mut records = Vec::new();
-        let mut next = None;
+        let mut listing = listing::Listing::default();
         let mut era = None;
         loop {
-            let after = records.last().map_or(String::new(), |record: &Record| {
-                format!("&after={}", percent_encoding::percent_encode(&record.key, UNRESERVED))
-            });
-            let path = format!("/-/log-newest?Topic={topic}&part=0{after}");
-            let body = self.call(http::Method::GET, &path, Bytes::new(), TIMEOUT).await?;
-            let page: NewestPage =
-                serde_json::from_slice(&body).map_err(|_| StoreError::Unreadable("newest"))?;
+            let path = listing.next_path(topic);
+            let page = self.call(http::Method::GET, &path, Bytes::new(), TIMEOUT).await?;
             if *era.get_or_insert(self.era) != self.era {
                 // The pages come from different copies.
                 return Err(StoreError::Deleted { first: None });
             }
-            // Pages are not a snapshot: the next read starts at the end offset of the first page,
-            // so that it returns all later changes.
-            let end = *next.get_or_insert(page.end_offset);
-            for item in page.items {
-                let value = base64::prelude::BASE64_STANDARD.decode(item.value);
-                let value = value.map_err(|_| StoreError::Unreadable("value"))?;
-                let value = (!value.is_empty()).then(|| Bytes::from(value));
-                let position = ids::store_position(self.era, item.offset);
-                records.push(Record { key: item.key.into(), value, position });
-            }
-            if !page.has_more {
-                return Ok(Records { records, next: end, era: self.era });
+            if listing.push(&page, self.era)? {
+                return Ok(listing.into_records(self.era));
             }
         }
     }
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -8,10 +8,12 @@
 use bytes::BytesMut;
 use hyper::http;
 use proptest::prelude::*;
+use standins::answers;
 use tokio::time;
 
 use super::ERA;
 use super::Store;
+use super::listing;
 use super::parse;
 use crate::platform::breaker;
 
@@ -101,6 +103,50 @@
     }
 }
 
+/// Before the fix the whole page was unreadable, so no server was known.
+#[test]
+fn an_item_of_a_listing_that_cannot_be_decoded_does_not_hide_the_others() {
+    let odd: [&[u8]; 9] = [
+        br#"{"Key":7,"Value":"dg==","Offset":1}"#,
+        br#"{"Key":"b","Value":"not base64","Offset":1}"#,
+        br#"{"Key":"b","Value":null,"Offset":1}"#,
+        br#"{"Key":"b","Value":"dg==","Offset":-1}"#,
+        br#"{"Key":"b","Value":"dg==","Offset":1e300}"#,
+        br#"{"Key":"\ud800","Value":"dg==","Offset":1}"#,
+        b"{\"Key\":\"\xff\",\"Value\":7,\"Offset\":1}",
+        b"[]",
+        b"null",
+    ];
+    for item in odd {
+        run(async {
+            let page = [
+                br#"{"items":[{"Key":"a","Value":"dg==","Offset":0},"#,
+                item,
+                br#",{"Key":"c","Value":"dg==","Offset":2}],"HasMore":false,"EndOffset":3}"#,
+            ];
+            let page = page.concat();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", page.len());
+            let answer = [head.as_bytes(), &page].concat();
+            let behaviour = answers::Behaviour { answer, wait: Duration::ZERO, resets: false };
+            let stand_in = answers::spawn(behaviour).await.expect("a port is free");
+            let mut store = Store::new(stand_in.address, breaker::Breaker::new());
+            let listing = store.newest(TOPIC).await;
+            let shown = String::from_utf8_lossy(item);
+            let records = listing.unwrap_or_else(|failure| panic!("{shown}: {failure}")).records;
+            let keys: Vec<_> = records.into_iter().map(|record| record.key).collect();
+            assert_eq!(keys, ["a", "c"], "{shown}");
+        });
+    }
+}
+
+#[test]
+fn a_listing_goes_on_after_the_key_of_an_item_that_cannot_be_decoded() {
+    let page = br#"{"items":[{"Key":"a&","Value":7}],"HasMore":true,"EndOffset":3}"#;
+    let mut listing = listing::Listing::default();
+    assert!(!listing.push(page, 0).expect("the page is read"));
+    assert_eq!(listing.next_path(TOPIC), "/-/log-newest?Topic=keyed.topic&part=0&after=a%26");
+}
+
 proptest! {
     #[test]
     fn no_input_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small fakes of the systems that galenayard meets: engines, plain services, the platform's log
 //! and its instance list.
 
+pub mod answers;
 pub mod engine;
 pub mod http;
 pub mod instances;
