Read the values that instances keep in the store only under their own key

Callers would see: after a start, workspaces with a limit are refused for a quota window, and quarantines and software versions are forgotten.

Cause: the topics of spending, quarantines and software versions have one key of ours, and the first value of any key was read. An entry of another writer that sorts before it was taken for the value. As the spending it was invalid, so what had been spent stayed unknown, and a coordinator that does not know it writes none.

Evidence: on the code before, `a_value_under_another_key_is_not_read` read "foreign" in place of none. With the change it passes.

Change: only the record with the own key is read. The soak has entries of another writer in these topics, too.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -41,7 +41,14 @@
     ["&x", "#x", "+x", "a b", "%", "%7Ex", "\"x\"", "\u{e9}", "server-0&b=1", "server-0%41"];
 
 /// The topics in which they stand.
-const FOREIGN_TOPICS: [&str; 3] = ["keyed.op", "keyed.servers", "keyed.members"];
+const FOREIGN_TOPICS: [&str; 6] = [
+    "keyed.op",
+    "keyed.servers",
+    "keyed.members",
+    "keyed.spending",
+    "keyed.quarantines",
+    "keyed.software-versions",
+];
 
 /// Servers at the start; more come as others leave.
 const SERVERS: usize = 4;
--- a/src/platform/keeper.rs
+++ b/src/platform/keeper.rs
@@ -33,7 +33,9 @@
         self.end = None;
         let records = self.store.newest(self.topic).await?;
         self.end = Some(records.next);
-        Ok(records.records.into_iter().find_map(|record| record.value))
+        let mut records = records.records.into_iter();
+        // Other keys are those of another writer.
+        Ok(records.find(|record| record.key == self.key).and_then(|record| record.value))
     }
 
     /// Replaces the value that was read or written last.
--- a/src/platform/keeper/tests.rs
+++ b/src/platform/keeper/tests.rs
@@ -144,3 +144,19 @@
         assert_eq!(store.records.borrow().last().map(Vec::as_slice), Some(&b"one"[..]));
     });
 }
+
+/// Before the fix the first value of any key was taken for that of the keeper.
+#[test]
+fn a_value_under_another_key_is_not_read() {
+    run(async {
+        let any = ([127, 0, 0, 1], 0).into();
+        let (stand_in, address) = soak::store::Store::start(any).await.expect("a port is free");
+        stand_in.put("keyed.topic", "&x", b"foreign");
+        let mut keeper = keeper(address);
+        assert_eq!(keeper.read().await.expect("the topic is read"), None);
+        keeper.replace(b"value").await.expect("it is written");
+        stand_in.put("keyed.topic", "a", b"foreign");
+        let value = keeper.read().await.expect("the topic is read");
+        assert_eq!(value.as_deref(), Some(&b"value"[..]));
+    });
+}
