Complete a listing that the store does not continue from the stored records

Found while looking for like places.

Cause: a listing goes on after the last key of a page, as text. A key that is not UTF-8 is returned as a text that is another key, so the listing may come back to a page that it had. Nothing noticed that, and the same calls were repeated without a pause.

Change: a listing whose next call was made before reads the records that the topic still holds, which have their keys as bytes. If the oldest have expired, the listing is not complete: what it lacks does not count as removed, and a value that an instance keeps is unknown, not missing (before, this would have granted a limit once more).

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -37,8 +37,21 @@
 const COLD: time::Duration = time::Duration::from_millis(3_000);
 
 /// The keys of entries that another writer has put into the store; they are of no use to anyone.
-const FOREIGN_KEYS: [&str; 10] =
-    ["&x", "#x", "+x", "a b", "%", "%7Ex", "\"x\"", "\u{e9}", "server-0&b=1", "server-0%41"];
+const FOREIGN_KEYS: [&[u8]; 13] = [
+    b"&x",
+    b"#x",
+    b"+x",
+    b"a b",
+    b"%",
+    b"%7Ex",
+    b"\"x\"",
+    "\u{e9}".as_bytes(),
+    b"server-0&b=1",
+    b"server-0%41",
+    b"server-\xff",
+    b"server-\xff1",
+    b"server-\xff2",
+];
 
 /// The topics in which they stand.
 const FOREIGN_TOPICS: [&str; 6] = [
@@ -579,7 +592,7 @@
         let set = move |is_in_force| {
             evacuations.borrow_mut().insert(zone, is_in_force);
             judge.note_evacuation(zone, is_in_force);
-            store.put("keyed.op", &format!("evacuate/{zone}"), evacuation(is_in_force));
+            store.put("keyed.op", format!("evacuate/{zone}"), evacuation(is_in_force));
         };
         set(true);
         tokio::task::spawn_local(async move {
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 struct Topic {
     records: Vec<Vec<u8>>,
+    /// The offset of the first record that can be read; listings contain older ones, too.
+    first: usize,
 }
 
 /// The store.
@@ -43,9 +45,9 @@
     appended: tokio::sync::Notify,
 }
 
-fn record(key: &str, value: &[u8]) -> Vec<u8> {
+fn record(key: &[u8], value: &[u8]) -> Vec<u8> {
     let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
-    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(key);
     record.extend_from_slice(value);
     record
 }
@@ -94,12 +96,19 @@
     }
 
     /// Appends a record as the operator or a server would.
-    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+    pub fn put<K: AsRef<[u8]>>(&self, topic: &str, key: K, value: &[u8]) {
         let mut topics = self.topics.borrow_mut();
-        topics.entry(topic.to_string()).or_default().records.push(record(key, value));
+        topics.entry(topic.to_string()).or_default().records.push(record(key.as_ref(), value));
         self.appended.notify_waiters();
     }
 
+    /// Lets all records of a topic expire but the newest one of each key.
+    pub fn expire(&self, topic: &str) {
+        if let Some(topic) = self.topics.borrow_mut().get_mut(topic) {
+            topic.first = topic.records.len();
+        }
+    }
+
     async fn answer(&self, request: hyper::Request<Incoming>) -> http::Response {
         match self.mode.get() {
             Mode::Up => {}
@@ -192,7 +201,10 @@
         let until = tokio::time::Instant::now() + time::Duration::from_millis(wait_ms);
         loop {
             let appended = self.appended.notified();
-            let Some(body) = self.records(topic, from) else { return http::response(410, "{}") };
+            let body = match self.records(topic, from) {
+                Ok(body) => body,
+                Err(first) => return http::response(410, format!("{{\"FirstOffset\":{first}}}")),
+            };
             let is_over = tokio::time::Instant::now() >= until;
             if body.len() > 16 || is_over {
                 return http::response(200, body);
@@ -202,19 +214,21 @@
         }
     }
 
-    /// Returns the records from an offset on; `None` if there is no such offset.
-    fn records(&self, topic: &str, from: usize) -> Option<Vec<u8>> {
+    /// Returns the records from an offset on; fails with the offset of the first record if there is no
+    /// such offset.
+    fn records(&self, topic: &str, from: usize) -> Result<Vec<u8>, usize> {
         let topics = self.topics.borrow();
-        let records = topics.get(topic).map(|topic| topic.records.as_slice()).unwrap_or_default();
-        if from > records.len() {
-            return None;
+        let empty = Topic::default();
+        let Topic { records, first } = topics.get(topic).unwrap_or(&empty);
+        if from < *first || from > records.len() {
+            return Err(*first);
         }
         let mut body = (records.len() as u64).to_be_bytes().to_vec();
-        body.extend_from_slice(&0_u64.to_be_bytes());
+        body.extend_from_slice(&(*first as u64).to_be_bytes());
         for record in records.iter().skip(from) {
             body.extend_from_slice(&(record.len() as u32).to_be_bytes());
             body.extend_from_slice(record);
         }
-        Some(body)
+        Ok(body)
     }
 }
--- a/src/platform/keeper.rs
+++ b/src/platform/keeper.rs
@@ -31,11 +31,15 @@
     /// Fails if the store does not return it.
     pub async fn read(&mut self) -> Result<Option<Bytes>, store::StoreError> {
         self.end = None;
-        let records = self.store.newest(self.topic).await?;
-        self.end = Some(records.next);
-        let mut records = records.records.into_iter();
+        let listing = self.store.newest(self.topic).await?;
+        let mut records = listing.records.into_iter();
         // Other keys are those of another writer.
-        Ok(records.find(|record| record.key == self.key).and_then(|record| record.value))
+        let record = records.find(|record| record.key == self.key);
+        if record.is_none() && !listing.is_complete {
+            return Err(store::StoreError::Incomplete);
+        }
+        self.end = Some(listing.next);
+        Ok(record.and_then(|record| record.value))
     }
 
     /// Replaces the value that was read or written last.
--- a/src/platform/keeper/tests.rs
+++ b/src/platform/keeper/tests.rs
@@ -160,3 +160,23 @@
         assert_eq!(value.as_deref(), Some(&b"value"[..]));
     });
 }
+
+/// Before the fix the value counted as missing, and what it told as never said.
+#[test]
+fn a_value_that_a_listing_may_lack_is_not_taken_for_missing() {
+    run(async {
+        let any = ([127, 0, 0, 1], 0).into();
+        let (stand_in, address) = soak::store::Store::start(any).await.expect("a port is free");
+        stand_in.set_page_records(1);
+        let foreign: [&[u8]; 2] = [b"a\xff", b"a\xff-last"];
+        foreign.iter().for_each(|key| stand_in.put("keyed.topic", key, b"foreign"));
+        stand_in.put("keyed.topic", "key", b"value");
+        stand_in.expire("keyed.topic");
+        let mut keeper = keeper(address);
+        let read = keeper.read().await;
+        assert!(matches!(read, Err(store::StoreError::Incomplete)), "{read:?}");
+        stand_in.put("keyed.topic", "key", b"newer");
+        let read = keeper.read().await.expect("it is among the stored records");
+        assert_eq!(read.as_deref(), Some(&b"newer"[..]));
+    });
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -58,6 +58,9 @@
     /// The store responded with an error status.
     #[error("the store responded with status {0}; try again later")]
     Refused(u16),
+    /// The store does not continue its listing of the topic, whose oldest records have expired.
+    #[error("the listing of the topic lacks keys; remove the entries whose keys are not UTF-8")]
+    Incomplete,
     /// A part of the request cannot be encoded, or a part of the response cannot be decoded.
     #[error("cannot encode or decode this part of a store call: {0}; check the store's version")]
     Unreadable(&'static str),
@@ -83,6 +86,8 @@
     pub next: ids::Offset,
     /// The era of the store, which rises each time that the store is restored from a copy.
     pub era: u64,
+    /// Whether the newest record of every key is included.
+    pub is_complete: bool,
 }
 
 /// The response header with the era of the store.
@@ -129,7 +134,8 @@
         Self { ignores_breaker: true, ..Self::new(address, breaker) }
     }
 
-    /// Reads the newest record of each key.
+    /// Reads the newest record of each key. If the store does not continue its listing, keys may be
+    /// missing of which no record is stored any more but the newest one.
     ///
     /// # Errors
     ///
@@ -144,12 +150,48 @@
                 // The pages come from different copies.
                 return Err(StoreError::Deleted { first: None });
             }
-            if listing.push(&page, self.era)? {
-                return Ok(listing.into_records(self.era));
+            match listing.push(&page, self.era)? {
+                listing::Progress::Continues => {}
+                listing::Progress::Complete => return Ok(listing.into_records(self.era, true)),
+                listing::Progress::Stalled => {
+                    log::warn!(
+                        "the listing of topic {topic} does not go on after key {:?}: reading its stored records instead",
+                        listing.last_key()
+                    );
+                    let is_complete = self.replay(topic, &mut listing).await?;
+                    return Ok(listing.into_records(self.era, is_complete));
+                }
             }
         }
     }
 
+    /// Adds the records that a topic still holds to a listing; returns whether none has expired.
+    async fn replay(
+        &mut self,
+        topic: &str,
+        listing: &mut listing::Listing,
+    ) -> Result<bool, StoreError> {
+        let era = self.era;
+        let mut is_complete = true;
+        let mut next = 0;
+        while next < listing.end() {
+            match self.read(topic, next, time::Duration::ZERO).await {
+                Ok(read) if read.era != era => return Err(StoreError::Deleted { first: None }),
+                Ok(read) if read.next > next => {
+                    next = read.next;
+                    read.records.into_iter().for_each(|record| listing.insert(record));
+                }
+                Err(StoreError::Deleted { first: Some(first) }) if first > next => {
+                    next = first;
+                    is_complete = false;
+                }
+                Ok(_) => return Ok(false),
+                Err(failure) => return Err(failure),
+            }
+        }
+        Ok(is_complete)
+    }
+
     /// Reads records from an offset; waits up to `wait` for the first one.
     ///
     /// # Errors
@@ -337,7 +379,7 @@
         let value = (!record.is_empty()).then_some(record);
         records.push(Record { key, value, position: ids::store_position(era, offset) });
     }
-    Ok(Records { records, next, era })
+    Ok(Records { records, next, era, is_complete: false })
 }
 
 #[cfg(test)]
--- a/src/platform/store/listing.rs
+++ b/src/platform/store/listing.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde_json::value;
 
+use crate::core::collections;
 use crate::core::ids;
 use crate::platform::store;
 
@@ -47,6 +48,18 @@
     Base64(#[from] base64::DecodeError),
 }
 
+/// Whether a listing goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// There is another page.
+    Continues,
+    /// The page was the last one.
+    Complete,
+    /// There is another page, but the call for it was made before: the text that the store returns for
+    /// a key that is not UTF-8 is not that key.
+    Stalled,
+}
+
 /// The pages of a listing that were read so far.
 #[derive(Debug, Default)]
 pub struct Listing {
@@ -54,6 +67,8 @@
     records: BTreeMap<Bytes, store::Record>,
     /// The last key that was listed.
     last_key: Option<String>,
+    /// The keys after which pages were read.
+    read_after: collections::Set<Option<String>>,
     /// The end of the topic at the first page.
     end: Option<ids::Offset>,
 }
@@ -67,12 +82,12 @@
         format!("/-/log-newest?Topic={topic}&part=0{after}")
     }
 
-    /// Adds a page; returns whether it was the last one.
+    /// Adds a page; returns whether the listing goes on.
     ///
     /// # Errors
     ///
     /// Fails if the page cannot be decoded. An item that cannot is skipped.
-    pub fn push(&mut self, page: &[u8], era: u64) -> Result<bool, store::StoreError> {
+    pub fn push(&mut self, page: &[u8], era: u64) -> Result<Progress, store::StoreError> {
         // Bytes that are not UTF-8 make a single item unreadable.
         let page = String::from_utf8_lossy(page);
         let page: Page<'_> =
@@ -80,12 +95,19 @@
         // Pages are not a snapshot: the next read starts at the end offset of the first page, so that
         // it returns all later changes.
         self.end.get_or_insert(page.end_offset);
+        self.read_after.insert(self.last_key.clone());
         for item in page.items {
             if let Err(failure) = self.push_item(item, era) {
                 log::warn!("ignoring an item of a listing of the store: {failure}");
             }
         }
-        Ok(!page.has_more)
+        Ok(if !page.has_more {
+            Progress::Complete
+        } else if self.read_after.contains(&self.last_key) {
+            Progress::Stalled
+        } else {
+            Progress::Continues
+        })
     }
 
     fn push_item(&mut self, item: &value::RawValue, era: u64) -> Result<(), ItemError> {
@@ -100,13 +122,29 @@
         Ok(())
     }
 
-    fn insert(&mut self, record: store::Record) {
-        self.records.insert(record.key.clone(), record);
+    /// Adds a record unless a newer one of its key is known.
+    pub fn insert(&mut self, record: store::Record) {
+        let known = self.records.get(&record.key);
+        if known.is_none_or(|known| known.position <= record.position) {
+            self.records.insert(record.key.clone(), record);
+        }
+    }
+
+    /// Returns the end of the topic when the listing began.
+    pub fn end(&self) -> ids::Offset {
+        self.end.unwrap_or_default()
+    }
+
+    /// Returns the key after which the listing goes on, for a log line.
+    pub fn last_key(&self) -> &str {
+        self.last_key.as_deref().unwrap_or_default()
     }
 
-    /// Returns the records, in the order of their keys.
-    pub fn into_records(self, era: u64) -> store::Records {
+    /// Returns the records, in the order of their keys. `is_complete` states whether they include the
+    /// newest record of every key.
+    pub fn into_records(self, era: u64, is_complete: bool) -> store::Records {
+        let next = self.end();
         let records = self.records.into_values().collect();
-        store::Records { records, next: self.end.unwrap_or_default(), era }
+        store::Records { records, next, era, is_complete }
     }
 }
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -143,10 +143,47 @@
 fn a_listing_goes_on_after_the_key_of_an_item_that_cannot_be_decoded() {
     let page = br#"{"items":[{"Key":"a&","Value":7}],"HasMore":true,"EndOffset":3}"#;
     let mut listing = listing::Listing::default();
-    assert!(!listing.push(page, 0).expect("the page is read"));
+    assert_eq!(listing.push(page, 0).expect("the page is read"), listing::Progress::Continues);
     assert_eq!(listing.next_path(TOPIC), "/-/log-newest?Topic=keyed.topic&part=0&after=a%26");
 }
 
+const NOT_UTF_8: &[u8] = b"server-\xff";
+
+/// Before the fix such a listing began the same page anew without end.
+#[test]
+fn a_listing_that_the_store_does_not_continue_is_completed_from_the_stored_records() {
+    run(async {
+        let (stand_in, mut store) = start_store().await;
+        stand_in.set_page_records(1);
+        stand_in.put(TOPIC, NOT_UTF_8, b"foreign");
+        stand_in.put(TOPIC, "server-0", b"before");
+        stand_in.put(TOPIC, "server-1", b"value");
+        stand_in.put(TOPIC, "server-\u{10ffff}", b"value");
+        stand_in.put(TOPIC, "server-0", b"after");
+        stand_in.put(TOPIC, "server-1", b"");
+        stand_in.put(TOPIC, b"server-\xff-last", b"value");
+        let listing = time::timeout(HANG_GUARD, store.newest(TOPIC)).await;
+        let listing = listing.expect("it ends").expect("it is read");
+        insta::assert_debug_snapshot!(listing);
+    });
+}
+
+#[test]
+fn a_listing_whose_records_have_expired_says_that_keys_may_be_missing() {
+    run(async {
+        let (stand_in, mut store) = start_store().await;
+        stand_in.set_page_records(1);
+        ["server-0", "server-1"].iter().for_each(|key| stand_in.put(TOPIC, key, b"value"));
+        stand_in.put(TOPIC, NOT_UTF_8, b"foreign");
+        stand_in.put(TOPIC, b"server-\xff-last", b"value");
+        stand_in.expire(TOPIC);
+        stand_in.put(TOPIC, "server-2", b"value");
+        let listing = time::timeout(HANG_GUARD, store.newest(TOPIC)).await;
+        let listing = listing.expect("it ends").expect("it is read");
+        insta::assert_debug_snapshot!(listing);
+    });
+}
+
 proptest! {
     #[test]
     fn no_input_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -140,9 +140,9 @@
                 if std::mem::take(&mut self.is_failing) {
                     log::info!("topic {} of the store is readable again", self.topic);
                 }
-                let is_complete = self.next.is_none();
+                let is_listing = self.next.is_none();
                 let is_restored = self.era.is_some_and(|era| era < records.era);
-                if is_restored && !is_complete {
+                if is_restored && !is_listing {
                     // The offset belongs to the era before: read everything anew.
                     self.next = None;
                     return None;
@@ -159,7 +159,8 @@
                 self.era = Some(records.era);
                 self.next = Some(records.next);
                 let next = ids::store_position(records.era, records.next);
-                Some(Batch { records: records.records, is_complete, is_restored, next })
+                let store::Records { records, is_complete, .. } = records;
+                Some(Batch { records, is_complete, is_restored, next })
             }
             Err(failure) => {
                 if matches!(failure, store::StoreError::Deleted { .. }) {
