Read past a record of the store that is shorter than its length says

Callers would see: a configuration, a withdrawn key or a server that leaves is not taken over any more, at any instance that reads the store; with such a record among origins, streams of unknown origin are refused. No caller has been seen to.

Cause: a read whose records end inside one failed as a whole, and was repeated from the same offset without end.

Evidence: on the code before, three tests failed with Unreadable("record"), one each for the decoder, the reader of a topic and the reader of origins. With the change they pass.

Change: the records before the truncated one are returned. If it comes first, where the next one begins is unknown: a topic with keys is listed anew, since the record may change any key, and a listing contains the change; origins of streams have no listing, so the reader goes on at the next offset. A remainder of fewer than four bytes counts as a truncated record, too: it was ignored, and a read that waits for changes returned at once each time.

--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::net;
 use std::rc;
@@ -17,6 +18,9 @@
 /// The most records in a page of a listing, so that most listings have several pages.
 const PAGE_RECORDS: usize = 2;
 
+/// The bytes that a truncated record lacks, more than those of all later records.
+const MISSING_BYTES: usize = 1_000_000;
+
 /// How the store answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -33,6 +37,8 @@
     records: Vec<Vec<u8>>,
     /// The offset of the first record that can be read; listings contain older ones, too.
     first: usize,
+    /// The offsets of records that are shorter than their length says.
+    truncated: BTreeSet<usize>,
 }
 
 /// The store.
@@ -102,6 +108,15 @@
         self.appended.notify_waiters();
     }
 
+    /// Appends a record that is shorter than its length says.
+    pub fn put_truncated(&self, topic: &str, key: &str, value: &[u8]) {
+        let offset = self.end(topic);
+        self.put(topic, key, value);
+        if let Some(topic) = self.topics.borrow_mut().get_mut(topic) {
+            topic.truncated.insert(offset);
+        }
+    }
+
     /// Lets all records of a topic expire but the newest one of each key.
     pub fn expire(&self, topic: &str) {
         if let Some(topic) = self.topics.borrow_mut().get_mut(topic) {
@@ -219,14 +234,15 @@
     fn records(&self, topic: &str, from: usize) -> Result<Vec<u8>, usize> {
         let topics = self.topics.borrow();
         let empty = Topic::default();
-        let Topic { records, first } = topics.get(topic).unwrap_or(&empty);
+        let Topic { records, first, truncated } = topics.get(topic).unwrap_or(&empty);
         if from < *first || from > records.len() {
             return Err(*first);
         }
         let mut body = (records.len() as u64).to_be_bytes().to_vec();
         body.extend_from_slice(&(*first as u64).to_be_bytes());
-        for record in records.iter().skip(from) {
-            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        for (offset, record) in records.iter().enumerate().skip(from) {
+            let missing = if truncated.contains(&offset) { MISSING_BYTES } else { 0 };
+            body.extend_from_slice(&((record.len() + missing) as u32).to_be_bytes());
             body.extend_from_slice(record);
         }
         Ok(body)
--- a/src/platform/origins.rs
+++ b/src/platform/origins.rs
@@ -96,6 +96,11 @@
                     self.next = first;
                     continue;
                 }
+                Err(failure @ store::StoreError::Truncated { offset }) => {
+                    log::warn!("ignoring origins of streams: {failure}");
+                    self.next = offset + 1;
+                    continue;
+                }
                 other => other?,
             };
             let is_restored = self.era.is_some_and(|era| era < records.era);
--- a/src/platform/origins/tests.rs
+++ b/src/platform/origins/tests.rs
@@ -17,6 +17,16 @@
 
 /// A response with records from some offset on.
 fn records(records: &[Vec<u8>]) -> Vec<u8> {
+    response("200 OK", &records_body(records))
+}
+
+/// A response with records from some offset on, of which the last one is truncated.
+fn truncated_records(records: &[Vec<u8>]) -> Vec<u8> {
+    let body = records_body(records);
+    response("200 OK", &body[..body.len() - 1])
+}
+
+fn records_body(records: &[Vec<u8>]) -> BytesMut {
     let mut body = BytesMut::new();
     body.put_u64(0);
     body.put_u64(0);
@@ -25,7 +35,7 @@
         body.put_u8(0);
         body.put_slice(record);
     }
-    response("200 OK", &body)
+    body
 }
 
 fn response(status: &str, body: &[u8]) -> Vec<u8> {
@@ -53,20 +63,17 @@
     (address, serving)
 }
 
-#[test]
-fn origins_are_read_from_the_oldest_record_that_has_not_expired() {
+fn record(streams: &[u64]) -> Vec<u8> {
+    let origins: Vec<_> = streams.iter().map(|stream| origin(*stream)).collect();
+    rmp_serde::to_vec(&origins).expect("it is encoded")
+}
+
+/// Reads all origins from a store that gives these responses; returns them and the offsets that were
+/// read.
+fn read_all(responses: Vec<Vec<u8>>) -> (Vec<streams::Origin>, Vec<String>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let test = async {
-        let record = |streams: &[u64]| {
-            let origins: Vec<_> = streams.iter().map(|stream| origin(*stream)).collect();
-            rmp_serde::to_vec(&origins).expect("it is encoded")
-        };
-        let (address, serving) = store(vec![
-            response("410 Gone", br#"{"FirstOffset":7}"#),
-            records(&[record(&[1, 2]), b"forged".to_vec(), record(&[3])]),
-            records(&[]),
-        ])
-        .await;
+    let reading = async {
+        let (address, serving) = store(responses).await;
         let mut reader = Reader {
             store: store::Store::new(address, breaker::Breaker::new()),
             next: 0,
@@ -74,8 +81,31 @@
         };
         let reading = tokio::time::timeout(time::Duration::from_secs(30), reader.read());
         let read = reading.await.expect("the store answers").expect("the origins are read");
-        assert_eq!(read, [origin(1), origin(2), origin(3)]);
-        assert_eq!(serving.await.expect("the store has answered"), ["0", "7", "10"]);
+        (read, serving.await.expect("the store has answered"))
     };
-    tokio::task::LocalSet::new().block_on(&runtime.expect("the runtime starts"), test);
+    tokio::task::LocalSet::new().block_on(&runtime.expect("the runtime starts"), reading)
+}
+
+#[test]
+fn origins_are_read_from_the_oldest_record_that_has_not_expired() {
+    let (read, offsets) = read_all(vec![
+        response("410 Gone", br#"{"FirstOffset":7}"#),
+        records(&[record(&[1, 2]), b"forged".to_vec(), record(&[3])]),
+        records(&[]),
+    ]);
+    assert_eq!(read, [origin(1), origin(2), origin(3)]);
+    assert_eq!(offsets, ["0", "7", "10"]);
+}
+
+/// Before the fix no origin was read any more, so streams of unknown origin were refused.
+#[test]
+fn origins_behind_a_truncated_record_are_read() {
+    let (read, offsets) = read_all(vec![
+        truncated_records(&[record(&[1]), record(&[2])]),
+        truncated_records(&[record(&[2])]),
+        records(&[record(&[3])]),
+        records(&[]),
+    ]);
+    assert_eq!(read, [origin(1), origin(3)]);
+    assert_eq!(offsets, ["0", "1", "2", "3"]);
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -46,6 +46,12 @@
         /// The offset of the oldest stored record, if the store has returned it.
         first: Option<ids::Offset>,
     },
+    /// The record at the offset of a read is shorter than its length says.
+    #[error("the record at offset {offset} is truncated; skip it")]
+    Truncated {
+        /// The offset of the record.
+        offset: ids::Offset,
+    },
     /// The topic does not end at the offset of a conditional append, which was not carried out.
     #[error("the topic ends at offset {end}; read what others have written")]
     NotAtEnd {
@@ -165,7 +171,7 @@
         }
     }
 
-    /// Adds the records that a topic still holds to a listing; returns whether none has expired.
+    /// Adds the records that a topic still holds to a listing; returns whether none is missing.
     async fn replay(
         &mut self,
         topic: &str,
@@ -185,6 +191,10 @@
                     next = first;
                     is_complete = false;
                 }
+                Err(StoreError::Truncated { offset }) => {
+                    next = offset + 1;
+                    is_complete = false;
+                }
                 Ok(_) => return Ok(false),
                 Err(failure) => return Err(failure),
             }
@@ -196,7 +206,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the offset is no longer stored, the call fails or its response is invalid.
+    /// Fails if the offset is no longer stored, its record is truncated, the call fails or its response
+    /// is invalid. Of records after the first one, those before a truncated one are returned.
     pub async fn read(
         &mut self,
         topic: &str,
@@ -359,12 +370,14 @@
     let _first = body.get_u64();
     let mut records = Vec::new();
     let mut next = from;
-    while body.len() >= 4 {
-        let length = body.get_u32() as usize;
-        if body.len() < length {
-            return Err(StoreError::Unreadable("record"));
-        }
-        let mut record = body.split_to(length);
+    while !body.is_empty() {
+        let Some(mut record) = split_record(&mut body) else {
+            // Where the next record begins is unknown. Those before it are whole.
+            if records.is_empty() && next == from {
+                return Err(StoreError::Truncated { offset: from });
+            }
+            break;
+        };
         let offset = next;
         next += 1;
         if record.is_empty() {
@@ -382,5 +395,11 @@
     Ok(Records { records, next, era, is_complete: false })
 }
 
+/// Splits a record off the records of a read; `None` if it is shorter than its length says.
+fn split_record(records: &mut Bytes) -> Option<Bytes> {
+    let length = records.try_get_u32().ok()? as usize;
+    (length <= records.len()).then(|| records.split_to(length))
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -13,6 +13,7 @@
 
 use super::ERA;
 use super::Store;
+use super::StoreError;
 use super::listing;
 use super::parse;
 use crate::platform::breaker;
@@ -49,6 +50,21 @@
     assert!(parse(body.slice(..15), 0, 0).is_err());
 }
 
+/// Before the fix the whole read failed, again and again.
+#[test]
+fn the_records_before_a_truncated_one_are_read() {
+    let body = records(&[b"\x01kv", b"", b"\x01kw"]);
+    let read = parse(body.slice(..body.len() - 1), 5, 0).expect("two records are whole");
+    assert_eq!((read.records.len(), read.next), (1, 7));
+    let read = parse(body.slice(..body.len() - 5), 5, 0).expect("two records are whole");
+    assert_eq!((read.records.len(), read.next), (1, 7));
+    let first = records(&[b"\x01kv"]);
+    for missing in 1..=6 {
+        let read = parse(first.slice(..first.len() - missing), 5, 0);
+        assert!(matches!(read, Err(StoreError::Truncated { offset: 5 })), "{missing}: {read:?}");
+    }
+}
+
 #[test]
 fn the_era_of_the_store_only_rises() {
     let mut store = Store::new(([127, 0, 0, 1], 1).into(), breaker::Breaker::new());
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -165,6 +165,10 @@
             Err(failure) => {
                 if matches!(failure, store::StoreError::Deleted { .. }) {
                     self.next = None;
+                } else if matches!(failure, store::StoreError::Truncated { .. }) {
+                    // The record may be a later change of any key, which a listing contains.
+                    log::warn!("topic {} is listed anew: {failure}", self.topic);
+                    self.next = None;
                 } else if !std::mem::replace(&mut self.is_failing, true) {
                     log::warn!("cannot read topic {} of the store: {failure}", self.topic);
                 }
@@ -486,3 +490,6 @@
         Err(failure) => log::warn!("ignoring an invalid spending history: {failure}"),
     }
 }
+
+#[cfg(test)]
+mod tests;
