Use no entry whose id cannot be sent in a header

No caller has been seen to; found while looking for like places.

Cause: each request names its server in a header, so that another one refuses it. A header cannot carry a control byte or other text than ASCII: `set_header` logs that and leaves it out, and the request is sent without (by reading). Blanks at the ends of a value are lost on the way.

Evidence: on the code before, `an_entry_whose_id_no_header_can_carry_names_no_server` failed at the empty id. With the change it passes for nine ids; ids such as `&x` are used as before.

Change: an entry is valid only if its id is visible ASCII text without blanks. Log lines escape the id.

--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -34,16 +34,30 @@
     Draining,
 }
 
+/// Why an entry names no server to use.
+#[derive(Debug, thiserror::Error)]
+pub enum EntryError {
+    /// A field is missing or of another type.
+    #[error("its fields are invalid: {0}")]
+    Fields(#[from] serde_json::Error),
+    /// Its id cannot be the value of a header, with which every request names its server.
+    #[error("its id is not visible ASCII text")]
+    Id,
+}
+
 /// Reads a server's entry.
 ///
 /// # Errors
 ///
-/// Fails if a field is missing or of another type; the server is then not used.
+/// Fails if the id or a field is invalid; the server is then not used.
 pub fn read(
     id: ids::ServerId,
     value: &[u8],
     offset: ids::StorePosition,
-) -> Result<servers::Entry, serde_json::Error> {
+) -> Result<servers::Entry, EntryError> {
+    if id.is_empty() || !id.iter().all(u8::is_ascii_graphic) {
+        return Err(EntryError::Id);
+    }
     let read: Entry = serde_json::from_slice(value)?;
     Ok(servers::Entry {
         id,
@@ -75,7 +89,9 @@
         Ok(entry) => Some(servers::EntryChange::Put(entry)),
         Err(failure) => {
             let name = String::from_utf8_lossy(&key);
-            log::warn!("ignoring the invalid entry of server {name} at offset {offset}: {failure}");
+            log::warn!(
+                "ignoring the invalid entry of server {name:?} at offset {offset}: {failure}"
+            );
             None
         }
     }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -95,6 +95,30 @@
     assert_eq!(entries::listing(Bytes::from("i-1"), None, 4), Some(removed));
 }
 
+/// Before the fix requests to such a server did not name it, so whichever server has its address by
+/// then ran them.
+#[test]
+fn an_entry_whose_id_no_header_can_carry_names_no_server() {
+    let listing = |id: &'static [u8]| {
+        entries::listing(Bytes::from_static(id), Some(ENTRY.as_bytes()), 3).is_some()
+    };
+    let invalid: [&[u8]; 9] = [
+        b"",
+        b" ",
+        b" i-1",
+        b"i-1 ",
+        b"i 1",
+        b"i-1\t",
+        b"i-1\r\nTenant: a",
+        "i-\u{e9}".as_bytes(),
+        b"i-\xff",
+    ];
+    for id in invalid {
+        assert!(!listing(id), "{}", String::from_utf8_lossy(id));
+    }
+    assert!([b"i-7f3a91c2".as_slice(), b"&x", b"a%20b", b"+"].into_iter().all(listing));
+}
+
 fn operators_record(
     key: &'static [u8],
     value: Option<&'static str>,
