Take an announcement of an instance only under its own name

Callers would see nothing as long as the entry is old; one that names a live instance and a later start would take its place.

Cause: the key of an announcement was not read. It was removed by the name in its value, so an entry of another writer stayed, and a name that is too long for a key ended each removal before the others.

Evidence: without the check of the key, `an_instance_is_announced_only_under_its_own_name` fails. With it the test passes.

Change: an announcement counts only under the name that it states; another one is ignored with a log line.

--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -355,19 +355,30 @@
 fn discover_members(context: &context::Context, batch: Batch, announced: &mut Announced) {
     let now = context.now();
     let mut members = Vec::new();
-    for record in batch.records {
-        let Some(value) = record.value else { continue };
-        match serde_json::from_slice::<peers::Member>(&value) {
-            Ok(member) => {
-                announced.insert(member.name.clone(), (member.clone(), now));
-                members.push(member);
-            }
-            Err(failure) => log::warn!("ignoring an invalid announcement: {failure}"),
-        }
+    for member in batch.records.iter().filter_map(announcement) {
+        announced.insert(member.name.clone(), (member.clone(), now));
+        members.push(member);
     }
     context.apply(fleet::Event::MembersDiscovered(members));
 }
 
+/// Reads the announcement of an instance, which it writes under its own name.
+fn announcement(record: &store::Record) -> Option<peers::Member> {
+    let value = record.value.as_deref()?;
+    let key = String::from_utf8_lossy(&record.key);
+    match serde_json::from_slice::<peers::Member>(value) {
+        Ok(member) if member.name.as_bytes() == record.key => Some(member),
+        Ok(member) => {
+            log::warn!("ignoring the announcement {key:?}: it names instance {:?}", member.name);
+            None
+        }
+        Err(failure) => {
+            log::warn!("ignoring the invalid announcement {key:?}: {failure}");
+            None
+        }
+    }
+}
+
 /// Removes the announcements of instances that have departed for good; otherwise they would
 /// accumulate.
 async fn remove_departed(
--- a/src/platform/watch/tests.rs
+++ b/src/platform/watch/tests.rs
@@ -2,8 +2,12 @@
 
 use std::time;
 
+use bytes::Bytes;
+
 use super::SERVERS_TOPIC;
 use super::TopicReader;
+use super::announcement;
+use crate::core::fleet::peers;
 use crate::platform::breaker;
 use crate::platform::store;
 
@@ -33,3 +37,26 @@
     };
     tokio::task::LocalSet::new().block_on(&runtime.expect("the runtime starts"), test);
 }
+
+/// Before the fix an announcement under another key took the place of the instance that it names, and
+/// was never removed.
+#[test]
+fn an_instance_is_announced_only_under_its_own_name() {
+    let member = peers::Member {
+        name: "instance".to_string(),
+        incarnation: 1,
+        peer_address: ([127, 0, 0, 1], 7_500).into(),
+        caller_address: ([127, 0, 0, 1], 8_360).into(),
+        is_ready: true,
+        capacity_cores: 1.0,
+        started_unix_ms: 0,
+    };
+    let value = serde_json::to_vec(&member).expect("it is encoded");
+    let announced = |key: &'static str, value: &[u8]| {
+        let value = Some(Bytes::copy_from_slice(value));
+        announcement(&store::Record { key: Bytes::from(key), value, position: 0 })
+    };
+    assert_eq!(announced("instance", &value), Some(member));
+    assert_eq!(announced("&x", &value), None);
+    assert_eq!(announced("instance", b"{}"), None);
+}
