Decode the entries of lists in answers one by one

Callers would see: an instance of `serve` that starts finds no others; engines keep the memory of requests that nobody awaits; prompts are placed without knowledge of an engine's cache.

Cause: a list in an answer was decoded as a whole, so one entry with a missing field or one of another type made all unreadable.

Evidence: on the code before, three tests of `tests/unreadable_entries.rs` (instances, held requests, cache) and the one of an engine's list of prompts failed. With the change they pass, and what is no list is an error as before.

Change: one function decodes the entries of a list and leaves out those that cannot be, with a log line. Skipped cache events are gaps in the sequence numbers, after which the cache is read anew as before.

--- a/src/borders/engines/openai/wire.rs
+++ b/src/borders/engines/openai/wire.rs
@@ -12,6 +12,7 @@
 use crate::core::placement;
 use crate::core::request;
 use crate::core::scheduler;
+use crate::lists;
 
 /// Prefix of the ids in responses, before the request id.
 const ID_PREFIX: &str = "cmpl-";
@@ -83,6 +84,7 @@
 #[derive(Debug, Deserialize)]
 pub struct RequestsResponse {
     /// The requests, those of other systems included.
+    #[serde(deserialize_with = "lists::readable_entries")]
     pub requests: Vec<RequestEntry>,
 }
 
@@ -131,6 +133,7 @@
     /// The sequence number up to which the snapshot includes events.
     pub sequence: u64,
     /// The block hashes as decimal numbers.
+    #[serde(deserialize_with = "lists::readable_entries")]
     pub blocks: Vec<String>,
 }
 
@@ -139,6 +142,7 @@
 pub struct CacheEventsResponse {
     first: u64,
     next: u64,
+    #[serde(deserialize_with = "lists::readable_entries")]
     events: Vec<RawCacheEvent>,
 }
 
--- a/src/borders/platform/http_instances.rs
+++ b/src/borders/platform/http_instances.rs
@@ -10,6 +10,7 @@
 use crate::borders::http;
 use crate::borders::platform;
 use crate::core::membership;
+use crate::lists;
 
 /// Timeout for the response head and for the body.
 const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
@@ -26,6 +27,7 @@
 
 #[derive(Debug, Deserialize)]
 struct ListResponse {
+    #[serde(deserialize_with = "lists::readable_entries")]
     instances: Vec<ListEntry>,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod core;
 pub mod document;
+pub mod lists;
 pub mod platform;
 pub mod router;
 pub mod schema;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -14,6 +14,7 @@
 use crate::core::fleet::server_limits;
 use crate::core::fleet::server_load;
 use crate::core::ids;
+use crate::lists;
 use crate::router::body;
 use crate::router::dialect;
 
@@ -116,6 +117,7 @@
 /// The parts of prompts that a server keeps.
 #[derive(serde::Deserialize)]
 struct PromptList {
+    #[serde(deserialize_with = "lists::readable_entries")]
     held: Vec<KeptPart>,
 }
 
