Keep the place of a record of the log that cannot be decoded

Callers would see: instances of `serve` lose their lease, since no renewal is read any more, and refuse requests; a new configuration and withdrawn keys are not taken over.

Cause: a record with a field of another type made its page unreadable, and the page was read again and again. A record whose body is not base64 was left out without a log line; members and configuration are folded record by record, and waited for the gap to close.

Evidence: on the code before, `a_page_of_the_log_with_unreadable_records_has_no_gap` failed at the first record of another type. With the change it passes: all seven offsets of the page are there, five of them empty.

Change: such a record is passed on empty, with a log line. No reader can decode an empty record, and all readers count it, so they agree. Its offset follows from the one before, as offsets rise by one.

--- a/src/borders/platform/http_log.rs
+++ b/src/borders/platform/http_log.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::future;
 use serde::Deserialize;
+use serde_json::value;
 
 use crate::borders::http;
 use crate::borders::platform;
@@ -40,7 +41,7 @@
 struct ReadResponse {
     first: ids::Offset,
     next: ids::Offset,
-    records: Vec<ReadRecord>,
+    records: Vec<Box<value::RawValue>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -111,7 +112,7 @@
         }
         let response: ReadResponse = serde_json::from_slice(&body)
             .map_err(|failure| self.unavailable(failure.to_string()))?;
-        Ok(response.into_page())
+        Ok(response.into_page(from))
     }
 
     fn unavailable(&self, problem: String) -> platform::Unavailable {
@@ -119,19 +120,37 @@
     }
 }
 
+/// Why a record cannot be decoded.
+#[derive(Debug, thiserror::Error)]
+enum RecordError {
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error("its body is not base64: {0}")]
+    Base64(#[from] base64::DecodeError),
+}
+
 impl ReadResponse {
-    /// Decodes the records; skips those whose body is not base64.
-    fn into_page(self) -> platform::Page {
-        let records = self.records.into_iter().filter_map(ReadRecord::into_record).collect();
+    /// Decodes the records of a read from an offset. One that cannot be decoded is empty: readers fold
+    /// the records without a gap.
+    fn into_page(self, from: ids::Offset) -> platform::Page {
+        let mut offset = from.max(self.first);
+        let mut records = Vec::with_capacity(self.records.len());
+        for record in &self.records {
+            let record = read_record(record).unwrap_or_else(|failure| {
+                ::log::warn!(offset; "ignoring an unreadable record of the log: {failure}");
+                log::Record { offset, time_ms: 0, body: Bytes::new() }
+            });
+            offset = record.offset.saturating_add(1);
+            records.push(record);
+        }
         platform::Page { first: self.first, next: self.next, records }
     }
 }
 
-impl ReadRecord {
-    fn into_record(self) -> Option<log::Record> {
-        let body = prelude::BASE64_STANDARD.decode(&self.body).ok()?;
-        Some(log::Record { offset: self.offset, time_ms: self.time_ms, body: Bytes::from(body) })
-    }
+fn read_record(record: &value::RawValue) -> Result<log::Record, RecordError> {
+    let ReadRecord { offset, time_ms, body } = serde_json::from_str(record.get())?;
+    let body = prelude::BASE64_STANDARD.decode(body)?;
+    Ok(log::Record { offset, time_ms, body: Bytes::from(body) })
 }
 
 /// Returns whether a status means that the log did not append the record.
--- a/tests/unreadable_entries.rs
+++ b/tests/unreadable_entries.rs
@@ -7,7 +7,10 @@
 use galenayard::borders::engines::openai;
 use galenayard::borders::http;
 use galenayard::borders::platform::Instances as _;
+use galenayard::borders::platform::Log as _;
 use galenayard::borders::platform::http_instances;
+use galenayard::borders::platform::http_log;
+use galenayard::core::log;
 use standins::answers;
 
 /// The longest that a test waits for an answer.
@@ -45,6 +48,22 @@
     insta::assert_debug_snapshot!(list.expect("it is a list"));
 }
 
+/// Before the fix no record of the page was read, or the unreadable one was left out, and readers
+/// waited for it without end.
+#[tokio::test]
+async fn a_page_of_the_log_with_unreadable_records_has_no_gap() {
+    let server = server(
+        r#"{"first":3,"next":10,"records":[{"offset":"x","time_ms":1,"body":"YQ=="},
+            {"offset":4,"time_ms":2,"body":"Yg=="},{"offset":5,"time_ms":3,"body":"not base64"},
+            {"offset":6,"time_ms":4},null,{"offset":8,"time_ms":-1,"body":"YQ=="},
+            {"offset":9,"time_ms":5,"body":"Yw=="}]}"#,
+    )
+    .await;
+    let log = http_log::HttpLog::new(client(), server.address);
+    let page = log.read(log::Stream::Membership, 1, Duration::ZERO).await;
+    insta::assert_debug_snapshot!(page.expect("it is a page"));
+}
+
 /// Before the fix no request was listed, so none that nobody awaits was cancelled.
 #[tokio::test]
 async fn a_list_of_held_requests_with_unreadable_entries_lists_the_others() {
