Test that answers that are no HTTP, or break off during an upload, are never passed on

In `node`, plain requests, streams, repeats and hedges are tested; in `serve`, plain calls with buffered and streamed bodies, prefills and decodes. No answer reached a caller as a whole one.

--- a/src/borders/engines/openai/tests.rs
+++ b/src/borders/engines/openai/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of streams that contain events of other requests.
+//! Tests of streams that contain events of other requests, and of answers that are no HTTP.
 
 use std::sync;
 use std::sync::atomic;
@@ -6,8 +6,10 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use standins::answers;
 
 use crate::borders::engines;
+use crate::borders::engines::Engines as _;
 use crate::borders::engines::Stream as _;
 use crate::borders::engines::openai;
 use crate::borders::http;
@@ -90,3 +92,29 @@
     let taken = taken.load(atomic::Ordering::Relaxed);
     assert!(taken < MOST_PARTS / 8, "{taken} of {MOST_PARTS} parts");
 }
+
+#[tokio::test]
+async fn an_answer_with_an_invalid_head_is_a_failure_after_which_the_request_may_have_run() {
+    let id = ids::request_text(OWN);
+    let body =
+        format!(r#"{{"id":"cmpl-{id}","usage":{{"prompt_tokens":1}},"kv_transfer_params":{{}}}}"#);
+    for (name, answer) in answers::invalid("content-type: application/json\r\n", &body) {
+        let behaviour = answers::Behaviour { answer, wait: time::Duration::ZERO, resets: false };
+        let engine = answers::spawn(behaviour).await.expect("a free port");
+        let timeouts =
+            openai::Timeouts { prefill: TIMEOUT, first_token: TIMEOUT, event_timeout: TIMEOUT };
+        let client = http::Client::new(http::Timeouts { connect: TIMEOUT, idle: TIMEOUT });
+        let engines = openai::OpenAi::new(client, timeouts);
+        let call = engines::Call {
+            request: OWN,
+            address: engine.address,
+            priority: 0,
+            api: engines::Api::Completions,
+            fields: sync::Arc::default(),
+        };
+        let prefilled = engines.prefill(call.clone()).await.map(|_| ());
+        assert_eq!(prefilled, Err(request::Failure::maybe_run(request::Fault::Closed)), "{name:?}");
+        let decoding = engines.decode(call, engines::Source::Prompt).await.map(|_| ());
+        assert_eq!(decoding, Err(request::Failure::maybe_run(request::Fault::Closed)), "{name:?}");
+    }
+}
--- a/tests/plain_http.rs
+++ b/tests/plain_http.rs
@@ -20,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use standins::answers;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, watch};
@@ -44,6 +45,17 @@
 async fn start() -> Site {
     let (arrived, go_on) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let service = spawn_service(Arc::clone(&arrived), Arc::clone(&go_on)).await;
+    start_with(service, arrived, go_on).await
+}
+
+/// Starts a caller's side in front of a service in trouble.
+async fn start_before(behaviour: answers::Behaviour) -> (Site, answers::Handle) {
+    let service = answers::spawn(behaviour).await.expect("a free port");
+    let site = start_with(service.address, Arc::default(), Arc::default()).await;
+    (site, service)
+}
+
+async fn start_with(service: SocketAddr, arrived: Arc<Notify>, go_on: Arc<Notify>) -> Site {
     let (ending, endings) = mpsc::unbounded_channel();
     let (inputs, receiver) = mpsc::channel(64);
     let (published, watch) = watch::channel(handle::Published::default());
@@ -434,3 +446,63 @@
         assert_eq!(body, path);
     }
 }
+
+#[tokio::test]
+async fn an_answer_with_an_invalid_head_is_not_passed_on() {
+    for (name, answer) in answers::invalid("x-own: kept\r\n", "good") {
+        let behaviour = answers::Behaviour { answer, wait: Duration::ZERO, resets: false };
+        let (mut site, mut service) = start_before(behaviour).await;
+        let got = exchange(&site, &message("POST /orders", "content-length: 2\r\n", "ab")).await;
+        assert!(got.starts_with("HTTP/1.1 502"), "{name:?}: {got}");
+        assert!(!got.contains("good") && !got.contains("x-own"), "{name:?}: {got}");
+        service.requests.recv().await.expect("the call has reached the service");
+        let ending = site.endings.recv().await.expect("the call has ended");
+        assert!(ending.contains("ran: Unknown"), "{name:?}: {ending}");
+    }
+}
+
+/// Sends a call with a long body while its answer is read; returns the answer.
+async fn upload(site: &Site, body_bytes: usize) -> String {
+    let headers = format!("content-length: {body_bytes}\r\n");
+    let bytes = message("POST /orders", &headers, &"x".repeat(body_bytes));
+    let stream = TcpStream::connect(site.address).await.expect("a connection");
+    let (mut reader, mut writer) = stream.into_split();
+    let writing = tokio::spawn(async move {
+        // The answer may come, and the connection end, before the body has left.
+        drop(writer.write_all(&bytes).await);
+        writer
+    });
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(LIMIT, reader.read_to_end(&mut answer)).await;
+    read.expect("the connection is closed in time").ok();
+    writing.abort();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn a_part_of_an_answer_whose_connection_is_reset_during_an_upload_is_not_a_whole_one() {
+    for body_bytes in [60_000, 300_000, 7_000_000] {
+        for after_ms in [0, 1, 20, 100, 300] {
+            let behaviour = answers::Behaviour {
+                answer: b"HTTP/1.1 200 OK\r\nx-own: kept\r\n\r\npart".to_vec(),
+                wait: Duration::from_millis(after_ms),
+                resets: true,
+            };
+            let (site, mut service) = start_before(behaviour).await;
+            let got = upload(&site, body_bytes).await;
+            let is_whole = got.ends_with("\r\n0\r\n\r\n") || got.contains("content-length: ");
+            let is_success = got.starts_with("HTTP/1.1 200") && is_whole;
+            assert!(!is_success, "{body_bytes} bytes, reset after {after_ms} ms: {got}");
+            service.requests.recv().await.expect("the call has reached the service");
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_without_length_that_its_service_closes_is_whole() {
+    let answer = b"HTTP/1.1 200 OK\r\n\r\ngood".to_vec();
+    let behaviour = answers::Behaviour { answer, wait: Duration::ZERO, resets: false };
+    let (site, _service) = start_before(behaviour).await;
+    let got = exchange(&site, &message("GET /stock", "", "")).await;
+    assert!(got.starts_with("HTTP/1.1 200") && got.contains("good"), "{got}");
+}
--- a/tests/router/hedging.rs
+++ b/tests/router/hedging.rs
@@ -33,6 +33,9 @@
 const FAILED_RESPONSE: &[u8] =
     b"HTTP/1.1 500 Error\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nbad";
 
+const INVALID_RESPONSE: &[u8] =
+    b"HTTP/1.1 000 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nbad";
+
 const STREAM_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n\
     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
     f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
@@ -158,8 +161,8 @@
 /// Guards against a failure that reaches the caller while the other server may still answer.
 #[test]
 fn a_failure_of_one_server_leaves_the_other_one_running() {
-    for (is_second_failed, failure) in
-        [(false, FAILED_RESPONSE), (true, FAILED_RESPONSE), (false, b""), (true, b"")]
+    let failures = [FAILED_RESPONSE, INVALID_RESPONSE, b""];
+    for (is_second_failed, failure) in failures.into_iter().flat_map(|it| [(false, it), (true, it)])
     {
         run(async {
             let mut servers = Servers::start("query", COMPLETE_RESPONSE).await;
--- a/tests/router/main.rs
+++ b/tests/router/main.rs
@@ -26,6 +26,7 @@
 mod departures;
 mod endless_answers;
 mod hedging;
+mod invalid_answers;
 mod shutdown;
 
 const KEY: &str = "the-key";
