--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -386,6 +386,7 @@
         Ok(())
     }
 
+    /// Writes entries as another writer would.
     fn put_foreign_entries(&self) {
         for topic in FOREIGN_TOPICS {
             FOREIGN_KEYS.iter().for_each(|key| self.store.put(topic, key, b"{\"Foreign\":true}"));
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -182,11 +182,14 @@
         let mut next = 0;
         while next < listing.end() {
             match self.read(topic, next, time::Duration::ZERO).await {
+                // The listing comes from another copy.
                 Ok(read) if read.era != era => return Err(StoreError::Deleted { first: None }),
                 Ok(read) if read.next > next => {
                     next = read.next;
                     read.records.into_iter().for_each(|record| listing.insert(record));
                 }
+                // The topic ends before its end at the listing.
+                Ok(_) => return Ok(false),
                 Err(StoreError::Deleted { first: Some(first) }) if first > next => {
                     next = first;
                     is_complete = false;
@@ -195,7 +198,6 @@
                     next = offset + 1;
                     is_complete = false;
                 }
-                Ok(_) => return Ok(false),
                 Err(failure) => return Err(failure),
             }
         }
