--- a/standins/src/answers.rs
+++ b/standins/src/answers.rs
@@ -73,9 +73,9 @@
 pub fn invalid(fields: &str, body: &str) -> Vec<(String, Vec<u8>)> {
     let length = body.len();
     let end = format!("{fields}Content-Length: {length}\r\n\r\n{body}");
-    let lines = STATUS_LINES.map(|line| (line, format!("{line}\r\n{end}")));
-    let fields = FIELDS.map(|field| (field, format!("HTTP/1.1 200 OK\r\n{field}\r\n{end}")));
-    let answers = lines.into_iter().chain(fields);
+    let statuses = STATUS_LINES.map(|line| (line, format!("{line}\r\n{end}")));
+    let heads = FIELDS.map(|field| (field, format!("HTTP/1.1 200 OK\r\n{field}\r\n{end}")));
+    let answers = statuses.into_iter().chain(heads);
     answers.map(|(name, answer)| (name.to_string(), answer.into_bytes())).collect()
 }
 
