--- a/src/borders/engines/openai/tests.rs
+++ b/src/borders/engines/openai/tests.rs
@@ -94,7 +94,8 @@
 }
 
 #[tokio::test]
-async fn an_answer_with_an_invalid_head_is_a_failure_after_which_the_request_may_have_run() {
+async fn an_answer_with_an_invalid_status_or_field_is_a_failure_after_which_the_request_may_have_run()
+ {
     let id = ids::request_text(OWN);
     let body =
         format!(r#"{{"id":"cmpl-{id}","usage":{{"prompt_tokens":1}},"kv_transfer_params":{{}}}}"#);
--- a/src/platform/keeper/tests.rs
+++ b/src/platform/keeper/tests.rs
@@ -161,7 +161,7 @@
     });
 }
 
-/// Before the fix the value counted as missing, and what it told as never said.
+/// Before the fix the value counted as missing, and spending as none.
 #[test]
 fn a_value_that_a_listing_may_lack_is_not_taken_for_missing() {
     run(async {
--- a/src/platform/store/listing.rs
+++ b/src/platform/store/listing.rs
@@ -77,7 +77,8 @@
     /// Returns the path of the call for the next page.
     pub fn next_path(&self, topic: &str) -> String {
         let after = self.last_key.as_ref().map_or(String::new(), |key| {
-            format!("&after={}", percent_encoding::utf8_percent_encode(key, UNRESERVED))
+            let encoded = percent_encoding::utf8_percent_encode(key, UNRESERVED);
+            format!("&after={encoded}")
         });
         format!("/-/log-newest?Topic={topic}&part=0{after}")
     }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -167,7 +167,7 @@
                     self.next = None;
                 } else if matches!(failure, store::StoreError::Truncated { .. }) {
                     // The record may be a later change of any key, which a listing contains.
-                    log::warn!("topic {} is listed anew: {failure}", self.topic);
+                    log::warn!("listing topic {} again: {failure}", self.topic);
                     self.next = None;
                 } else if !std::mem::replace(&mut self.is_failing, true) {
                     log::warn!("cannot read topic {} of the store: {failure}", self.topic);
--- a/src/platform/watch/tests.rs
+++ b/src/platform/watch/tests.rs
@@ -13,7 +13,7 @@
 
 /// Before the fix no later record was read any more.
 #[test]
-fn a_topic_is_listed_anew_after_a_truncated_record() {
+fn a_topic_is_listed_again_after_a_truncated_record() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let test = async {
         let any = ([127, 0, 0, 1], 0).into();
--- a/tests/plain_http.rs
+++ b/tests/plain_http.rs
@@ -448,7 +448,7 @@
 }
 
 #[tokio::test]
-async fn an_answer_with_an_invalid_head_is_not_passed_on() {
+async fn an_answer_with_an_invalid_status_or_field_is_not_passed_on() {
     for (name, answer) in answers::invalid("x-own: kept\r\n", "good") {
         let behaviour = answers::Behaviour { answer, wait: Duration::ZERO, resets: false };
         let (mut site, mut service) = start_before(behaviour).await;
--- a/tests/router/invalid_answers.rs
+++ b/tests/router/invalid_answers.rs
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn an_answer_with_an_invalid_head_is_not_passed_on() {
+fn an_answer_with_an_invalid_status_or_field_is_not_passed_on() {
     for (name, answer) in answers::invalid(SIGNATURE, "good") {
         let answer: &'static [u8] = answer.leak();
         for route in ["order", "stream"] {
--- a/tests/unreadable_entries.rs
+++ b/tests/unreadable_entries.rs
@@ -64,7 +64,7 @@
     insta::assert_debug_snapshot!(page.expect("it is a page"));
 }
 
-/// Before the fix no request was listed, so none that nobody awaits was cancelled.
+/// Before the fix no request was listed, so none without a caller was cancelled.
 #[tokio::test]
 async fn a_list_of_held_requests_with_unreadable_entries_lists_the_others() {
     let server = server(&format!(
@@ -99,6 +99,6 @@
         let list = http_instances::HttpInstances::new(client(), server.address).list().await;
         assert!(list.is_err(), "{body}");
     }
-    let nobody = net::SocketAddr::from(([127, 0, 0, 1], 1));
-    assert!(http_instances::HttpInstances::new(client(), nobody).list().await.is_err());
+    let unused = net::SocketAddr::from(([127, 0, 0, 1], 1));
+    assert!(http_instances::HttpInstances::new(client(), unused).list().await.is_err());
 }
