Correct what the test of an incomplete listing guards against

Cause: its comment said that the value counted as missing before the fix. The check keeps the new way out of an endless listing from doing that, and was not seen to fail.

Change: the comment only.

--- a/src/platform/keeper/tests.rs
+++ b/src/platform/keeper/tests.rs
@@ -161,7 +161,7 @@
     });
 }
 
-/// Before the fix the value counted as missing, and spending as none.
+/// Guards against spending that counts as none because its listing is incomplete.
 #[test]
 fn a_value_that_a_listing_may_lack_is_not_taken_for_missing() {
     run(async {
