--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -725,18 +725,7 @@
     )
 }
 
-// ---------------------------------------------------------------- sockets
-
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-}
-
-/// Makes the receive buffer of a connection small, as on the links of the pages.
-pub fn set_small_window(stream: &TcpStream, bytes: i32) {
-    use std::os::fd::AsRawFd;
-    // SOL_SOCKET and SO_RCVBUF on Linux.
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 8, &raw const bytes, 4) };
-}
+// ---------------------------------------------------------------- ids
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
